Set up the build, the checks and the design page

Cause: new project. The design page records requirements, the alternatives considered and the module interfaces; headers fix the interfaces so that the modules can be written independently. Ruled out: autotools and a hand-written Makefile only; CMake is on the machines already and gives the compile commands that the linter needs. Before: nothing. Conclusion: the interfaces compile; no behaviour is implemented yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,64 @@
+# Thin front end over CMake. Every target works on a fresh Debian 12.
+
+BUILD ?= build
+SANITIZED ?= build-sanitize
+FUZZ ?= build-fuzz
+JOBS ?= $(shell nproc)
+
+.PHONY: all build deps format format-check lint unit functional sanitize fuzz \
+	check demo bench slopes mutants clean
+
+all: build
+
+deps:
+	@./tools/install-deps
+
+build:
+	@cmake -S . -B $(BUILD) >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) | grep -v 'Built target' || true
+	@cmake --build $(BUILD) -j $(JOBS) >/dev/null
+
+format:
+	@./tools/sources | xargs clang-format -i
+
+format-check:
+	@./tools/sources | xargs clang-format --dry-run -Werror
+	@echo "format: clean"
+
+lint: build
+	@./tools/lint $(BUILD)
+
+unit: build
+	@./tools/run-tests $(BUILD) unit
+
+functional: build
+	@./tools/run-tests $(BUILD) functional
+
+sanitize:
+	@cmake -S . -B $(SANITIZED) -DIBISFIELD_SANITIZE=ON >/dev/null
+	@cmake --build $(SANITIZED) -j $(JOBS) >/dev/null
+	@./tools/run-tests $(SANITIZED) unit
+
+fuzz:
+	@CC=clang cmake -S . -B $(FUZZ) -DIBISFIELD_SANITIZE=ON \
+		-DIBISFIELD_FUZZ=ON >/dev/null
+	@cmake --build $(FUZZ) -j $(JOBS) >/dev/null
+	@./tools/run-fuzz $(FUZZ)
+
+check: deps
+	@./tools/check
+
+demo: deps build
+	@./tools/demo $(BUILD)
+
+bench: build
+	@$(BUILD)/bench/bench_compare
+
+slopes: build
+	@$(BUILD)/bench/bench_slopes
+
+mutants:
+	@./tools/mutants
+
+clean:
+	@rm -rf $(BUILD) $(SANITIZED) $(FUZZ)
--- /dev/null
+++ b/src/ibisfield/base/clock.c
@@ -0,0 +1,54 @@
+/// @file
+/// Time sources. All times in the project are microseconds as int64_t.
+
+#include "ibisfield/base/clock.h"
+
+#include <time.h>
+
+static int64_t
+boot_clock_now_us(const clock_source_t *clock)
+{
+    (void)clock;
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (int64_t)now.tv_sec * US_PER_S + now.tv_nsec / 1000;
+}
+
+static int64_t
+manual_clock_now_us(const clock_source_t *clock)
+{
+    return ((const manual_clock_t *)clock)->now_us;
+}
+
+static const clock_vtable_t boot_clock_vtable = {boot_clock_now_us};
+static const clock_vtable_t manual_clock_vtable = {manual_clock_now_us};
+
+/// Returns the current time of the source in microseconds.
+int64_t
+clock_now_us(const clock_source_t *clock)
+{
+    return clock->vtable->now_us(clock);
+}
+
+/// Initialises a monotonic source that also counts time while the machine is
+/// suspended, so that a VM that wakes late sees how much time has passed.
+void
+boot_clock_init(clock_source_t *clock)
+{
+    clock->vtable = &boot_clock_vtable;
+}
+
+/// Initialises a source that moves only by manual_clock_advance(); for tests.
+void
+manual_clock_init(manual_clock_t *clock, int64_t now_us)
+{
+    clock->base.vtable = &manual_clock_vtable;
+    clock->now_us = now_us;
+}
+
+/// Moves a manual source forward by @p step_us microseconds.
+void
+manual_clock_advance(manual_clock_t *clock, int64_t step_us)
+{
+    clock->now_us += step_us;
+}
--- /dev/null
+++ b/src/ibisfield/base/log.c
@@ -0,0 +1,71 @@
+/// @file
+/// Log lines of key=value pairs, one for each event, written to standard error
+/// through GLib's logging.
+
+#include "ibisfield/base/log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static GLogLevelFlags lowest_enabled_level = G_LOG_LEVEL_MESSAGE;
+
+static const char *
+level_name(GLogLevelFlags level)
+{
+    switch (level & G_LOG_LEVEL_MASK) {
+    case G_LOG_LEVEL_ERROR:
+    case G_LOG_LEVEL_CRITICAL:
+        return "error";
+    case G_LOG_LEVEL_WARNING:
+        return "warning";
+    case G_LOG_LEVEL_DEBUG:
+        return "debug";
+    default:
+        return "info";
+    }
+}
+
+static GLogWriterOutput
+write_line(GLogLevelFlags level, const GLogField *fields, gsize field_count,
+           gpointer user_data)
+{
+    (void)user_data;
+    if ((level & G_LOG_LEVEL_MASK) > lowest_enabled_level) {
+        return G_LOG_WRITER_HANDLED;
+    }
+    const char *message = "";
+    for (gsize i = 0; i < field_count; i++) {
+        if (strcmp(fields[i].key, "MESSAGE") == 0) {
+            message = fields[i].value;
+        }
+    }
+    gint64 now_us = g_get_real_time();
+    fprintf(stderr, "time=%" G_GINT64_FORMAT ".%06d level=%s %s\n",
+            now_us / G_USEC_PER_SEC, (int)(now_us % G_USEC_PER_SEC),
+            level_name(level), message);
+    return G_LOG_WRITER_HANDLED;
+}
+
+/// Installs the log writer. Events below @p lowest_level are dropped.
+void
+log_init(GLogLevelFlags lowest_level)
+{
+    lowest_enabled_level = lowest_level;
+    g_log_set_writer_func(write_line, NULL, NULL);
+}
+
+/// Logs @p event with the key=value pairs that @p format makes.
+void
+log_event(GLogLevelFlags level, const char *event, const char *format, ...)
+{
+    if (level > lowest_enabled_level) {
+        return;
+    }
+    va_list arguments;
+    va_start(arguments, format);
+    char *pairs = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    g_log_structured(G_LOG_DOMAIN, level, "MESSAGE", "event=%s%s%s", event,
+                     pairs[0] == '\0' ? "" : " ", pairs);
+    g_free(pairs);
+}
--- /dev/null
+++ b/src/ibisfield/base/log.h
@@ -0,0 +1,20 @@
+#ifndef IBISFIELD_BASE_LOG_H
+#define IBISFIELD_BASE_LOG_H
+
+#include <glib.h>
+
+void log_init(GLogLevelFlags lowest_level);
+void log_event(GLogLevelFlags level, const char *event, const char *format,
+               ...) G_GNUC_PRINTF(3, 4);
+
+/// Logs one event. @p event is a string literal in snake_case; the rest is a
+/// printf format of key=value pairs, "" for none. Quote free text with "%s"
+/// inside double quotes.
+#define log_info(event, ...)                                                  \
+    log_event(G_LOG_LEVEL_MESSAGE, (event), __VA_ARGS__)
+#define log_warning(event, ...)                                               \
+    log_event(G_LOG_LEVEL_WARNING, (event), __VA_ARGS__)
+#define log_debug(event, ...)                                                 \
+    log_event(G_LOG_LEVEL_DEBUG, (event), __VA_ARGS__)
+
+#endif
--- /dev/null
+++ b/src/ibisfield/base/metrics_defs.h
@@ -0,0 +1,25 @@
+#ifndef IBISFIELD_BASE_METRICS_DEFS_H
+#define IBISFIELD_BASE_METRICS_DEFS_H
+
+/// Every metric: X(identifier, name, type, help). Keep the groups sorted.
+/// docs/operations.md lists the same names; a test compares the two.
+#define METRIC_LIST(X)                                                        \
+    X(CALLS_TOTAL, "ibisfield_calls_total", "counter",                        \
+      "Caller and upstream requests accepted by the entry.")                  \
+    X(CALLS_ANSWERED_TOTAL, "ibisfield_calls_answered_total", "counter",      \
+      "Calls answered with a whole upstream answer.")                         \
+    X(CALLS_REFUSED_TOTAL, "ibisfield_calls_refused_total", "counter",        \
+      "Calls refused and not run.")                                           \
+    X(CALLS_UNKNOWN_TOTAL, "ibisfield_calls_unknown_total", "counter",        \
+      "Calls whose outcome is unknown.")                                      \
+    X(CALLS_IN_FLIGHT, "ibisfield_calls_in_flight", "gauge",                  \
+      "Calls that wait for their answer.")
+
+typedef enum {
+#define METRIC_ENUM(id, name, type, help) METRIC_##id,
+    METRIC_LIST(METRIC_ENUM)
+#undef METRIC_ENUM
+        METRIC_COUNT
+} metric_id_t;
+
+#endif
--- /dev/null
+++ b/src/ibisfield/call/call_defs.h
@@ -0,0 +1,74 @@
+#ifndef IBISFIELD_CALL_CALL_DEFS_H
+#define IBISFIELD_CALL_CALL_DEFS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisfield/base/slice.h"
+
+#define KEY_TEXT_MAX 159
+#define VM_NAME_MAX 63
+
+/// What a caller is told about the effect of its request.
+typedef enum {
+    OUTCOME_ANSWERED, ///< a whole upstream answer is passed on
+    OUTCOME_NOT_RUN,  ///< no upstream ran or will run it
+    OUTCOME_UNKNOWN,
+} outcome_t;
+
+/// Every refusal: X(identifier, token, HTTP status). Outcomes are set per
+/// case by the code that refuses.
+#define REASON_LIST(X)                                                        \
+    X(NONE, "", 200)                                                          \
+    X(MALFORMED, "malformed", 400)                                            \
+    X(NO_SUCH_KIND, "no-such-kind", 404)                                      \
+    X(IN_PROGRESS, "in-progress", 409)                                        \
+    X(KEY_EXPIRED, "key-expired", 410)                                        \
+    X(ANSWER_NOT_KEPT, "answer-not-kept", 410)                                \
+    X(REQUEST_TOO_LARGE, "request-too-large", 413)                            \
+    X(KEY_REUSED, "key-reused", 422)                                          \
+    X(KEY_REQUIRED, "key-required", 428)                                      \
+    X(CUSTOMER_RETRY_BUDGET, "customer-retry-budget", 429)                    \
+    X(UPSTREAM_FAILED, "upstream-failed", 502)                                \
+    X(ANSWER_TOO_LARGE, "answer-too-large", 502)                              \
+    X(OVERLOADED, "overloaded", 503)                                          \
+    X(LEAVING, "leaving", 503)                                                \
+    X(NO_UPSTREAM, "no-upstream", 503)                                        \
+    X(NOT_READY, "not-ready", 503)                                            \
+    X(KEY_OWNER_UNREACHABLE, "key-owner-unreachable", 503)                    \
+    X(DEADLINE, "deadline", 504)                                              \
+    X(PROTOCOL_VERSION, "protocol-version", 505)
+
+typedef enum {
+#define REASON_ENUM(id, token, status) REASON_##id,
+    REASON_LIST(REASON_ENUM)
+#undef REASON_ENUM
+        REASON_COUNT
+} reason_t;
+
+const char *reason_token(reason_t reason);
+int reason_status(reason_t reason);
+/// Returns the reason with this token, REASON_NONE if there is none.
+reason_t reason_from_token(slice_t token);
+const char *outcome_token(outcome_t outcome);
+
+/// Load of a guard, carried on each of its answers. Text form in the header
+/// ibisfield-load: "inflight=3;limit=85;queue=0;service_us=1200;min_worth=0".
+typedef struct {
+    uint32_t in_flight;  ///< running at the upstream
+    uint32_t limit;      ///< current concurrency limit
+    uint32_t queue;      ///< waiting in the guard's queue
+    uint32_t service_us; ///< recent mean service time
+    int32_t min_worth;   ///< lowest worth admitted now; 0 when not shedding
+} guard_load_t;
+
+/// Writes the text form with its zero byte, at most @p size bytes.
+void guard_load_format(const guard_load_t *load, char *text, size_t size);
+/// Returns false if @p text is not a valid load.
+bool guard_load_parse(guard_load_t *load, slice_t text);
+
+/// Handle of a call at the entry or of a request at the guard: slot and
+/// generation, so that a stale handle never names a newer call. 0 is none.
+typedef uint64_t call_handle_t;
+
+#endif
--- /dev/null
+++ b/src/ibisfield/call/guard.h
@@ -0,0 +1,79 @@
+#ifndef IBISFIELD_CALL_GUARD_H
+#define IBISFIELD_CALL_GUARD_H
+
+#include "ibisfield/admission/admission.h"
+#include "ibisfield/base/clock.h"
+#include "ibisfield/call/call_defs.h"
+#include "ibisfield/retry/retry_account.h"
+
+/// A request that another node (or this one) sends to this VM's upstream.
+typedef struct {
+    slice_t customer;
+    slice_t kind;      ///< name of the kind in the customer's contract
+    int32_t worth;     ///< of the root request
+    int64_t budget_us; ///< rest of the deadline at arrival
+    uint32_t retries;  ///< units lent to this call
+    void *user;        ///< the adapter's own object
+} guard_request_t;
+
+/// How the upstream's run of a request ended.
+typedef enum {
+    UPSTREAM_ANSWERED,       ///< whole answer received
+    UPSTREAM_CONNECT_FAILED, ///< no byte was sent
+    UPSTREAM_SHED,           ///< the upstream refused before running it
+    UPSTREAM_LOST,           ///< bytes were sent, no whole answer
+    UPSTREAM_TOO_LARGE,      ///< the answer exceeds max_answer_bytes
+} upstream_result_t;
+
+/// What the guard tells the sender.
+typedef struct {
+    reason_t reason; ///< REASON_NONE: pass on the upstream's answer
+    outcome_t outcome;
+    uint32_t retries_left;  ///< units handed back
+    int32_t retry_after_ms; ///< 0: no hint
+    guard_load_t load;
+} guard_answer_t;
+
+typedef struct guard_io guard_io_t;
+
+/// Calls from the guard to its adapter. They must not call back into the
+/// guard before they return.
+typedef struct {
+    /// Starts the request at the upstream. @p request_id is passed in the
+    /// header ibisfield-request.
+    void (*start)(guard_io_t *io, call_handle_t handle, void *user,
+                  uint64_t request_id, int64_t budget_us);
+    /// Stops waiting for the upstream and closes its connection.
+    void (*cancel)(guard_io_t *io, call_handle_t handle, void *user);
+    /// Answers the sender; the handle is invalid afterwards.
+    void (*answer)(guard_io_t *io, call_handle_t handle, void *user,
+                   const guard_answer_t *answer);
+} guard_io_vtable_t;
+
+struct guard_io {
+    const guard_io_vtable_t *vtable;
+};
+
+typedef struct guard guard_t;
+
+void guard_init(guard_t *guard, const clock_source_t *clock, guard_io_t *io,
+                retry_accounts_t *accounts,
+                const admission_options_t *options);
+void guard_finish(guard_t *guard);
+
+/// Takes a request; it is answered by the vtable, at once or later. Returns
+/// its handle, 0 if it was already answered.
+call_handle_t guard_request(guard_t *guard, const guard_request_t *request);
+void guard_upstream_done(guard_t *guard, call_handle_t handle,
+                         upstream_result_t result);
+/// The sender has gone: drops the request if it waits, else cancels it.
+void guard_sender_gone(guard_t *guard, call_handle_t handle);
+/// Drops expired requests, adapts the limit, starts what may run. Call every
+/// few milliseconds and after each event batch.
+void guard_tick(guard_t *guard);
+void guard_set_leaving(guard_t *guard, bool leaving);
+bool guard_is_leaving(const guard_t *guard);
+guard_load_t guard_load(const guard_t *guard);
+uint32_t guard_in_flight(const guard_t *guard);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/contract/contract_defs.h
@@ -0,0 +1,52 @@
+#ifndef IBISFIELD_CONTRACT_CONTRACT_DEFS_H
+#define IBISFIELD_CONTRACT_CONTRACT_DEFS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define CONTRACT_NAME_MAX 63
+#define CONTRACT_PATH_MAX 255
+#define CONTRACT_KINDS_MAX 256
+#define CONTRACT_HOSTS_MAX 16
+#define CONTRACT_WORTH_MAX 100
+#define CONTRACT_RETRIES_MAX 10
+
+/// Whether a request may run again.
+typedef enum {
+    RUN_REPEATABLE, ///< idempotent: may be retried and hedged
+    RUN_ONCE,       ///< must run at most once; needs a request key
+} run_mode_t;
+
+/// One kind of request, as the contract declares it.
+typedef struct {
+    char name[CONTRACT_NAME_MAX + 1];
+    char service[CONTRACT_NAME_MAX + 1];
+    char method[16];
+    /// Path without the query; a '*' at the end matches any rest.
+    char path[CONTRACT_PATH_MAX + 1];
+    int32_t worth;       ///< 1 to CONTRACT_WORTH_MAX; higher is shed later
+    int32_t deadline_ms; ///< from the arrival at the entry
+    int32_t resend_s;    ///< how long a key stays valid; RUN_ONCE only
+    run_mode_t run;
+} kind_t;
+
+/// One customer's contract.
+typedef struct {
+    char customer[CONTRACT_NAME_MAX + 1];
+    char hosts[CONTRACT_HOSTS_MAX][CONTRACT_NAME_MAX + 1];
+    uint32_t host_count;
+    int32_t retries;              ///< extra attempts for one caller request
+    int32_t client_retry_percent; ///< client retries per 100 first requests
+    kind_t *kinds;
+    uint32_t kind_count;
+} contract_t;
+
+/// Limits that follow from a kind and its contract; printed by `explain`.
+typedef struct {
+    int32_t attempts_max;  ///< 1 + retries, at any service of the chain
+    int32_t queue_wait_ms; ///< longest wait in a guard's queue
+    int32_t key_life_ms;   ///< 0 for repeatable kinds
+    bool hedge;            ///< a second attempt may run at the same time
+} kind_limits_t;
+
+#endif
--- /dev/null
+++ b/src/ibisfield/contract/settings.h
@@ -0,0 +1,15 @@
+#ifndef IBISFIELD_CONTRACT_SETTINGS_H
+#define IBISFIELD_CONTRACT_SETTINGS_H
+
+#include <glib.h>
+
+#include "ibisfield/base/slice.h"
+#include "ibisfield/contract/settings_defs.h"
+
+/// Parses and checks the settings of a node (JSON with comments); same
+/// conventions as contract_parse().
+bool settings_parse(settings_t *settings, const char *file, slice_t text,
+                    GPtrArray *problems);
+void settings_finish(settings_t *settings);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/contract/settings_defs.h
@@ -0,0 +1,45 @@
+#ifndef IBISFIELD_CONTRACT_SETTINGS_DEFS_H
+#define IBISFIELD_CONTRACT_SETTINGS_DEFS_H
+
+#include <stdint.h>
+
+#define SETTINGS_NAME_MAX 63
+#define SETTINGS_SEEDS_MAX 16
+#define SETTINGS_URL_MAX 255
+
+/// An IPv4 address and a port.
+typedef struct {
+    char address[16];
+    uint16_t port;
+} endpoint_t;
+
+/// Settings of one node. JSON field names equal the member names; endpoints
+/// are strings "address:port".
+typedef struct {
+    char vm[SETTINGS_NAME_MAX + 1];
+    char data_centre[SETTINGS_NAME_MAX + 1];
+    char service[SETTINGS_NAME_MAX + 1]; ///< of the upstream on this VM
+    endpoint_t caller_listen;            ///< callers' HTTP (entry)
+    endpoint_t egress_listen;            ///< own upstream's calls (egress)
+    endpoint_t peer_listen;              ///< other nodes' HTTP (guard)
+    endpoint_t control_listen;           ///< control messages (nng)
+    endpoint_t operator_listen;          ///< operators' HTTP
+    endpoint_t upstream;                 ///< the upstream on this VM
+    int32_t upstream_slots;              ///< requests it runs at the same time
+    int32_t upstream_connections;        ///< connections it accepts
+    char config_url[SETTINGS_URL_MAX + 1]; ///< contracts, http://ip:port
+    char list_url[SETTINGS_URL_MAX + 1];   ///< VM list, http://ip:port
+    endpoint_t seeds[SETTINGS_SEEDS_MAX];  ///< control addresses of peers
+    uint32_t seed_count;
+    int32_t max_request_bytes;  ///< default 1048576
+    int32_t max_answer_bytes;   ///< default 4194304
+    int32_t max_calls;          ///< calls in flight at the entry, 4096
+    int32_t max_connections;    ///< accepted connections, 4096
+    int32_t remote_cost_us;     ///< added cost of another data centre, 3000
+    int32_t key_linger_ms;      ///< default 5000
+    int32_t drain_limit_ms;     ///< default 30000
+    int32_t answer_store_bytes; ///< kept answers of keys, 16777216
+    char log_level[16];         ///< debug, info, warning; default info
+} settings_t;
+
+#endif
--- /dev/null
+++ b/src/ibisfield/routing/picker.h
@@ -0,0 +1,78 @@
+#ifndef IBISFIELD_ROUTING_PICKER_H
+#define IBISFIELD_ROUTING_PICKER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisfield/base/clock.h"
+#include "ibisfield/call/call_defs.h"
+
+/// Handle of a VM in the picker's table; stable while the VM is listed.
+typedef uint32_t vm_handle_t;
+#define VM_NONE UINT32_MAX
+
+typedef enum {
+    PICK_IBISFIELD,            ///< two choices by expected time
+    PICK_RANDOM,               ///< baseline
+    PICK_ROUND_ROBIN,          ///< baseline
+    PICK_LEAST_CONNECTIONS,    ///< baseline
+    PICK_LEAST_EXECUTION_TIME, ///< baseline of the related paper
+} pick_rule_t;
+
+typedef struct {
+    pick_rule_t rule;
+    const char *own_vm;
+    const char *own_data_centre;
+    int32_t remote_cost_us; ///< added to VMs of other data centres
+    uint32_t subset_size;   ///< VMs of a service in use; 0: default
+    uint32_t seed;
+} picker_options_t;
+
+typedef struct {
+    const char *vm;
+    const char *data_centre;
+    const char *service;
+    bool leaving;
+} picker_vm_t;
+
+typedef enum {
+    PICK_OK,
+    PICK_NO_UPSTREAM, ///< no usable VM of the service
+    PICK_SHED,        ///< every candidate sheds this worth: refuse at once
+} pick_t;
+
+/// How an attempt ended, for the picker's learning.
+typedef enum {
+    REPORT_ANSWERED,
+    REPORT_REFUSED,   ///< not run: overloaded
+    REPORT_LEAVING,   ///< not run: the VM is leaving
+    REPORT_FAILED,    ///< connect failed, lost, or the upstream failed
+    REPORT_CANCELLED, ///< stopped by the sender; nothing is learned but load
+} report_t;
+
+typedef struct picker picker_t;
+
+void picker_init(picker_t *picker, const clock_source_t *clock,
+                 const picker_options_t *options);
+void picker_finish(picker_t *picker);
+/// Adds or updates a VM of the published list; returns its handle.
+vm_handle_t picker_set_vm(picker_t *picker, const picker_vm_t *vm);
+void picker_remove_vm(picker_t *picker, const char *vm);
+/// NULL if the handle names no VM.
+const char *picker_vm_name(const picker_t *picker, vm_handle_t vm);
+/// Chooses a VM for one attempt and counts it as in flight there. @p tried
+/// lists VMs to avoid if another is usable. @p kind is a hash of customer and
+/// kind name.
+pick_t picker_pick(picker_t *picker, const char *service, uint64_t kind,
+                   int32_t worth, const vm_handle_t *tried,
+                   uint32_t tried_count, vm_handle_t *vm);
+/// Ends an attempt that picker_pick() began. @p latency_us is from send to
+/// answer; @p load may be NULL.
+void picker_report(picker_t *picker, vm_handle_t vm, uint64_t kind,
+                   report_t report, int64_t latency_us,
+                   const guard_load_t *load);
+/// After how long a second attempt is worth its cost, by recent latencies of
+/// the kind; 0: don't hedge.
+int64_t picker_hedge_delay_us(const picker_t *picker, uint64_t kind);
+
+#endif
