Add key table, issued keys, retry accounts and client retry budget

Slots with generations move to base/slot_table, since calls, requests at the guard, accounts and key records all need handles that turn harmless when they are stale.

Key records keep the reason of a refusal, so a resubmission repeats the same reason. The table uses the latest time seen: a clock that steps back would otherwise make an expired key valid after its record is dropped.

--- /dev/null
+++ b/src/ibisfield/base/slot_table.c
@@ -0,0 +1,79 @@
+/// @file
+/// Slots with generations. A handle that outlives its slot is recognised, so
+/// a late event never reaches the object that uses the slot next.
+
+#include "ibisfield/base/slot_table.h"
+
+#include <glib.h>
+
+/// Initialises a table of @p capacity free slots. Memory of slots that were
+/// never used isn't touched.
+void
+slot_table_init(slot_table_t *table, uint32_t capacity)
+{
+    *table = (slot_table_t){
+        .capacity = capacity,
+        .generation = g_new0(uint32_t, capacity),
+        .order = g_new0(uint32_t, capacity),
+        .position = g_new0(uint32_t, capacity),
+    };
+}
+
+/// Frees the table's memory.
+void
+slot_table_finish(slot_table_t *table)
+{
+    g_free(table->generation);
+    g_free(table->order);
+    g_free(table->position);
+}
+
+/// Returns the handle of a free slot, 0 if all are in use.
+uint64_t
+slot_table_take(slot_table_t *table)
+{
+    if (table->count == table->capacity) {
+        return 0;
+    }
+    if (table->count == table->fresh) {
+        table->order[table->fresh] = table->fresh;
+        table->position[table->fresh] = table->fresh;
+        table->fresh++;
+    }
+    uint32_t slot = table->order[table->count++];
+    uint32_t generation = ++table->generation[slot];
+    return ((uint64_t)generation << 32) | (slot + 1);
+}
+
+/// Frees the slot of a handle; a stale handle is ignored.
+void
+slot_table_release(slot_table_t *table, uint64_t handle)
+{
+    uint32_t slot = slot_table_find(table, handle);
+    if (slot == SLOT_NONE) {
+        return;
+    }
+    uint32_t hole = table->position[slot];
+    uint32_t last = --table->count;
+    uint32_t moved = table->order[last];
+    table->order[hole] = moved;
+    table->position[moved] = hole;
+    table->order[last] = slot;
+    table->position[slot] = last;
+}
+
+/// Returns the slot of a handle, SLOT_NONE if the handle is stale or invalid.
+uint32_t
+slot_table_find(const slot_table_t *table, uint64_t handle)
+{
+    uint32_t number = (uint32_t)handle;
+    if (number == 0 || number > table->fresh) {
+        return SLOT_NONE;
+    }
+    uint32_t slot = number - 1;
+    bool in_use = table->position[slot] < table->count;
+    if (!in_use || table->generation[slot] != handle >> 32) {
+        return SLOT_NONE;
+    }
+    return slot;
+}
--- /dev/null
+++ b/src/ibisfield/call/call_defs.c
@@ -0,0 +1,114 @@
+/// @file
+/// Tokens of outcomes and reasons, and the text form of a guard's load.
+
+#include "ibisfield/call/call_defs.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct {
+    const char *token;
+    int status;
+} reason_info_t;
+
+static const reason_info_t reason_infos[REASON_COUNT] = {
+#define REASON_INFO(id, token, status) {token, status},
+    REASON_LIST(REASON_INFO)
+#undef REASON_INFO
+};
+
+/// Returns the token of ibisfield-reason, "" for REASON_NONE.
+const char *
+reason_token(reason_t reason)
+{
+    return reason_infos[reason].token;
+}
+
+/// Returns the HTTP status of a refusal.
+int
+reason_status(reason_t reason)
+{
+    return reason_infos[reason].status;
+}
+
+/// Returns the reason with this token, REASON_NONE if there is none.
+reason_t
+reason_from_token(slice_t token)
+{
+    for (int i = REASON_NONE + 1; i < REASON_COUNT; i++) {
+        if (slice_equal_string(token, reason_infos[i].token)) {
+            return (reason_t)i;
+        }
+    }
+    return REASON_NONE;
+}
+
+/// Returns the token of ibisfield-outcome.
+const char *
+outcome_token(outcome_t outcome)
+{
+    switch (outcome) {
+    case OUTCOME_ANSWERED:
+        return "answered";
+    case OUTCOME_NOT_RUN:
+        return "not-run";
+    default:
+        return "unknown";
+    }
+}
+
+/// Writes the text form with its zero byte, at most @p size bytes.
+void
+guard_load_format(const guard_load_t *load, char *text, size_t size)
+{
+    snprintf(text, size,
+             "inflight=%" PRIu32 ";limit=%" PRIu32 ";queue=%" PRIu32
+             ";service_us=%" PRIu32 ";min_worth=%" PRId32,
+             load->in_flight, load->limit, load->queue, load->service_us,
+             load->min_worth);
+}
+
+static bool
+parse_field(slice_t *rest, const char *name, uint32_t max, uint32_t *value)
+{
+    slice_t prefix = slice_from_string(name);
+    if (!slice_starts_with(*rest, prefix)) {
+        return false;
+    }
+    size_t at = prefix.len;
+    uint64_t number = 0;
+    size_t first_digit = at;
+    while (at < rest->len && rest->data[at] >= '0' && rest->data[at] <= '9') {
+        number = number * 10 + (uint64_t)(rest->data[at] - '0');
+        if (number > max) {
+            return false;
+        }
+        at++;
+    }
+    *rest = (slice_t){rest->data + at, rest->len - at};
+    *value = (uint32_t)number;
+    return at > first_digit;
+}
+
+/// Parses the text form. Returns false if @p text isn't a valid load; then
+/// @p load is unchanged.
+bool
+guard_load_parse(guard_load_t *load, slice_t text)
+{
+    guard_load_t parsed = {0};
+    uint32_t min_worth = 0;
+    bool valid =
+        parse_field(&text, "inflight=", UINT32_MAX, &parsed.in_flight) &&
+        parse_field(&text, ";limit=", UINT32_MAX, &parsed.limit) &&
+        parse_field(&text, ";queue=", UINT32_MAX, &parsed.queue) &&
+        parse_field(&text, ";service_us=", UINT32_MAX, &parsed.service_us) &&
+        parse_field(&text, ";min_worth=", INT32_MAX, &min_worth) &&
+        text.len == 0;
+    if (!valid) {
+        return false;
+    }
+    parsed.min_worth = (int32_t)min_worth;
+    *load = parsed;
+    return true;
+}
--- /dev/null
+++ b/src/ibisfield/once/key_table.c
@@ -0,0 +1,259 @@
+/// @file
+/// Records of the keys that this process incarnation has issued. A key runs
+/// only when its record is made, and a record outlives every valid submission
+/// of its key, so a key runs at most once.
+
+#include "ibisfield/once/key_table.h"
+
+/// Records looked at in one tick, which bounds the time of a tick.
+#define SWEEP_RECORDS 256
+
+/// Initialises the table. A new incarnation starts with a new secret, so it
+/// accepts no key of an earlier one.
+void
+key_table_init(key_table_t *table, const clock_source_t *clock,
+               const key_table_options_t *options)
+{
+    *table = (key_table_t){
+        .clock = clock,
+        .options = *options,
+        .start_us = clock_now_us(clock),
+        .next_sequence = 1,
+    };
+    table->latest_us = table->start_us;
+    g_strlcpy(table->vm, options->vm, sizeof(table->vm));
+    table->options.vm = table->vm;
+    slot_table_init(&table->slots, options->max_records);
+    table->records = g_new0(key_record_t, options->max_records);
+    table->index = g_hash_table_new(g_int64_hash, g_int64_equal);
+}
+
+/// Frees the table and the kept answers.
+void
+key_table_finish(key_table_t *table)
+{
+    for (uint32_t i = 0; i < table->slots.count; i++) {
+        g_free(table->records[slot_table_at(&table->slots, i)].answer);
+    }
+    g_hash_table_destroy(table->index);
+    g_free(table->records);
+    slot_table_finish(&table->slots);
+}
+
+/// Returns the time since the start. A clock that steps back must not make an
+/// expired key valid again: its record may be gone.
+static int64_t
+age_us(key_table_t *table)
+{
+    int64_t now_us = clock_now_us(table->clock);
+    table->latest_us = MAX(table->latest_us, now_us);
+    return table->latest_us - table->start_us;
+}
+
+static uint64_t
+age_ms(key_table_t *table)
+{
+    return (uint64_t)(age_us(table) / US_PER_MS);
+}
+
+/// Writes a fresh key for @p customer that is valid for @p life_us. Returns
+/// false if the table is full.
+bool
+key_table_mint(key_table_t *table, slice_t customer, int64_t life_us,
+               char text[KEY_TEXT_MAX + 1])
+{
+    text[0] = '\0';
+    if (table->slots.count >= table->slots.capacity) {
+        return false;
+    }
+    int64_t expiry_us = age_us(table) + life_us;
+    issued_key_t key = {
+        .incarnation = table->options.incarnation,
+        .expiry_ms = (uint64_t)(expiry_us / US_PER_MS),
+        .sequence = table->next_sequence++,
+    };
+    memcpy(key.vm, table->vm, sizeof(key.vm));
+    issued_key_sign(&key, customer, table->options.secret);
+    issued_key_format(&key, text);
+    table->last_expiry_us = MAX(table->last_expiry_us, expiry_us);
+    return true;
+}
+
+static key_record_t *
+find_record(key_table_t *table, key_handle_t handle)
+{
+    uint32_t slot = slot_table_find(&table->slots, handle);
+    return slot == SLOT_NONE ? NULL : &table->records[slot];
+}
+
+static void
+drop_record(key_table_t *table, key_record_t *record)
+{
+    g_hash_table_remove(table->index, &record->sequence);
+    if (record->answer != NULL) {
+        table->answer_bytes -= record->answer_len;
+        g_clear_pointer(&record->answer, g_free);
+    }
+    slot_table_release(&table->slots, record->handle);
+}
+
+static key_check_t
+start_record(key_table_t *table, const issued_key_t *key,
+             uint64_t request_hash, key_submission_t *submission)
+{
+    key_handle_t handle = slot_table_take(&table->slots);
+    if (handle == 0) {
+        return KEY_TABLE_FULL;
+    }
+    key_record_t *record = find_record(table, handle);
+    *record = (key_record_t){
+        .sequence = key->sequence,
+        .handle = handle,
+        .expiry_ms = key->expiry_ms,
+        .request_hash = request_hash,
+        .state = KEY_RECORD_RUNNING,
+    };
+    g_hash_table_insert(table->index, &record->sequence, record);
+    table->submitted++;
+    submission->handle = handle;
+    return KEY_RUN;
+}
+
+static key_check_t
+check_record(const key_record_t *record, uint64_t request_hash,
+             key_submission_t *submission)
+{
+    if (record->request_hash != request_hash) {
+        return KEY_REUSED;
+    }
+    submission->reason = record->reason;
+    switch (record->state) {
+    case KEY_RECORD_RUNNING:
+        return KEY_IN_PROGRESS;
+    case KEY_RECORD_REFUSED:
+        return KEY_REFUSED;
+    case KEY_RECORD_UNKNOWN:
+        return KEY_UNKNOWN;
+    default:
+        break;
+    }
+    if (record->answer == NULL) {
+        return KEY_ANSWER_NOT_KEPT;
+    }
+    submission->answer = (slice_t){record->answer, record->answer_len};
+    return KEY_ANSWERED;
+}
+
+/// Checks a submission of @p key for the request with @p request_hash. Only
+/// KEY_RUN allows it to run.
+key_check_t
+key_table_submit(key_table_t *table, slice_t customer, slice_t key,
+                 uint64_t request_hash, key_submission_t *submission)
+{
+    *submission = (key_submission_t){0};
+    issued_key_t parsed;
+    if (!issued_key_parse(&parsed, key)) {
+        return KEY_INVALID;
+    }
+    if (strcmp(parsed.vm, table->vm) != 0) {
+        memcpy(submission->owner, parsed.vm, sizeof(parsed.vm));
+        return KEY_FOREIGN;
+    }
+    if (parsed.incarnation != table->options.incarnation) {
+        return KEY_EXPIRED;
+    }
+    if (!issued_key_verify(&parsed, customer, table->options.secret)) {
+        return KEY_INVALID;
+    }
+    if (parsed.expiry_ms <= age_ms(table)) {
+        return KEY_EXPIRED;
+    }
+    const key_record_t *record =
+        g_hash_table_lookup(table->index, &parsed.sequence);
+    return record == NULL
+               ? start_record(table, &parsed, request_hash, submission)
+               : check_record(record, request_hash, submission);
+}
+
+/// The upstream has answered, in time or after key_table_unknown(). The answer
+/// is copied unless the kept answers would exceed their bound.
+void
+key_table_answered(key_table_t *table, key_handle_t handle, slice_t answer)
+{
+    key_record_t *record = find_record(table, handle);
+    if (record == NULL || record->state == KEY_RECORD_ANSWERED ||
+        record->state == KEY_RECORD_REFUSED)
+    {
+        return;
+    }
+    record->state = KEY_RECORD_ANSWERED;
+    record->reason = REASON_NONE;
+    uint32_t room = table->options.max_answer_bytes - table->answer_bytes;
+    if (answer.len > room) {
+        return;
+    }
+    // An empty answer is kept too, so the copy has at least one byte.
+    record->answer = g_malloc(answer.len + 1);
+    if (answer.len > 0) {
+        memcpy(record->answer, answer.data, answer.len);
+    }
+    record->answer_len = (uint32_t)answer.len;
+    table->answer_bytes += record->answer_len;
+}
+
+/// No upstream has run the request and none will: the key never runs.
+void
+key_table_refused(key_table_t *table, key_handle_t handle, reason_t reason)
+{
+    key_record_t *record = find_record(table, handle);
+    if (record != NULL && record->state != KEY_RECORD_ANSWERED) {
+        record->state = KEY_RECORD_REFUSED;
+        record->reason = reason;
+    }
+}
+
+/// The request may have run. A later key_table_answered() or
+/// key_table_refused() of the same handle is still accepted.
+void
+key_table_unknown(key_table_t *table, key_handle_t handle, reason_t reason)
+{
+    key_record_t *record = find_record(table, handle);
+    if (record != NULL && record->state == KEY_RECORD_RUNNING) {
+        record->state = KEY_RECORD_UNKNOWN;
+        record->reason = reason;
+    }
+}
+
+/// Drops expired records, a bounded number in each call.
+void
+key_table_tick(key_table_t *table)
+{
+    uint64_t now_ms = age_ms(table);
+    uint32_t left = MIN(table->slots.count, SWEEP_RECORDS);
+    for (; left > 0 && table->slots.count > 0; left--) {
+        if (table->sweep == 0 || table->sweep > table->slots.count) {
+            table->sweep = table->slots.count;
+        }
+        uint32_t slot = slot_table_at(&table->slots, --table->sweep);
+        key_record_t *record = &table->records[slot];
+        if (record->expiry_ms <= now_ms) {
+            drop_record(table, record);
+        }
+    }
+}
+
+/// Returns the number of records.
+uint32_t
+key_table_count(const key_table_t *table)
+{
+    return table->slots.count;
+}
+
+/// Returns whether a key may be out that is valid and was never submitted.
+bool
+key_table_has_open_keys(const key_table_t *table)
+{
+    int64_t now_us = MAX(table->latest_us, clock_now_us(table->clock));
+    return table->next_sequence - 1 > table->submitted &&
+           now_us - table->start_us < table->last_expiry_us;
+}
--- a/src/ibisfield/once/key_table.h
+++ b/src/ibisfield/once/key_table.h
@@ -1,16 +1,19 @@
 #ifndef IBISFIELD_ONCE_KEY_TABLE_H
 #define IBISFIELD_ONCE_KEY_TABLE_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "ibisfield/base/clock.h"
+#include "ibisfield/base/slot_table.h"
 #include "ibisfield/call/call_defs.h"
+#include "ibisfield/once/issued_key.h"
 
 typedef struct {
-    const char *vm;       ///< own VM name
-    uint64_t incarnation; ///< random, drawn at process start
-    uint8_t secret[32];   ///< random, never leaves the process
+    const char *vm;                   ///< own VM name
+    uint64_t incarnation;             ///< random, drawn at process start
+    uint8_t secret[KEY_SECRET_BYTES]; ///< random, never leaves the process
     uint32_t max_records;
     uint32_t max_answer_bytes; ///< of all kept answers together
 } key_table_options_t;
@@ -18,43 +21,78 @@
 typedef enum {
     KEY_RUN, ///< first submission: run it now (record is running)
     KEY_IN_PROGRESS,
-    KEY_ANSWERED, ///< the kept answer is in the record
+    KEY_ANSWERED, ///< the kept answer is in the submission
     KEY_ANSWER_NOT_KEPT,
-    KEY_REFUSED, ///< final: not run
-    KEY_UNKNOWN,
+    KEY_REFUSED,    ///< final: not run; the reason is in the submission
+    KEY_UNKNOWN,    ///< the reason is in the submission
     KEY_REUSED,     ///< same key, another request
     KEY_EXPIRED,    ///< expired, or of another incarnation of this VM
-    KEY_FOREIGN,    ///< owned by another VM, whose name is returned
+    KEY_FOREIGN,    ///< owned by another VM
     KEY_INVALID,    ///< not a key, forged, or of another customer
-    KEY_TABLE_FULL, ///< no record could be made; not run
+    KEY_TABLE_FULL, ///< no record could be made; a later submission may run
 } key_check_t;
 
-/// Handle of a record; 0 is none.
+/// Handle of a record; 0 is none. Stale handles are harmless.
 typedef uint64_t key_handle_t;
 
-typedef struct key_table key_table_t;
+/// Result of a submission; which members are set depends on the check.
+typedef struct {
+    key_handle_t handle;         ///< KEY_RUN
+    char owner[VM_NAME_MAX + 1]; ///< KEY_FOREIGN
+    slice_t answer;              ///< KEY_ANSWERED; valid until the next call
+    reason_t reason;             ///< KEY_REFUSED and KEY_UNKNOWN
+} key_submission_t;
+
+typedef enum {
+    KEY_RECORD_RUNNING,
+    KEY_RECORD_ANSWERED,
+    KEY_RECORD_REFUSED,
+    KEY_RECORD_UNKNOWN,
+} key_record_state_t;
+
+typedef struct {
+    uint64_t sequence; ///< key of the index
+    key_handle_t handle;
+    uint64_t expiry_ms;
+    uint64_t request_hash;
+    key_record_state_t state;
+    reason_t reason;
+    char *answer; ///< NULL if not kept
+    uint32_t answer_len;
+} key_record_t;
+
+typedef struct {
+    const clock_source_t *clock;
+    key_table_options_t options;
+    char vm[VM_NAME_MAX + 1];
+    int64_t start_us;
+    int64_t latest_us; ///< latest time seen; never goes back
+    uint64_t next_sequence;
+    uint64_t submitted;     ///< keys that got a record
+    int64_t last_expiry_us; ///< of all keys minted
+    uint32_t answer_bytes;
+    uint32_t sweep; ///< next record that key_table_tick() looks at
+    slot_table_t slots;
+    key_record_t *records;
+    GHashTable *index; ///< sequence to key_record_t
+} key_table_t;
 
 void key_table_init(key_table_t *table, const clock_source_t *clock,
                     const key_table_options_t *options);
 void key_table_finish(key_table_t *table);
-/// Writes a fresh key for @p customer; false if the table is full.
 bool key_table_mint(key_table_t *table, slice_t customer, int64_t life_us,
                     char text[KEY_TEXT_MAX + 1]);
-/// Checks a submission. For KEY_RUN, @p handle names the record until
-/// key_table_finish_*(). For KEY_FOREIGN, @p owner gets the VM's name. For
-/// KEY_ANSWERED, @p answer is valid until the next call.
 key_check_t key_table_submit(key_table_t *table, slice_t customer, slice_t key,
-                             uint64_t request_hash, key_handle_t *handle,
-                             char owner[VM_NAME_MAX + 1], slice_t *answer);
+                             uint64_t request_hash,
+                             key_submission_t *submission);
 void key_table_answered(key_table_t *table, key_handle_t handle,
                         slice_t answer);
-void key_table_refused(key_table_t *table, key_handle_t handle);
-/// A later key_table_answered() of the same handle is still accepted.
-void key_table_unknown(key_table_t *table, key_handle_t handle);
-/// Drops expired records.
+void key_table_refused(key_table_t *table, key_handle_t handle,
+                       reason_t reason);
+void key_table_unknown(key_table_t *table, key_handle_t handle,
+                       reason_t reason);
 void key_table_tick(key_table_t *table);
 uint32_t key_table_count(const key_table_t *table);
-/// Keys minted, not expired and not yet submitted, at most; for the linger.
 bool key_table_has_open_keys(const key_table_t *table);
 
 #endif
--- /dev/null
+++ b/src/ibisfield/retry/client_retry_budget.c
@@ -0,0 +1,102 @@
+/// @file
+/// Budget for the retries that clients make by themselves. First requests add
+/// tokens to their customer's bucket, clients' retries take them.
+
+#include "ibisfield/retry/client_retry_budget.h"
+
+#include <xxhash.h>
+
+/// Remembered refusals. A collision forgets the older one, which lets one
+/// retry pass as a first request.
+#define REFUSALS_MAX 8192
+#define TOKEN_HUNDREDTHS 100
+/// Retries that a customer may save up.
+#define TOKENS_MAX 100
+/// Retries that a customer without traffic may make.
+#define TOKENS_AT_START 10
+
+/// Initialises an empty budget.
+void
+client_retry_budget_init(client_retry_budget_t *budget,
+                         const clock_source_t *clock)
+{
+    budget->clock = clock;
+    budget->buckets =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    budget->refusals = g_new0(client_refusal_t, REFUSALS_MAX);
+}
+
+/// Frees the budget.
+void
+client_retry_budget_finish(client_retry_budget_t *budget)
+{
+    g_hash_table_destroy(budget->buckets);
+    g_free(budget->refusals);
+}
+
+static int64_t *
+find_bucket(client_retry_budget_t *budget, slice_t customer)
+{
+    char *name = g_strndup(customer.data, customer.len);
+    int64_t *tokens = g_hash_table_lookup(budget->buckets, name);
+    if (tokens != NULL) {
+        g_free(name);
+        return tokens;
+    }
+    tokens = g_new(int64_t, 1);
+    *tokens = TOKENS_AT_START * TOKEN_HUNDREDTHS;
+    g_hash_table_insert(budget->buckets, name, tokens);
+    return tokens;
+}
+
+static uint64_t
+refusal_hash(slice_t customer, slice_t kind, uint32_t source)
+{
+    uint64_t hash = XXH3_64bits(customer.data, customer.len);
+    hash = XXH3_64bits_withSeed(kind.data, kind.len, hash);
+    return XXH3_64bits_withSeed(&source, sizeof(source), hash);
+}
+
+static client_refusal_t *
+refusal_slot(client_retry_budget_t *budget, uint64_t hash)
+{
+    return &budget->refusals[hash % REFUSALS_MAX];
+}
+
+/// Counts a request. Returns false when it is a client's retry (same source
+/// and kind, refused less than its Retry-After ago) and the customer's bucket
+/// is empty; then it is to be refused.
+bool
+client_retry_budget_admit(client_retry_budget_t *budget, slice_t customer,
+                          slice_t kind, uint32_t source,
+                          int32_t client_retry_percent)
+{
+    int64_t *tokens = find_bucket(budget, customer);
+    uint64_t hash = refusal_hash(customer, kind, source);
+    const client_refusal_t *refusal = refusal_slot(budget, hash);
+    bool is_retry = refusal->hash == hash &&
+                    clock_now_us(budget->clock) < refusal->until_us;
+    if (!is_retry) {
+        *tokens = MIN(*tokens + client_retry_percent,
+                      (int64_t)TOKENS_MAX * TOKEN_HUNDREDTHS);
+        return true;
+    }
+    if (*tokens < TOKEN_HUNDREDTHS) {
+        return false;
+    }
+    *tokens -= TOKEN_HUNDREDTHS;
+    return true;
+}
+
+/// Records that a source was told to wait @p retry_after_ms.
+void
+client_retry_budget_refused(client_retry_budget_t *budget, slice_t customer,
+                            slice_t kind, uint32_t source,
+                            int32_t retry_after_ms)
+{
+    uint64_t hash = refusal_hash(customer, kind, source);
+    *refusal_slot(budget, hash) = (client_refusal_t){
+        .hash = hash,
+        .until_us = clock_now_us(budget->clock) + retry_after_ms * US_PER_MS,
+    };
+}
--- a/src/ibisfield/retry/client_retry_budget.h
+++ b/src/ibisfield/retry/client_retry_budget.h
@@ -1,20 +1,29 @@
 #ifndef IBISFIELD_RETRY_CLIENT_RETRY_BUDGET_H
 #define IBISFIELD_RETRY_CLIENT_RETRY_BUDGET_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "ibisfield/base/clock.h"
 #include "ibisfield/base/slice.h"
 
-typedef struct client_retry_budget client_retry_budget_t;
+/// A refusal that a client should wait after.
+typedef struct {
+    uint64_t hash;    ///< of customer, kind and source
+    int64_t until_us; ///< end of its Retry-After
+} client_refusal_t;
+
+/// Token bucket per customer that limits the retries of its clients.
+typedef struct {
+    const clock_source_t *clock;
+    GHashTable *buckets;        ///< customer name to tokens in hundredths
+    client_refusal_t *refusals; ///< direct-mapped by hash
+} client_retry_budget_t;
 
 void client_retry_budget_init(client_retry_budget_t *budget,
                               const clock_source_t *clock);
 void client_retry_budget_finish(client_retry_budget_t *budget);
-/// Counts a request. Returns false when it is a client's retry (same source
-/// and kind, refused less than its Retry-After ago) and the customer's budget
-/// is empty; then it is to be refused.
 bool client_retry_budget_admit(client_retry_budget_t *budget, slice_t customer,
                                slice_t kind, uint32_t source,
                                int32_t client_retry_percent);
--- a/src/ibisfield/retry/retry_account.h
+++ b/src/ibisfield/retry/retry_account.h
@@ -1,10 +1,12 @@
 #ifndef IBISFIELD_RETRY_RETRY_ACCOUNT_H
 #define IBISFIELD_RETRY_RETRY_ACCOUNT_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "ibisfield/base/slice.h"
+#include "ibisfield/base/slot_table.h"
 
 /// What a request that runs at this VM's upstream passes on to the calls that
 /// the upstream makes for it.
@@ -15,20 +17,27 @@
     uint32_t units;      ///< extra attempts still to spend
 } retry_account_t;
 
-typedef struct retry_accounts retry_accounts_t;
+typedef struct {
+    uint64_t id; ///< random; key of the index
+    uint64_t handle;
+    retry_account_t account;
+} retry_account_slot_t;
+
+typedef struct {
+    slot_table_t slots;
+    retry_account_slot_t *accounts;
+    GHashTable *index; ///< id to retry_account_slot_t
+    GRand *random;
+} retry_accounts_t;
 
 void retry_accounts_init(retry_accounts_t *accounts, uint32_t max_accounts,
                          uint32_t seed);
 void retry_accounts_finish(retry_accounts_t *accounts);
-/// Opens an account; returns its random id, 0 if the table is full.
 uint64_t retry_accounts_open(retry_accounts_t *accounts,
                              const retry_account_t *account);
-/// Closes it and returns the units left. Units that come back later are lost.
 uint32_t retry_accounts_close(retry_accounts_t *accounts, uint64_t id);
-/// NULL if the id names no open account.
 const retry_account_t *retry_accounts_find(const retry_accounts_t *accounts,
                                            uint64_t id);
-/// Takes at most @p wanted units; returns how many were taken.
 uint32_t retry_accounts_take(retry_accounts_t *accounts, uint64_t id,
                              uint32_t wanted);
 void retry_accounts_give_back(retry_accounts_t *accounts, uint64_t id,
