Add a first admission queue and a picker of two random choices

Cause: the entry, the guard and the data path need both modules to build. The guard runs up to the declared slots, queues a bounded number of requests by worth and then arrival, evicts the lowest worth and drops expired ones.

--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -1,9 +1,11 @@
 #ifndef IBISFIELD_ADMISSION_ADMISSION_H
 #define IBISFIELD_ADMISSION_ADMISSION_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ibisfield/admission/wait_queue.h"
 #include "ibisfield/base/clock.h"
 #include "ibisfield/base/slice.h"
 #include "ibisfield/call/call_defs.h"
@@ -37,29 +39,38 @@
     NEXT_EVICTED, ///< a request of higher worth took its place: refuse it
 } next_t;
 
-typedef struct admission admission_t;
+#define ADMISSION_KINDS_MAX 64
+
+/// Decides which requests run at the upstream, wait or are refused.
+typedef struct {
+    const clock_source_t *clock;
+    uint32_t slots;
+    uint32_t limit; ///< requests that may run at the same time
+    uint32_t queue_max;
+    uint32_t in_flight;
+    uint32_t kind_count;
+    uint64_t kind_hashes[ADMISSION_KINDS_MAX];
+    double service_us; ///< moving average over all kinds
+    wait_queue_t queue;
+    GArray *evicted;       ///< tickets (uint64_t) not yet handed out
+    int64_t shed_until_us; ///< min_worth is reported until then
+    int32_t shed_worth;    ///< highest worth that was shed lately
+    GRand *random;         ///< of the jitter
+} admission_t;
 
 void admission_init(admission_t *admission, const clock_source_t *clock,
                     const admission_options_t *options);
 void admission_finish(admission_t *admission);
-/// Returns the number of a kind, learned on first use; bounded, with the last
-/// number shared by all kinds beyond the bound.
 uint32_t admission_kind(admission_t *admission, slice_t customer,
                         slice_t kind);
 admit_t admission_offer(admission_t *admission,
                         const admission_request_t *request);
-/// Hands out the next ticket that changes state; call until NEXT_NONE.
 next_t admission_next(admission_t *admission, uint64_t *ticket);
-/// Removes a waiting request; false if it isn't waiting.
 bool admission_withdraw(admission_t *admission, uint64_t ticket);
-/// A running request has ended. @p completed is false when it was cancelled
-/// or failed, and its time isn't learned.
 void admission_done(admission_t *admission, uint32_t kind, int64_t service_us,
                     bool completed);
-/// The upstream shed a request by itself: the limit is above what it takes.
 void admission_upstream_shed(admission_t *admission);
 guard_load_t admission_load(const admission_t *admission);
-/// Suggested wait of a refused caller in milliseconds, with jitter.
 int32_t admission_retry_after_ms(admission_t *admission);
 
 #endif
--- /dev/null
+++ b/src/ibisfield/admission/wait_queue.c
@@ -0,0 +1,125 @@
+/// @file
+/// Requests that wait for a slot, sorted by worth and order, and by deadline.
+
+#include "ibisfield/admission/wait_queue.h"
+
+static gint
+compare_numbers(int64_t a, int64_t b)
+{
+    return a < b ? -1 : a > b ? 1 : 0;
+}
+
+static gint
+compare_order(gconstpointer a, gconstpointer b, gpointer user_data)
+{
+    const waiting_t *left = a;
+    const waiting_t *right = b;
+    wait_order_t order = ((const wait_queue_t *)user_data)->order;
+    if (left->worth != right->worth) {
+        return compare_numbers(right->worth, left->worth);
+    }
+    if (order == ORDER_DEADLINE && left->deadline_us != right->deadline_us) {
+        return compare_numbers(left->deadline_us, right->deadline_us);
+    }
+    if (order == ORDER_LIFO) {
+        return compare_numbers((int64_t)right->sequence,
+                               (int64_t)left->sequence);
+    }
+    return compare_numbers((int64_t)left->sequence, (int64_t)right->sequence);
+}
+
+static gint
+compare_deadline(gconstpointer a, gconstpointer b, gpointer user_data)
+{
+    (void)user_data;
+    return compare_numbers(((const waiting_t *)a)->deadline_us,
+                           ((const waiting_t *)b)->deadline_us);
+}
+
+static const waiting_t *
+first_of(GSequence *sequence)
+{
+    GSequenceIter *iter = g_sequence_get_begin_iter(sequence);
+    return g_sequence_iter_is_end(iter) ? NULL : g_sequence_get(iter);
+}
+
+/// Initialises an empty queue.
+void
+wait_queue_init(wait_queue_t *queue, wait_order_t order)
+{
+    queue->order = order;
+    queue->by_order = g_sequence_new(NULL);
+    queue->by_deadline = g_sequence_new(NULL);
+    queue->by_ticket =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    queue->next_sequence = 0;
+}
+
+/// Releases the queue and the requests in it.
+void
+wait_queue_finish(wait_queue_t *queue)
+{
+    g_sequence_free(queue->by_order);
+    g_sequence_free(queue->by_deadline);
+    g_hash_table_destroy(queue->by_ticket);
+}
+
+/// Adds a copy of @p request. Its ticket must not be in the queue.
+void
+wait_queue_add(wait_queue_t *queue, const waiting_t *request)
+{
+    waiting_t *item = g_new(waiting_t, 1);
+    *item = *request;
+    item->sequence = queue->next_sequence++;
+    item->by_order =
+        g_sequence_insert_sorted(queue->by_order, item, compare_order, queue);
+    item->by_deadline = g_sequence_insert_sorted(queue->by_deadline, item,
+                                                 compare_deadline, queue);
+    g_hash_table_insert(queue->by_ticket, &item->ticket, item);
+}
+
+/// Returns the request to run next, NULL if the queue is empty.
+const waiting_t *
+wait_queue_first(const wait_queue_t *queue)
+{
+    return first_of(queue->by_order);
+}
+
+/// Returns the request to evict first (lowest worth), NULL if empty.
+const waiting_t *
+wait_queue_last(const wait_queue_t *queue)
+{
+    GSequenceIter *end = g_sequence_get_end_iter(queue->by_order);
+    if (g_sequence_iter_is_begin(end)) {
+        return NULL;
+    }
+    return g_sequence_get(g_sequence_iter_prev(end));
+}
+
+/// Returns the request with the earliest deadline, NULL if empty.
+const waiting_t *
+wait_queue_most_urgent(const wait_queue_t *queue)
+{
+    return first_of(queue->by_deadline);
+}
+
+/// Removes a request; false if it isn't in the queue.
+bool
+wait_queue_remove(wait_queue_t *queue, uint64_t ticket)
+{
+    const waiting_t *item = g_hash_table_lookup(queue->by_ticket, &ticket);
+    if (item == NULL) {
+        return false;
+    }
+    g_sequence_remove(item->by_order);
+    g_sequence_remove(item->by_deadline);
+    g_hash_table_remove(queue->by_ticket, &item->ticket);
+    return true;
+}
+
+/// Returns the number of waiting requests.
+uint32_t
+wait_queue_length(const wait_queue_t *queue)
+{
+    return g_hash_table_size(queue->by_ticket);
+}
--- a/src/ibisfield/routing/picker.h
+++ b/src/ibisfield/routing/picker.h
@@ -1,6 +1,7 @@
 #ifndef IBISFIELD_ROUTING_PICKER_H
 #define IBISFIELD_ROUTING_PICKER_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -50,29 +51,29 @@
     REPORT_CANCELLED, ///< stopped by the sender; nothing is learned but load
 } report_t;
 
-typedef struct picker picker_t;
+/// Chooses the VM for each attempt.
+typedef struct {
+    const clock_source_t *clock;
+    picker_options_t options;
+    GArray *vms;          ///< of vm_entry_t, by handle
+    GHashTable *by_name;  ///< VM name to handle + 1
+    GHashTable *services; ///< service name to service_entry_t
+    GArray *candidates;   ///< of vm_handle_t; scratch of one choice
+    GRand *random;
+} picker_t;
 
 void picker_init(picker_t *picker, const clock_source_t *clock,
                  const picker_options_t *options);
 void picker_finish(picker_t *picker);
-/// Adds or updates a VM of the published list; returns its handle.
 vm_handle_t picker_set_vm(picker_t *picker, const picker_vm_t *vm);
 void picker_remove_vm(picker_t *picker, const char *vm);
-/// NULL if the handle names no VM.
 const char *picker_vm_name(const picker_t *picker, vm_handle_t vm);
-/// Chooses a VM for one attempt and counts it as in flight there. @p tried
-/// lists VMs to avoid if another is usable. @p kind is a hash of customer and
-/// kind name.
 pick_t picker_pick(picker_t *picker, const char *service, uint64_t kind,
                    int32_t worth, const vm_handle_t *tried,
                    uint32_t tried_count, vm_handle_t *vm);
-/// Ends an attempt that picker_pick() began. @p latency_us is from send to
-/// answer; @p load may be NULL.
 void picker_report(picker_t *picker, vm_handle_t vm, uint64_t kind,
                    report_t report, int64_t latency_us,
                    const guard_load_t *load);
-/// After how long a second attempt is worth its cost, by recent latencies of
-/// the kind; 0: don't hedge.
 int64_t picker_hedge_delay_us(const picker_t *picker, uint64_t kind);
 
 #endif
