--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -48,7 +48,6 @@
 
 const char *reason_token(reason_t reason);
 int reason_status(reason_t reason);
-/// Returns the reason with this token, REASON_NONE if there is none.
 reason_t reason_from_token(slice_t token);
 const char *outcome_token(outcome_t outcome);
 
@@ -62,11 +61,14 @@
     int32_t min_worth;   ///< lowest worth admitted now; 0 when not shedding
 } guard_load_t;
 
-/// Writes the text form with its zero byte, at most @p size bytes.
 void guard_load_format(const guard_load_t *load, char *text, size_t size);
-/// Returns false if @p text is not a valid load.
 bool guard_load_parse(guard_load_t *load, slice_t text);
 
+/// How long the answer to a request that carries a key is awaited after its
+/// deadline, so that the key's outcome becomes known. Bounded by the limit of
+/// a graceful shutdown (drain_limit_ms, 30 s by default).
+#define LATE_ANSWER_WAIT_US (10 * INT64_C(1000000))
+
 /// Handle of a call at the entry or of a request at the guard: slot and
 /// generation, so that a stale handle never names a newer call. 0 is none.
 typedef uint64_t call_handle_t;
--- /dev/null
+++ b/src/ibisfield/call/guard.c
@@ -0,0 +1,316 @@
+/// @file
+/// Runs the requests that other nodes send to this VM's upstream: queue,
+/// limit, retry account and truthful results.
+
+#include "ibisfield/call/guard.h"
+
+#include "ibisfield/contract/contract_defs.h"
+
+/// Requests held beyond the declared slots and queue, because the limit may
+/// rise above the declared slots.
+#define SLOTS_SPARE 1024
+#define SLOTS_FACTOR 4
+
+/// Initialises the guard. It shares @p accounts with the egress of its VM.
+void
+guard_init(guard_t *guard, const clock_source_t *clock, guard_io_t *io,
+           retry_accounts_t *accounts, const admission_options_t *options)
+{
+    *guard = (guard_t){.clock = clock, .io = io, .accounts = accounts};
+    admission_init(&guard->admission, clock, options);
+    uint32_t capacity =
+        options->slots * SLOTS_FACTOR + options->queue_max + SLOTS_SPARE;
+    slot_table_init(&guard->slots, capacity);
+    guard->requests = g_new0(guarded_request_t, capacity);
+}
+
+/// Frees the guard; requests it holds are forgotten without an answer.
+void
+guard_finish(guard_t *guard)
+{
+    admission_finish(&guard->admission);
+    g_free(guard->requests);
+    slot_table_finish(&guard->slots);
+}
+
+static guarded_request_t *
+find_request(guard_t *guard, call_handle_t handle)
+{
+    uint32_t slot = slot_table_find(&guard->slots, handle);
+    return slot == SLOT_NONE ? NULL : &guard->requests[slot];
+}
+
+static bool
+may_succeed_later(reason_t reason)
+{
+    return reason == REASON_OVERLOADED || reason == REASON_LEAVING ||
+           reason == REASON_NO_UPSTREAM || reason == REASON_DEADLINE;
+}
+
+static void
+send_answer(guard_t *guard, call_handle_t handle, void *user, reason_t reason,
+            outcome_t outcome, uint32_t retries_left)
+{
+    guard_answer_t answer = {
+        .reason = reason,
+        .outcome = outcome,
+        .retries_left = retries_left,
+        .load = admission_load(&guard->admission),
+    };
+    if (outcome == OUTCOME_NOT_RUN && may_succeed_later(reason)) {
+        answer.retry_after_ms = admission_retry_after_ms(&guard->admission);
+    }
+    guard->io->vtable->answer(guard->io, handle, user, &answer);
+}
+
+/// Ends a request: closes its account, frees its slot, answers its sender.
+static void
+end_request(guard_t *guard, guarded_request_t *request, reason_t reason,
+            outcome_t outcome)
+{
+    uint32_t units =
+        request->account == 0
+            ? request->retries
+            : retry_accounts_close(guard->accounts, request->account);
+    call_handle_t handle = request->handle;
+    void *user = request->user;
+    bool sender_gone = request->sender_gone;
+    slot_table_release(&guard->slots, handle);
+    if (!sender_gone) {
+        send_answer(guard, handle, user, reason, outcome, units);
+    }
+}
+
+static void
+start_request(guard_t *guard, guarded_request_t *request)
+{
+    int64_t now_us = clock_now_us(guard->clock);
+    retry_account_t account = {
+        .worth = request->worth,
+        .deadline_us = request->deadline_us,
+        .units = request->retries,
+    };
+    g_strlcpy(account.customer, request->customer, sizeof(account.customer));
+    request->running = true;
+    request->started_us = now_us;
+    request->account = retry_accounts_open(guard->accounts, &account);
+    guard->io->vtable->start(guard->io, request->handle, request->user,
+                             request->account, request->deadline_us - now_us,
+                             request->wait_end_us - now_us);
+}
+
+/// Starts a request that the admission let through, unless its deadline has
+/// passed: a paused process may get here long after the admission decided.
+static void
+start_or_drop(guard_t *guard, guarded_request_t *request)
+{
+    if (clock_now_us(guard->clock) < request->deadline_us) {
+        start_request(guard, request);
+        return;
+    }
+    admission_done(&guard->admission, request->kind, 0, false);
+    end_request(guard, request, REASON_DEADLINE, OUTCOME_NOT_RUN);
+}
+
+/// Carries out what the admission decided about waiting requests.
+static void
+run_admission(guard_t *guard)
+{
+    uint64_t ticket;
+    next_t next = admission_next(&guard->admission, &ticket);
+    for (; next != NEXT_NONE;
+         next = admission_next(&guard->admission, &ticket)) {
+        guarded_request_t *request = find_request(guard, ticket);
+        if (request == NULL) {
+            continue;
+        }
+        if (next == NEXT_RUN) {
+            start_or_drop(guard, request);
+        }
+        else {
+            end_request(guard, request,
+                        next == NEXT_EXPIRED ? REASON_DEADLINE
+                                             : REASON_OVERLOADED,
+                        OUTCOME_NOT_RUN);
+        }
+    }
+}
+
+static guarded_request_t *
+hold_request(guard_t *guard, const guard_request_t *request)
+{
+    call_handle_t handle = slot_table_take(&guard->slots);
+    if (handle == 0) {
+        return NULL;
+    }
+    guarded_request_t *held = find_request(guard, handle);
+    *held = (guarded_request_t){
+        .handle = handle,
+        .user = request->user,
+        .once = request->once,
+        .kind = admission_kind(&guard->admission, request->customer,
+                               request->kind),
+        .retries = MIN(request->retries, CONTRACT_RETRIES_MAX),
+        .worth = request->worth,
+        .deadline_us = clock_now_us(guard->clock) + request->budget_us,
+    };
+    held->wait_end_us =
+        held->deadline_us + (request->once ? LATE_ANSWER_WAIT_US : 0);
+    size_t len = MIN(request->customer.len, sizeof(held->customer) - 1);
+    if (len > 0) {
+        memcpy(held->customer, request->customer.data, len);
+    }
+    return held;
+}
+
+/// Takes a request; it is answered by the vtable, at once or later. Returns
+/// its handle, 0 if it was already answered.
+call_handle_t
+guard_request(guard_t *guard, const guard_request_t *request)
+{
+    reason_t reason = REASON_NONE;
+    guarded_request_t *held = NULL;
+    if (guard->leaving) {
+        reason = REASON_LEAVING;
+    }
+    else if (request->budget_us <= 0) {
+        reason = REASON_DEADLINE;
+    }
+    else if ((held = hold_request(guard, request)) == NULL) {
+        reason = REASON_OVERLOADED;
+    }
+    if (reason != REASON_NONE) {
+        send_answer(guard, 0, request->user, reason, OUTCOME_NOT_RUN,
+                    request->retries);
+        return 0;
+    }
+    call_handle_t handle = held->handle;
+    admission_request_t offer = {
+        .kind = held->kind,
+        .worth = held->worth,
+        .deadline_us = held->deadline_us,
+        .ticket = handle,
+    };
+    switch (admission_offer(&guard->admission, &offer)) {
+    case ADMIT_RUN:
+        start_or_drop(guard, held);
+        break;
+    case ADMIT_QUEUED:
+        break;
+    case ADMIT_REFUSE_DEADLINE:
+        end_request(guard, held, REASON_DEADLINE, OUTCOME_NOT_RUN);
+        break;
+    default:
+        end_request(guard, held, REASON_OVERLOADED, OUTCOME_NOT_RUN);
+        break;
+    }
+    // A queued request may have evicted another one.
+    run_admission(guard);
+    return find_request(guard, handle) == NULL ? 0 : handle;
+}
+
+/// The upstream's run of a request has ended.
+void
+guard_upstream_done(guard_t *guard, call_handle_t handle,
+                    upstream_result_t result)
+{
+    guarded_request_t *request = find_request(guard, handle);
+    if (request == NULL || !request->running) {
+        return;
+    }
+    int64_t service_us = clock_now_us(guard->clock) - request->started_us;
+    admission_done(&guard->admission, request->kind, service_us,
+                   result == UPSTREAM_ANSWERED);
+    switch (result) {
+    case UPSTREAM_ANSWERED:
+        end_request(guard, request, REASON_NONE, OUTCOME_ANSWERED);
+        break;
+    case UPSTREAM_CONNECT_FAILED:
+        end_request(guard, request, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN);
+        break;
+    case UPSTREAM_SHED:
+        admission_upstream_shed(&guard->admission);
+        end_request(guard, request, REASON_OVERLOADED, OUTCOME_NOT_RUN);
+        break;
+    case UPSTREAM_TOO_LARGE:
+        end_request(guard, request, REASON_ANSWER_TOO_LARGE, OUTCOME_UNKNOWN);
+        break;
+    default:
+        end_request(guard, request, REASON_UPSTREAM_FAILED, OUTCOME_UNKNOWN);
+        break;
+    }
+    run_admission(guard);
+}
+
+/// Stops a running request; what the upstream did of it is unknown.
+static void
+stop_request(guard_t *guard, guarded_request_t *request)
+{
+    guard->io->vtable->cancel(guard->io, request->handle, request->user);
+    admission_done(&guard->admission, request->kind, 0, false);
+    end_request(guard, request, REASON_DEADLINE, OUTCOME_UNKNOWN);
+}
+
+/// The sender has gone. A waiting request is dropped and a running one is
+/// cancelled, unless it carries a key: cutting a booking off half-way would
+/// only lose its outcome.
+void
+guard_sender_gone(guard_t *guard, call_handle_t handle)
+{
+    guarded_request_t *request = find_request(guard, handle);
+    if (request == NULL) {
+        return;
+    }
+    request->sender_gone = true;
+    if (!request->running) {
+        admission_withdraw(&guard->admission, handle);
+        end_request(guard, request, REASON_NONE, OUTCOME_NOT_RUN);
+    }
+    else if (!request->once) {
+        stop_request(guard, request);
+        run_admission(guard);
+    }
+}
+
+/// Drops expired requests, starts what may run. Call every few milliseconds.
+void
+guard_tick(guard_t *guard)
+{
+    int64_t now_us = clock_now_us(guard->clock);
+    for (uint32_t i = guard->slots.count; i > 0; i--) {
+        guarded_request_t *request =
+            &guard->requests[slot_table_at(&guard->slots, i - 1)];
+        if (request->running && now_us >= request->wait_end_us) {
+            stop_request(guard, request);
+        }
+    }
+    run_admission(guard);
+}
+
+/// A leaving guard refuses new requests; those it holds run to their end.
+void
+guard_set_leaving(guard_t *guard, bool leaving)
+{
+    guard->leaving = leaving;
+}
+
+/// Returns whether new requests are refused.
+bool
+guard_is_leaving(const guard_t *guard)
+{
+    return guard->leaving;
+}
+
+/// Returns the load as the guard reports it to senders.
+guard_load_t
+guard_load(const guard_t *guard)
+{
+    return admission_load(&guard->admission);
+}
+
+/// Returns the number of requests that wait or run.
+uint32_t
+guard_in_flight(const guard_t *guard)
+{
+    return guard->slots.count;
+}
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -3,6 +3,7 @@
 
 #include "ibisfield/admission/admission.h"
 #include "ibisfield/base/clock.h"
+#include "ibisfield/base/slot_table.h"
 #include "ibisfield/call/call_defs.h"
 #include "ibisfield/retry/retry_account.h"
 
@@ -13,6 +14,7 @@
     int32_t worth;     ///< of the root request
     int64_t budget_us; ///< rest of the deadline at arrival
     uint32_t retries;  ///< units lent to this call
+    bool once;         ///< carries a key: once started it is never cancelled
     void *user;        ///< the adapter's own object
 } guard_request_t;
 
@@ -40,12 +42,15 @@
 /// guard before they return.
 typedef struct {
     /// Starts the request at the upstream. @p request_id is passed in the
-    /// header ibisfield-request.
+    /// header ibisfield-request (0: none). The upstream is told @p budget_us;
+    /// the adapter waits for its answer for @p wait_us, which is longer when
+    /// the request carries a key.
     void (*start)(guard_io_t *io, call_handle_t handle, void *user,
-                  uint64_t request_id, int64_t budget_us);
+                  uint64_t request_id, int64_t budget_us, int64_t wait_us);
     /// Stops waiting for the upstream and closes its connection.
     void (*cancel)(guard_io_t *io, call_handle_t handle, void *user);
-    /// Answers the sender; the handle is invalid afterwards.
+    /// Answers the sender; the handle is invalid afterwards. Not called after
+    /// guard_sender_gone().
     void (*answer)(guard_io_t *io, call_handle_t handle, void *user,
                    const guard_answer_t *answer);
 } guard_io_vtable_t;
@@ -54,22 +59,40 @@
     const guard_io_vtable_t *vtable;
 };
 
-typedef struct guard guard_t;
+typedef struct {
+    call_handle_t handle;
+    void *user;
+    bool once;
+    bool running;
+    bool sender_gone;
+    uint32_t kind; ///< admission's number
+    uint32_t retries;
+    int32_t worth;
+    uint64_t account;
+    int64_t deadline_us;
+    int64_t wait_end_us; ///< when waiting for the upstream ends
+    int64_t started_us;
+    char customer[64];
+} guarded_request_t;
+
+typedef struct {
+    const clock_source_t *clock;
+    guard_io_t *io;
+    retry_accounts_t *accounts;
+    admission_t admission;
+    slot_table_t slots;
+    guarded_request_t *requests;
+    bool leaving;
+} guard_t;
 
 void guard_init(guard_t *guard, const clock_source_t *clock, guard_io_t *io,
                 retry_accounts_t *accounts,
                 const admission_options_t *options);
 void guard_finish(guard_t *guard);
-
-/// Takes a request; it is answered by the vtable, at once or later. Returns
-/// its handle, 0 if it was already answered.
 call_handle_t guard_request(guard_t *guard, const guard_request_t *request);
 void guard_upstream_done(guard_t *guard, call_handle_t handle,
                          upstream_result_t result);
-/// The sender has gone: drops the request if it waits, else cancels it.
 void guard_sender_gone(guard_t *guard, call_handle_t handle);
-/// Drops expired requests, adapts the limit, starts what may run. Call every
-/// few milliseconds and after each event batch.
 void guard_tick(guard_t *guard);
 void guard_set_leaving(guard_t *guard, bool leaving);
 bool guard_is_leaving(const guard_t *guard);
