Add the entry's call states: keys, attempts, units and deadlines

Interface changes: attempts carry whether the request has a key and how long the adapter waits for the answer; forwarded requests carry worth, budget and units, since an owner that gave a forwarded egress request the contract's units again would break the bound on attempts.

--- /dev/null
+++ b/src/ibisfield/call/entry.c
@@ -0,0 +1,456 @@
+/// @file
+/// Accepts requests of callers, of the own upstream and of other nodes, and
+/// owns each call until it is answered and its key has an outcome.
+
+#include "ibisfield/call/entry.h"
+
+#include <xxhash.h>
+
+#include "ibisfield/base/metrics.h"
+#include "ibisfield/call/entry_attempts.h"
+
+/// Initialises the entry; it isn't ready until entry_set_ready().
+void
+entry_init(entry_t *entry, const entry_options_t *options)
+{
+    *entry = (entry_t){
+        .options = *options,
+        .calls = g_new0(entry_call_t, options->max_calls),
+        .random = g_rand_new_with_seed(options->seed),
+    };
+    slot_table_init(&entry->slots, options->max_calls);
+}
+
+/// Frees the entry; calls in flight are forgotten without an answer.
+void
+entry_finish(entry_t *entry)
+{
+    g_rand_free(entry->random);
+    g_free(entry->calls);
+    slot_table_finish(&entry->slots);
+}
+
+/// What is known about a request before it becomes a call.
+typedef struct {
+    const entry_request_t *request;
+    const contract_t *contract;
+    const kind_t *kind;
+    const retry_account_t *account; ///< NULL if it draws from none
+    int64_t key_life_us;            ///< 0 if the kind needs no key
+} entry_intake_t;
+
+/// Refuses a request that has no call.
+static void
+refuse(entry_t *entry, const entry_intake_t *intake, reason_t reason,
+       outcome_t outcome, const char *fresh_key)
+{
+    entry_answer_t answer = {
+        .reason = reason,
+        .outcome = outcome,
+        .retry_after_ms = entry_retry_after_ms(entry, reason, outcome),
+    };
+    if (fresh_key != NULL) {
+        g_strlcpy(answer.fresh_key, fresh_key, sizeof(answer.fresh_key));
+    }
+    const entry_request_t *request = intake->request;
+    if (outcome == OUTCOME_NOT_RUN && answer.retry_after_ms > 0 &&
+        intake->kind != NULL && request->source != 0)
+    {
+        client_retry_budget_refused(
+            entry->options.client_retries,
+            slice_from_string(intake->contract->customer),
+            slice_from_string(intake->kind->name), request->source,
+            answer.retry_after_ms);
+    }
+    entry_count_answer(outcome);
+    entry->options.io->vtable->answer(entry->options.io, 0, request->user,
+                                      &answer);
+}
+
+/// Refuses a request before its key is looked at. "Not run" can't be said of
+/// a key without its record: an earlier submission may have run.
+static void
+refuse_early(entry_t *entry, const entry_intake_t *intake, reason_t reason)
+{
+    refuse(entry, intake, reason,
+           intake->request->key.len > 0 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+           NULL);
+}
+
+static int64_t
+deadline_of(const entry_t *entry, const entry_intake_t *intake)
+{
+    int64_t now_us = clock_now_us(entry->options.clock);
+    int64_t deadline_us = now_us + intake->kind->deadline_ms * US_PER_MS;
+    if (intake->account != NULL) {
+        deadline_us = MIN(deadline_us, intake->account->deadline_us);
+    }
+    if (intake->request->from_peer) {
+        deadline_us = MIN(deadline_us, now_us + intake->request->budget_us);
+    }
+    return deadline_us;
+}
+
+static int32_t
+worth_of(const entry_intake_t *intake)
+{
+    int32_t worth = intake->kind->worth;
+    if (intake->account != NULL) {
+        worth = MAX(worth, intake->account->worth);
+    }
+    if (intake->request->from_peer) {
+        worth = MAX(worth, MIN(intake->request->worth, CONTRACT_WORTH_MAX));
+    }
+    return worth;
+}
+
+/// Units of a call that has no account. A request of the own upstream without
+/// a valid account gets none, else each hop would add its own.
+static uint32_t
+units_of(const entry_intake_t *intake)
+{
+    uint32_t retries = (uint32_t)intake->contract->retries;
+    if (intake->request->egress) {
+        return 0;
+    }
+    return intake->request->from_peer ? MIN(intake->request->retries, retries)
+                                      : retries;
+}
+
+static uint64_t
+kind_hash_of(const entry_intake_t *intake)
+{
+    const char *customer = intake->contract->customer;
+    const char *kind = intake->kind->name;
+    uint64_t hash = XXH3_64bits(customer, strlen(customer));
+    return XXH3_64bits_withSeed(kind, strlen(kind), hash);
+}
+
+/// Makes a call of a request. Returns NULL if all slots are in use.
+static entry_call_t *
+make_call(entry_t *entry, const entry_intake_t *intake)
+{
+    call_handle_t handle = slot_table_take(&entry->slots);
+    if (handle == 0) {
+        return NULL;
+    }
+    metric_set(METRIC_CALLS_IN_FLIGHT, entry->slots.count);
+    const entry_request_t *request = intake->request;
+    entry_call_t *call = entry_find_call(entry, handle);
+    *call = (entry_call_t){
+        .handle = handle,
+        .user = request->user,
+        .caller_waits = true,
+        .once = request->key.len > 0,
+        .hedge = request->key.len == 0 &&
+                 kind_limits(intake->contract, intake->kind).hedge,
+        .egress = request->egress,
+        .account = intake->account == NULL ? 0 : request->request_id,
+        .units = units_of(intake),
+        .source = request->source,
+        .kind_hash = kind_hash_of(intake),
+        .worth = worth_of(intake),
+        .deadline_us = deadline_of(entry, intake),
+        .key_life_us = intake->key_life_us,
+    };
+    call->wait_end_us =
+        call->deadline_us + (call->once ? LATE_ANSWER_WAIT_US : 0);
+    g_strlcpy(call->customer, intake->contract->customer,
+              sizeof(call->customer));
+    g_strlcpy(call->kind, intake->kind->name, sizeof(call->kind));
+    g_strlcpy(call->service, intake->kind->service, sizeof(call->service));
+    return call;
+}
+
+static bool
+client_may_send(entry_t *entry, const entry_intake_t *intake)
+{
+    return intake->request->source == 0 || intake->request->egress ||
+           client_retry_budget_admit(
+               entry->options.client_retries,
+               slice_from_string(intake->contract->customer),
+               slice_from_string(intake->kind->name), intake->request->source,
+               intake->contract->client_retry_percent);
+}
+
+/// Refuses a request of an unrepeatable kind that has no key with a fresh one.
+static void
+require_key(entry_t *entry, const entry_intake_t *intake)
+{
+    char key[KEY_TEXT_MAX + 1];
+    if (entry->leaving) {
+        refuse(entry, intake, REASON_LEAVING, OUTCOME_NOT_RUN, NULL);
+    }
+    else if (!key_table_mint(entry->options.keys,
+                             slice_from_string(intake->contract->customer),
+                             intake->key_life_us, key))
+    {
+        refuse(entry, intake, REASON_OVERLOADED, OUTCOME_NOT_RUN, NULL);
+    }
+    else {
+        refuse(entry, intake, REASON_KEY_REQUIRED, OUTCOME_NOT_RUN, key);
+    }
+}
+
+static call_handle_t
+request_without_key(entry_t *entry, const entry_intake_t *intake)
+{
+    if (!client_may_send(entry, intake)) {
+        refuse(entry, intake, REASON_CUSTOMER_RETRY_BUDGET, OUTCOME_NOT_RUN,
+               NULL);
+        return 0;
+    }
+    if (intake->kind->run == RUN_ONCE) {
+        require_key(entry, intake);
+        return 0;
+    }
+    entry_call_t *call = make_call(entry, intake);
+    if (call == NULL) {
+        refuse(entry, intake, REASON_OVERLOADED, OUTCOME_NOT_RUN, NULL);
+        return 0;
+    }
+    call_handle_t handle = call->handle;
+    entry_start_call(entry, call);
+    return entry_find_call(entry, handle) == NULL ? 0 : handle;
+}
+
+/// Sends a request to the node that owns its key. A request that was already
+/// forwarded has reached the wrong node and goes no further.
+static call_handle_t
+forward(entry_t *entry, const entry_intake_t *intake, const char *owner)
+{
+    if (intake->request->from_peer) {
+        refuse(entry, intake, REASON_KEY_OWNER_UNREACHABLE, OUTCOME_UNKNOWN,
+               NULL);
+        return 0;
+    }
+    entry_call_t *call = make_call(entry, intake);
+    if (call == NULL) {
+        refuse(entry, intake, REASON_OVERLOADED, OUTCOME_UNKNOWN, NULL);
+        return 0;
+    }
+    call->forwarded = true;
+    call->wait_end_us = call->deadline_us;
+    int64_t budget_us = call->deadline_us - clock_now_us(entry->options.clock);
+    attempt_info_t info = {
+        .customer = call->customer,
+        .kind = call->kind,
+        .service = call->service,
+        .worth = call->worth,
+        .budget_us = budget_us,
+        .wait_us = budget_us,
+        .retries = entry_lend_units(entry, call),
+        .once = true,
+    };
+    entry->options.io->vtable->forward(entry->options.io, call->handle,
+                                       call->user, owner, &info);
+    return call->handle;
+}
+
+/// Runs the first submission of a key. Every refusal from here on is recorded
+/// under the key, so that it is final.
+static call_handle_t
+run_key(entry_t *entry, const entry_intake_t *intake, key_handle_t key)
+{
+    entry_call_t *call = make_call(entry, intake);
+    if (call == NULL) {
+        key_table_refused(entry->options.keys, key, REASON_OVERLOADED);
+        refuse(entry, intake, REASON_OVERLOADED, OUTCOME_NOT_RUN, NULL);
+        return 0;
+    }
+    call->key = key;
+    call_handle_t handle = call->handle;
+    if (!client_may_send(entry, intake)) {
+        entry_refuse_call(entry, call, REASON_CUSTOMER_RETRY_BUDGET,
+                          OUTCOME_NOT_RUN);
+    }
+    else if (clock_now_us(entry->options.clock) >= call->deadline_us) {
+        entry_refuse_call(entry, call, REASON_DEADLINE, OUTCOME_NOT_RUN);
+    }
+    else {
+        entry_start_call(entry, call);
+    }
+    return entry_find_call(entry, handle) == NULL ? 0 : handle;
+}
+
+static void
+replay(entry_t *entry, const entry_intake_t *intake, slice_t stored)
+{
+    entry_answer_t answer = {
+        .reason = REASON_NONE,
+        .outcome = OUTCOME_ANSWERED,
+        .stored_answer = stored,
+    };
+    entry_count_answer(OUTCOME_ANSWERED);
+    entry->options.io->vtable->answer(entry->options.io, 0,
+                                      intake->request->user, &answer);
+}
+
+/// Repeats a final refusal; the fresh key allows another request.
+static void
+repeat_refusal(entry_t *entry, const entry_intake_t *intake, reason_t reason)
+{
+    char key[KEY_TEXT_MAX + 1] = "";
+    if (!entry->leaving && intake->key_life_us > 0) {
+        key_table_mint(entry->options.keys,
+                       slice_from_string(intake->contract->customer),
+                       intake->key_life_us, key);
+    }
+    refuse(entry, intake, reason, OUTCOME_NOT_RUN, key);
+}
+
+static call_handle_t
+request_with_key(entry_t *entry, const entry_intake_t *intake)
+{
+    const entry_request_t *request = intake->request;
+    key_submission_t submission;
+    switch (key_table_submit(entry->options.keys,
+                             slice_from_string(intake->contract->customer),
+                             request->key, request->body_hash, &submission))
+    {
+    case KEY_RUN:
+        return run_key(entry, intake, submission.handle);
+    case KEY_FOREIGN:
+        return forward(entry, intake, submission.owner);
+    case KEY_ANSWERED:
+        replay(entry, intake, submission.answer);
+        break;
+    case KEY_REFUSED:
+        repeat_refusal(entry, intake, submission.reason);
+        break;
+    case KEY_ANSWER_NOT_KEPT:
+        refuse(entry, intake, REASON_ANSWER_NOT_KEPT, OUTCOME_ANSWERED, NULL);
+        break;
+    case KEY_IN_PROGRESS:
+        refuse(entry, intake, REASON_IN_PROGRESS, OUTCOME_UNKNOWN, NULL);
+        break;
+    case KEY_UNKNOWN:
+        refuse(entry, intake, submission.reason, OUTCOME_UNKNOWN, NULL);
+        break;
+    case KEY_REUSED:
+        refuse(entry, intake, REASON_KEY_REUSED, OUTCOME_UNKNOWN, NULL);
+        break;
+    case KEY_EXPIRED:
+        refuse(entry, intake, REASON_KEY_EXPIRED, OUTCOME_UNKNOWN, NULL);
+        break;
+    case KEY_TABLE_FULL:
+        // Without a record a later submission of the key may run.
+        refuse(entry, intake, REASON_OVERLOADED, OUTCOME_UNKNOWN, NULL);
+        break;
+    default:
+        refuse(entry, intake, REASON_MALFORMED, OUTCOME_UNKNOWN, NULL);
+        break;
+    }
+    return 0;
+}
+
+static slice_t
+customer_of(const entry_intake_t *intake)
+{
+    return intake->account == NULL
+               ? intake->request->customer
+               : slice_from_string(intake->account->customer);
+}
+
+/// Takes a request; it is answered by the vtable, at once or later. Returns
+/// its handle, 0 if it was already answered.
+call_handle_t
+entry_request(entry_t *entry, const entry_request_t *request)
+{
+    metric_increment(METRIC_CALLS_TOTAL);
+    entry_intake_t intake = {.request = request};
+    if (!entry->ready) {
+        refuse_early(entry, &intake, REASON_NOT_READY);
+        return 0;
+    }
+    if (request->egress && request->request_id != 0) {
+        intake.account =
+            retry_accounts_find(entry->options.accounts, request->request_id);
+    }
+    intake.contract = entry->options.lookup(entry->options.lookup_context,
+                                            customer_of(&intake));
+    if (intake.contract != NULL) {
+        intake.kind =
+            contract_match(intake.contract, request->method, request->path);
+    }
+    if (intake.kind == NULL) {
+        refuse_early(entry, &intake, REASON_NO_SUCH_KIND);
+        return 0;
+    }
+    intake.key_life_us =
+        kind_limits(intake.contract, intake.kind).key_life_ms * US_PER_MS;
+    return request->key.len > 0 ? request_with_key(entry, &intake)
+                                : request_without_key(entry, &intake);
+}
+
+/// The forwarded request has ended. @p connected is false when no byte reached
+/// the owner; the outcome is unknown even then, because an earlier submission
+/// of the key may have run. The entry answers the caller unless @p answered.
+void
+entry_forward_done(entry_t *entry, call_handle_t handle, bool answered,
+                   bool connected)
+{
+    entry_call_t *call = entry_find_call(entry, handle);
+    if (call == NULL || !call->forwarded) {
+        return;
+    }
+    (void)connected;
+    if (answered) {
+        entry_end_call(entry, call);
+        return;
+    }
+    entry_refuse_call(entry, call, REASON_KEY_OWNER_UNREACHABLE,
+                      OUTCOME_UNKNOWN);
+}
+
+/// The caller has gone. Repeatable work is cancelled; a request with a key
+/// goes on to its outcome.
+void
+entry_caller_gone(entry_t *entry, call_handle_t handle)
+{
+    entry_call_t *call = entry_find_call(entry, handle);
+    if (call == NULL || !call->caller_waits) {
+        return;
+    }
+    if (call->forwarded) {
+        entry->options.io->vtable->cancel(entry->options.io, handle,
+                                          call->user, 0);
+    }
+    call->caller_waits = false;
+    entry_count_answer(OUTCOME_UNKNOWN);
+    if (!call->once || call->forwarded) {
+        entry_refuse_call(entry, call, REASON_DEADLINE, OUTCOME_UNKNOWN);
+    }
+}
+
+/// Handles deadlines and hedges. Call every few milliseconds.
+void
+entry_tick(entry_t *entry)
+{
+    int64_t now_us = clock_now_us(entry->options.clock);
+    for (uint32_t i = entry->slots.count; i > 0; i--) {
+        uint32_t slot = slot_table_at(&entry->slots, i - 1);
+        entry_tick_call(entry, &entry->calls[slot], now_us);
+    }
+}
+
+/// While false, calls are refused with not-ready.
+void
+entry_set_ready(entry_t *entry, bool ready)
+{
+    entry->ready = ready;
+}
+
+/// Stops minting keys; submissions of own keys are still served.
+void
+entry_set_leaving(entry_t *entry, bool leaving)
+{
+    entry->leaving = leaving;
+}
+
+/// Returns the calls whose callers wait or whose keys await an outcome.
+uint32_t
+entry_in_flight(const entry_t *entry)
+{
+    return entry->slots.count;
+}
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -1,7 +1,10 @@
 #ifndef IBISFIELD_CALL_ENTRY_H
 #define IBISFIELD_CALL_ENTRY_H
 
+#include <glib.h>
+
 #include "ibisfield/base/clock.h"
+#include "ibisfield/base/slot_table.h"
 #include "ibisfield/call/call_defs.h"
 #include "ibisfield/contract/contract.h"
 #include "ibisfield/once/key_table.h"
@@ -17,9 +20,13 @@
     slice_t path;        ///< with query
     uint64_t body_hash;  ///< XXH3 of method, path and body
     slice_t key;         ///< ibisfield-key; "" if none
-    uint32_t source;     ///< hash of the caller's address
+    uint32_t source;     ///< hash of the caller's address; 0: not limited
+    bool egress;         ///< from the own upstream
     uint64_t request_id; ///< egress: the account to draw from; 0 if none
     bool from_peer;      ///< forwarded by another node; is not forwarded on
+    int32_t worth;       ///< from_peer: of the root request
+    int64_t budget_us;   ///< from_peer: rest of the deadline
+    uint32_t retries;    ///< from_peer: units lent
     void *user;          ///< the adapter's own object
 } entry_request_t;
 
@@ -50,8 +57,11 @@
     const char *kind;
     const char *service;
     int32_t worth;
-    int64_t budget_us;
-    uint32_t retries; ///< units lent
+    int64_t budget_us; ///< rest of the deadline
+    int64_t wait_us;   ///< how long the adapter waits for the answer; longer
+                       ///< than the budget when the request carries a key
+    uint32_t retries;  ///< units lent
+    bool once;         ///< carries a key
 } attempt_info_t;
 
 /// What the caller gets.
@@ -72,15 +82,18 @@
     /// Sends attempt @p attempt (1, 2, ...) to the guard on @p vm.
     void (*send)(entry_io_t *io, call_handle_t call, void *user,
                  uint32_t attempt, vm_handle_t vm, const attempt_info_t *info);
-    /// Stops waiting for an attempt; its result is not reported any more.
+    /// Stops waiting for an attempt, or for the forwarded request if @p
+    /// attempt is 0; its result is not reported any more.
     void (*cancel)(entry_io_t *io, call_handle_t call, void *user,
                    uint32_t attempt);
-    /// Sends the request to the node on @p vm_name, which owns its key. The
-    /// adapter passes that node's answer on by itself and reports the end by
-    /// entry_forward_done().
+    /// Sends the request to the node on @p vm_name, which owns its key, with
+    /// worth, budget and units of @p info. The adapter passes that node's
+    /// answer on by itself and reports the end by entry_forward_done().
     void (*forward)(entry_io_t *io, call_handle_t call, void *user,
-                    const char *vm_name, int64_t budget_us);
-    /// Answers the caller; the call ends unless attempts of it are running.
+                    const char *vm_name, const attempt_info_t *info);
+    /// Answers the caller; @p user isn't passed to the adapter afterwards.
+    /// Attempts of a request with a key may still be running then: the
+    /// adapter reports their results until wait_us is over.
     void (*answer)(entry_io_t *io, call_handle_t call, void *user,
                    const entry_answer_t *answer);
 } entry_io_vtable_t;
@@ -106,25 +119,62 @@
     uint32_t seed; ///< of the jitter
 } entry_options_t;
 
-typedef struct entry entry_t;
+typedef struct {
+    uint32_t number; ///< 1, 2, ...
+    vm_handle_t vm;
+    int64_t sent_us;
+    uint32_t lent; ///< units
+    bool running;
+} entry_attempt_t;
+
+/// A call in flight.
+typedef struct {
+    call_handle_t handle;
+    void *user;
+    bool caller_waits; ///< not answered and not gone
+    bool forwarded;    ///< to the owner of its key
+    bool once;         ///< carries a key
+    bool hedge;        ///< may be hedged
+    bool may_have_run; ///< an attempt was lost
+    bool egress;
+    key_handle_t key;   ///< 0 if none
+    uint64_t account;   ///< egress: holds the units; 0: units is used
+    uint32_t units;     ///< extra attempts still to spend
+    uint32_t source;    ///< hash of the caller's address
+    uint64_t kind_hash; ///< of customer and kind
+    int32_t worth;
+    int64_t deadline_us;
+    int64_t wait_end_us;  ///< when the wait for late answers ends
+    int64_t hedge_due_us; ///< 0: no hedge is due
+    int64_t key_life_us;  ///< of a fresh key; 0 if the kind needs none
+    reason_t reason;      ///< of the last attempt
+    int32_t retry_after_ms;
+    char customer[CONTRACT_NAME_MAX + 1];
+    char kind[CONTRACT_NAME_MAX + 1];
+    char service[CONTRACT_NAME_MAX + 1];
+    uint32_t attempt_count;
+    entry_attempt_t attempts[1 + CONTRACT_RETRIES_MAX];
+} entry_call_t;
+
+typedef struct {
+    entry_options_t options;
+    slot_table_t slots;
+    entry_call_t *calls;
+    GRand *random;
+    bool ready;
+    bool leaving;
+} entry_t;
 
 void entry_init(entry_t *entry, const entry_options_t *options);
 void entry_finish(entry_t *entry);
-/// Takes a request; it is answered by the vtable, at once or later. Returns
-/// its handle, 0 if it was already answered.
 call_handle_t entry_request(entry_t *entry, const entry_request_t *request);
-void entry_attempt_done(entry_t *entry, call_handle_t call, uint32_t attempt,
+void entry_attempt_done(entry_t *entry, call_handle_t handle, uint32_t attempt,
                         const attempt_result_t *result);
-/// @p connected is false when no byte reached the owner. The entry answers the
-/// caller (key-owner-unreachable, unknown) unless @p answered is true.
-void entry_forward_done(entry_t *entry, call_handle_t call, bool answered,
+void entry_forward_done(entry_t *entry, call_handle_t handle, bool answered,
                         bool connected);
-void entry_caller_gone(entry_t *entry, call_handle_t call);
-/// Handles deadlines and hedges. Call every few milliseconds.
+void entry_caller_gone(entry_t *entry, call_handle_t handle);
 void entry_tick(entry_t *entry);
-/// While false, calls are refused with not-ready.
 void entry_set_ready(entry_t *entry, bool ready);
-/// Stops minting keys; submissions of own keys are still served.
 void entry_set_leaving(entry_t *entry, bool leaving);
 uint32_t entry_in_flight(const entry_t *entry);
 
--- /dev/null
+++ b/src/ibisfield/call/entry_attempts.c
@@ -0,0 +1,474 @@
+/// @file
+/// Attempts of the calls at the entry: choice, retries, hedges, deadlines and
+/// the final answer.
+
+#include "ibisfield/call/entry_attempts.h"
+
+#include "ibisfield/base/metrics.h"
+
+/// Mean Retry-After of refusals that name none.
+#define RETRY_AFTER_MS 1000
+
+/// Returns the call of a handle, NULL if it has ended.
+entry_call_t *
+entry_find_call(entry_t *entry, call_handle_t handle)
+{
+    uint32_t slot = slot_table_find(&entry->slots, handle);
+    return slot == SLOT_NONE ? NULL : &entry->calls[slot];
+}
+
+/// Returns a Retry-After with jitter of one half, 0 if a later try of the
+/// same request can't succeed.
+int32_t
+entry_retry_after_ms(entry_t *entry, reason_t reason, outcome_t outcome)
+{
+    switch (reason) {
+    case REASON_IN_PROGRESS:
+    case REASON_CUSTOMER_RETRY_BUDGET:
+    case REASON_OVERLOADED:
+    case REASON_LEAVING:
+    case REASON_NO_UPSTREAM:
+    case REASON_NOT_READY:
+    case REASON_KEY_OWNER_UNREACHABLE:
+        break;
+    case REASON_DEADLINE:
+        if (outcome == OUTCOME_NOT_RUN) {
+            break;
+        }
+        return 0;
+    default:
+        return 0;
+    }
+    return g_rand_int_range(entry->random, RETRY_AFTER_MS / 2,
+                            RETRY_AFTER_MS * 3 / 2);
+}
+
+/// Counts a call by what its caller is told.
+void
+entry_count_answer(outcome_t outcome)
+{
+    switch (outcome) {
+    case OUTCOME_ANSWERED:
+        metric_increment(METRIC_CALLS_ANSWERED_TOTAL);
+        break;
+    case OUTCOME_NOT_RUN:
+        metric_increment(METRIC_CALLS_REFUSED_TOTAL);
+        break;
+    default:
+        metric_increment(METRIC_CALLS_UNKNOWN_TOTAL);
+        break;
+    }
+}
+
+/// Frees the call; its handle is stale afterwards.
+void
+entry_end_call(entry_t *entry, entry_call_t *call)
+{
+    slot_table_release(&entry->slots, call->handle);
+    metric_set(METRIC_CALLS_IN_FLIGHT, entry->slots.count);
+}
+
+static uint32_t
+units_left(const entry_t *entry, const entry_call_t *call)
+{
+    if (call->account == 0) {
+        return call->units;
+    }
+    const retry_account_t *account =
+        retry_accounts_find(entry->options.accounts, call->account);
+    return account == NULL ? 0 : account->units;
+}
+
+static uint32_t
+take_units(entry_t *entry, entry_call_t *call, uint32_t wanted)
+{
+    if (call->account != 0) {
+        return retry_accounts_take(entry->options.accounts, call->account,
+                                   wanted);
+    }
+    uint32_t taken = MIN(wanted, call->units);
+    call->units -= taken;
+    return taken;
+}
+
+static void
+give_back_units(entry_t *entry, entry_call_t *call, uint32_t units)
+{
+    if (call->account != 0) {
+        retry_accounts_give_back(entry->options.accounts, call->account,
+                                 units);
+    }
+    else {
+        call->units += units;
+    }
+}
+
+/// Takes the units that are lent to one attempt: half of those left, rounded
+/// up.
+uint32_t
+entry_lend_units(entry_t *entry, entry_call_t *call)
+{
+    return take_units(entry, call, (units_left(entry, call) + 1) / 2);
+}
+
+static bool
+was_tried(const entry_call_t *call, vm_handle_t vm)
+{
+    for (uint32_t i = 0; i < call->attempt_count; i++) {
+        if (call->attempts[i].vm == vm) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static pick_t
+pick_vm(entry_t *entry, entry_call_t *call, vm_handle_t *vm)
+{
+    vm_handle_t tried[1 + CONTRACT_RETRIES_MAX];
+    for (uint32_t i = 0; i < call->attempt_count; i++) {
+        tried[i] = call->attempts[i].vm;
+    }
+    picker_t *picker = entry->options.picker;
+    pick_t pick = picker_pick(picker, call->service, call->kind_hash,
+                              call->worth, tried, call->attempt_count, vm);
+    if (pick == PICK_OK && was_tried(call, *vm) && !call->may_have_run) {
+        // A guard that has just refused the request would do so again.
+        picker_report(picker, *vm, call->kind_hash, REPORT_CANCELLED, 0, NULL);
+        return PICK_NO_UPSTREAM;
+    }
+    return pick;
+}
+
+static void
+send_attempt(entry_t *entry, entry_call_t *call, vm_handle_t vm)
+{
+    int64_t now_us = clock_now_us(entry->options.clock);
+    entry_attempt_t *attempt = &call->attempts[call->attempt_count];
+    *attempt = (entry_attempt_t){
+        .number = call->attempt_count + 1,
+        .vm = vm,
+        .sent_us = now_us,
+        .lent = entry_lend_units(entry, call),
+        .running = true,
+    };
+    call->attempt_count++;
+    attempt_info_t info = {
+        .customer = call->customer,
+        .kind = call->kind,
+        .service = call->service,
+        .worth = call->worth,
+        .budget_us = call->deadline_us - now_us,
+        .wait_us = call->wait_end_us - now_us,
+        .retries = attempt->lent,
+        .once = call->once,
+    };
+    entry->options.io->vtable->send(entry->options.io, call->handle,
+                                    call->user, attempt->number, vm, &info);
+}
+
+static uint32_t
+running_attempts(const entry_call_t *call)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < call->attempt_count; i++) {
+        count += call->attempts[i].running;
+    }
+    return count;
+}
+
+static void
+cancel_attempts(entry_t *entry, entry_call_t *call)
+{
+    int64_t now_us = clock_now_us(entry->options.clock);
+    for (uint32_t i = 0; i < call->attempt_count; i++) {
+        entry_attempt_t *attempt = &call->attempts[i];
+        if (!attempt->running) {
+            continue;
+        }
+        attempt->running = false;
+        entry->options.io->vtable->cancel(entry->options.io, call->handle,
+                                          call->user, attempt->number);
+        picker_report(entry->options.picker, attempt->vm, call->kind_hash,
+                      REPORT_CANCELLED, now_us - attempt->sent_us, NULL);
+    }
+}
+
+static void
+answer_caller(entry_t *entry, entry_call_t *call, entry_answer_t *answer)
+{
+    if (!call->caller_waits) {
+        return;
+    }
+    call->caller_waits = false;
+    entry_count_answer(answer->outcome);
+    entry->options.io->vtable->answer(entry->options.io, call->handle,
+                                      call->user, answer);
+}
+
+/// Records the outcome of a refused call under its key, if it has one.
+static void
+settle_key(entry_t *entry, const entry_call_t *call, reason_t reason,
+           outcome_t outcome, char fresh_key[KEY_TEXT_MAX + 1])
+{
+    if (call->key == 0) {
+        return;
+    }
+    key_table_t *keys = entry->options.keys;
+    if (outcome != OUTCOME_NOT_RUN) {
+        key_table_unknown(keys, call->key, reason);
+        return;
+    }
+    key_table_refused(keys, call->key, reason);
+    if (!entry->leaving && call->key_life_us > 0 && call->caller_waits) {
+        key_table_mint(keys, slice_from_string(call->customer),
+                       call->key_life_us, fresh_key);
+    }
+}
+
+static void
+note_refusal(entry_t *entry, const entry_call_t *call, int32_t retry_after_ms)
+{
+    if (call->source != 0 && retry_after_ms > 0) {
+        client_retry_budget_refused(
+            entry->options.client_retries, slice_from_string(call->customer),
+            slice_from_string(call->kind), call->source, retry_after_ms);
+    }
+}
+
+/// Ends the call with a refusal. The result of an attempt that still runs for
+/// a key is awaited without the caller.
+void
+entry_refuse_call(entry_t *entry, entry_call_t *call, reason_t reason,
+                  outcome_t outcome)
+{
+    entry_answer_t answer = {.reason = reason, .outcome = outcome};
+    settle_key(entry, call, reason, outcome, answer.fresh_key);
+    answer.retry_after_ms =
+        call->retry_after_ms > 0 && outcome == OUTCOME_NOT_RUN
+            ? call->retry_after_ms
+            : entry_retry_after_ms(entry, reason, outcome);
+    if (!call->once) {
+        cancel_attempts(entry, call);
+    }
+    if (call->caller_waits && outcome == OUTCOME_NOT_RUN) {
+        note_refusal(entry, call, answer.retry_after_ms);
+    }
+    answer_caller(entry, call, &answer);
+    if (running_attempts(call) == 0) {
+        entry_end_call(entry, call);
+    }
+}
+
+static void
+refuse_after_attempts(entry_t *entry, entry_call_t *call)
+{
+    bool expired = clock_now_us(entry->options.clock) >= call->deadline_us;
+    if (call->may_have_run) {
+        bool keep = call->reason == REASON_ANSWER_TOO_LARGE ||
+                    call->reason == REASON_DEADLINE;
+        entry_refuse_call(entry, call,
+                          expired ? REASON_DEADLINE
+                          : keep  ? call->reason
+                                  : REASON_UPSTREAM_FAILED,
+                          OUTCOME_UNKNOWN);
+        return;
+    }
+    entry_refuse_call(entry, call, expired ? REASON_DEADLINE : call->reason,
+                      OUTCOME_NOT_RUN);
+}
+
+/// Starts the first attempt, or refuses the call.
+void
+entry_start_call(entry_t *entry, entry_call_t *call)
+{
+    vm_handle_t vm = VM_NONE;
+    switch (pick_vm(entry, call, &vm)) {
+    case PICK_OK:
+        break;
+    case PICK_SHED:
+        entry_refuse_call(entry, call, REASON_OVERLOADED, OUTCOME_NOT_RUN);
+        return;
+    default:
+        entry_refuse_call(entry, call, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN);
+        return;
+    }
+    if (call->hedge) {
+        int64_t delay_us =
+            picker_hedge_delay_us(entry->options.picker, call->kind_hash);
+        call->hedge_due_us =
+            delay_us == 0 ? 0 : clock_now_us(entry->options.clock) + delay_us;
+    }
+    send_attempt(entry, call, vm);
+}
+
+/// Sends one more attempt for one unit. Returns false if there is no unit, no
+/// time, no VM or nobody who waits.
+static bool
+send_extra_attempt(entry_t *entry, entry_call_t *call)
+{
+    if (!call->caller_waits ||
+        call->attempt_count >= G_N_ELEMENTS(call->attempts) ||
+        clock_now_us(entry->options.clock) >= call->deadline_us ||
+        units_left(entry, call) == 0)
+    {
+        return false;
+    }
+    vm_handle_t vm = VM_NONE;
+    if (pick_vm(entry, call, &vm) != PICK_OK) {
+        return false;
+    }
+    take_units(entry, call, 1);
+    send_attempt(entry, call, vm);
+    return true;
+}
+
+static report_t
+report_of(const attempt_result_t *result)
+{
+    switch (result->kind) {
+    case ATTEMPT_ANSWERED:
+        return REPORT_ANSWERED;
+    case ATTEMPT_REFUSED:
+        return result->reason == REASON_LEAVING       ? REPORT_LEAVING
+               : result->reason == REASON_NO_UPSTREAM ? REPORT_FAILED
+                                                      : REPORT_REFUSED;
+    default:
+        return REPORT_FAILED;
+    }
+}
+
+static reason_t
+reason_of(const attempt_result_t *result)
+{
+    switch (result->kind) {
+    case ATTEMPT_CONNECT_FAILED:
+        return REASON_NO_UPSTREAM;
+    case ATTEMPT_REFUSED:
+        return result->reason == REASON_NONE ? REASON_OVERLOADED
+                                             : result->reason;
+    default:
+        return result->reason == REASON_NONE ? REASON_UPSTREAM_FAILED
+                                             : result->reason;
+    }
+}
+
+static void
+attempt_answered(entry_t *entry, entry_call_t *call, uint32_t attempt,
+                 const attempt_result_t *result)
+{
+    if (call->key != 0) {
+        key_table_answered(entry->options.keys, call->key, result->answer);
+    }
+    cancel_attempts(entry, call);
+    entry_answer_t answer = {
+        .reason = REASON_NONE,
+        .outcome = OUTCOME_ANSWERED,
+        .attempt = attempt,
+    };
+    answer_caller(entry, call, &answer);
+    entry_end_call(entry, call);
+}
+
+static entry_attempt_t *
+find_attempt(entry_call_t *call, uint32_t number)
+{
+    if (number == 0 || number > call->attempt_count) {
+        return NULL;
+    }
+    entry_attempt_t *attempt = &call->attempts[number - 1];
+    return attempt->running ? attempt : NULL;
+}
+
+static bool
+may_try_again(const entry_call_t *call, const attempt_result_t *result)
+{
+    if (result->kind == ATTEMPT_LOST) {
+        return !call->once && result->reason != REASON_ANSWER_TOO_LARGE;
+    }
+    return true;
+}
+
+/// An attempt has ended. Results of calls or attempts that have ended are
+/// ignored.
+void
+entry_attempt_done(entry_t *entry, call_handle_t handle, uint32_t number,
+                   const attempt_result_t *result)
+{
+    entry_call_t *call = entry_find_call(entry, handle);
+    entry_attempt_t *attempt =
+        call == NULL ? NULL : find_attempt(call, number);
+    if (attempt == NULL) {
+        return;
+    }
+    int64_t now_us = clock_now_us(entry->options.clock);
+    attempt->running = false;
+    picker_report(entry->options.picker, attempt->vm, call->kind_hash,
+                  report_of(result), now_us - attempt->sent_us,
+                  result->has_load ? &result->load : NULL);
+    // Nothing of a request that wasn't connected can hold units.
+    give_back_units(entry, call,
+                    result->kind == ATTEMPT_CONNECT_FAILED ? attempt->lent
+                    : result->kind == ATTEMPT_LOST
+                        ? 0
+                        : MIN(result->retries_left, attempt->lent));
+    if (result->kind == ATTEMPT_ANSWERED) {
+        attempt_answered(entry, call, number, result);
+        return;
+    }
+    call->may_have_run |= result->kind == ATTEMPT_LOST;
+    call->reason = reason_of(result);
+    call->retry_after_ms = result->retry_after_ms;
+    if (running_attempts(call) > 0 ||
+        (may_try_again(call, result) && send_extra_attempt(entry, call)))
+    {
+        return;
+    }
+    refuse_after_attempts(entry, call);
+}
+
+static void
+send_hedge(entry_t *entry, entry_call_t *call)
+{
+    call->hedge_due_us = 0;
+    if (running_attempts(call) == 1) {
+        send_extra_attempt(entry, call);
+    }
+}
+
+/// Ends the wait for a late answer; the key's outcome stays unknown. The
+/// adapter stops by itself after wait_us.
+static void
+stop_waiting(entry_t *entry, entry_call_t *call)
+{
+    for (uint32_t i = 0; i < call->attempt_count; i++) {
+        if (call->attempts[i].running) {
+            picker_report(entry->options.picker, call->attempts[i].vm,
+                          call->kind_hash, REPORT_CANCELLED, 0, NULL);
+        }
+    }
+    entry_end_call(entry, call);
+}
+
+/// Handles the deadline and the hedge of one call.
+void
+entry_tick_call(entry_t *entry, entry_call_t *call, int64_t now_us)
+{
+    if (!call->caller_waits) {
+        if (now_us >= call->wait_end_us) {
+            stop_waiting(entry, call);
+        }
+        return;
+    }
+    if (now_us >= call->deadline_us) {
+        if (call->forwarded) {
+            entry->options.io->vtable->cancel(entry->options.io, call->handle,
+                                              call->user, 0);
+        }
+        entry_refuse_call(entry, call, REASON_DEADLINE, OUTCOME_UNKNOWN);
+        return;
+    }
+    if (call->hedge_due_us != 0 && now_us >= call->hedge_due_us) {
+        send_hedge(entry, call);
+    }
+}
