Read contracts and settings strictly and add the commands

json-c drops duplicate keys and gives no lines for fields. A scan of the text that json-c has accepted finds both; comments are blanked first, so that json-c's strict mode applies and its offsets stay valid. Ruled out: json-c's lenient mode, which accepts comments but also trailing commas and single quotes.

--- /dev/null
+++ b/src/ibisfield/cli/cmd_version.c
@@ -0,0 +1,19 @@
+/// @file
+/// Command "version".
+
+#include <stdio.h>
+
+#include "ibisfield/cli/commands.h"
+#include "ibisfield/cli/input.h"
+
+/// Prints the program's version.
+int
+command_version(int argc, char **argv)
+{
+    static const struct argp argp = {
+        .doc = "Print the version of the program.",
+    };
+    parse_arguments(&argp, argc, argv, NULL);
+    puts("ibisfield " IBISFIELD_VERSION);
+    return EXIT_CODE_OK;
+}
--- /dev/null
+++ b/src/ibisfield/cli/input.c
@@ -0,0 +1,70 @@
+/// @file
+/// Arguments and input files of the commands.
+
+#include "ibisfield/cli/input.h"
+
+#include <stdio.h>
+
+#include "ibisfield/contract/contract.h"
+#include "ibisfield/contract/json_reader.h"
+#include "ibisfield/contract/settings.h"
+
+/// Returns an empty list of problems, which owns its texts.
+GPtrArray *
+problems_new(void)
+{
+    return g_ptr_array_new_with_free_func(g_free);
+}
+
+/// Prints the problems to standard error, one a line, and frees the list.
+/// Returns true if there were any.
+bool
+problems_print(GPtrArray *problems)
+{
+    bool any = problems->len > 0;
+    for (guint i = 0; i < problems->len; i++) {
+        fprintf(stderr, "%s\n", (const char *)problems->pdata[i]);
+    }
+    g_ptr_array_free(problems, TRUE);
+    return any;
+}
+
+/// Reads and checks a settings file; returns false after adding problems.
+bool
+load_settings(settings_t *settings, const char *file, GPtrArray *problems)
+{
+    size_t len = 0;
+    char *text = json_load_file(file, &len, problems);
+    bool valid =
+        text != NULL &&
+        settings_parse(settings, file, (slice_t){text, len}, problems);
+    g_free(text);
+    return valid;
+}
+
+/// Reads and checks a contract file; returns false after adding problems.
+bool
+load_contract(contract_t *contract, const char *file, GPtrArray *problems)
+{
+    size_t len = 0;
+    char *text = json_load_file(file, &len, problems);
+    bool valid =
+        text != NULL &&
+        contract_parse(contract, file, (slice_t){text, len}, problems);
+    g_free(text);
+    return valid;
+}
+
+/// Parses the arguments of a command; argv[0] is the command. Usage errors and
+/// --help end the process.
+error_t
+parse_arguments(const struct argp *argp, int argc, char **argv, void *input)
+{
+    char *name = argv[0];
+    char *full_name = g_strdup_printf("ibisfield %s", name);
+    argv[0] = full_name;
+    error_t error = argp_parse(argp, argc, argv, 0, NULL, input);
+    argv[0] = name;
+    g_free(full_name);
+    return error;
+}
--- /dev/null
+++ b/src/ibisfield/cli/input.h
@@ -0,0 +1,20 @@
+#ifndef IBISFIELD_CLI_INPUT_H
+#define IBISFIELD_CLI_INPUT_H
+
+#include <argp.h>
+#include <glib.h>
+#include <stdbool.h>
+
+#include "ibisfield/contract/contract_defs.h"
+#include "ibisfield/contract/settings_defs.h"
+
+GPtrArray *problems_new(void);
+bool problems_print(GPtrArray *problems);
+bool load_settings(settings_t *settings, const char *file,
+                   GPtrArray *problems);
+bool load_contract(contract_t *contract, const char *file,
+                   GPtrArray *problems);
+error_t parse_arguments(const struct argp *argp, int argc, char **argv,
+                        void *input);
+
+#endif
--- a/src/ibisfield/cli/main.c
+++ b/src/ibisfield/cli/main.c
@@ -1,11 +1,126 @@
 /// @file
-/// Entry point of the program.
+/// Entry point of the program: finds the command and passes the rest of the
+/// arguments to it.
 
-#include <stdio.h>
+#include <argp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisfield/cli/commands.h"
+#include "ibisfield/cli/input.h"
+
+typedef struct {
+    const char *name;
+    int (*run)(int argc, char **argv);
+} command_t;
+
+static const command_t commands[] = {
+    {"run", command_run},         {"check", command_check},
+    {"explain", command_explain}, {"status", command_status},
+    {"version", command_version},
+};
+
+static const char main_doc[] =
+    "Overload control for service call graphs: one node runs on each upstream "
+    "VM.\v"
+    "Commands:\n"
+    "  run SETTINGS         run a node until SIGTERM\n"
+    "  check FILE...        check settings and contracts, list every problem\n"
+    "  explain CONTRACT     print the limits that follow from a contract\n"
+    "  status [ADDRESS...]  show the state of running nodes\n"
+    "  version              print the version\n"
+    "\n"
+    "'ibisfield COMMAND --help' describes a command.\n"
+    "\n"
+    "Exit codes: 0 success, 1 failed at run time, 2 bad usage or bad input.";
+
+typedef struct {
+    const command_t *command;
+    int argc;
+    char **argv;
+} main_arguments_t;
+
+static error_t
+parse_main(int key, char *argument, struct argp_state *state)
+{
+    main_arguments_t *arguments = state->input;
+    switch (key) {
+    case ARGP_KEY_ARG:
+        for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+            if (strcmp(commands[i].name, argument) == 0) {
+                arguments->command = &commands[i];
+            }
+        }
+        if (arguments->command == NULL) {
+            argp_error(state, "unknown command '%s'", argument);
+        }
+        arguments->argc = state->argc - state->next + 1;
+        arguments->argv = state->argv + state->next - 1;
+        state->next = state->argc;
+        return 0;
+    case ARGP_KEY_NO_ARGS:
+        argp_error(state, "a command is missing");
+        return EINVAL;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static error_t
+parse_run(int key, char *argument, struct argp_state *state)
+{
+    const char **file = state->input;
+    switch (key) {
+    case ARGP_KEY_ARG:
+        if (*file != NULL) {
+            argp_error(state, "found a second file '%s', expected one",
+                       argument);
+        }
+        *file = argument;
+        return 0;
+    case ARGP_KEY_NO_ARGS:
+        argp_error(state, "the settings file is missing");
+        return EINVAL;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+/// Command "run": checks the settings and runs a node with them.
+int
+command_run(int argc, char **argv)
+{
+    static const struct argp argp = {
+        .parser = parse_run,
+        .args_doc = "SETTINGS",
+        .doc = "Run a node with the settings file SETTINGS.\v"
+               "The node logs to standard error. SIGTERM shuts it down "
+               "gracefully: it refuses new work, finishes the calls in "
+               "flight and exits with 0, or with 1 when drain_limit_ms cut "
+               "off a call. A second SIGTERM, or SIGINT, stops it at once "
+               "(exit 1). Invalid settings are listed and give exit 2.",
+    };
+    const char *file = NULL;
+    parse_arguments(&argp, argc, argv, &file);
+    settings_t settings;
+    GPtrArray *problems = problems_new();
+    bool valid = load_settings(&settings, file, problems);
+    if (problems_print(problems) || !valid) {
+        return EXIT_CODE_BAD_INPUT;
+    }
+    return cmd_run(&settings);
+}
 
 int
-main(void)
+main(int argc, char **argv)
 {
-    puts("ibisfield " IBISFIELD_VERSION);
-    return 0;
+    static const struct argp argp = {
+        .parser = parse_main,
+        .args_doc = "COMMAND [ARGUMENT...]",
+        .doc = main_doc,
+    };
+    argp_err_exit_status = EXIT_CODE_BAD_INPUT;
+    main_arguments_t arguments = {0};
+    argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &arguments);
+    return arguments.command->run(arguments.argc, arguments.argv);
 }
--- /dev/null
+++ b/src/ibisfield/contract/contract.c
@@ -0,0 +1,371 @@
+/// @file
+/// Contracts of customers: reading, checking, matching of requests, and the
+/// limits that follow from them.
+
+#include "ibisfield/contract/contract.h"
+
+#include <string.h>
+
+#include "ibisfield/contract/json_reader.h"
+
+/// Shortest deadline that leaves time for two network hops and a run.
+#define DEADLINE_MIN_MS 10
+#define DEADLINE_MAX_MS 600000
+#define RESEND_MAX_S 86400
+
+#define NAME_EXPECTED "a name of at most 63 lower-case letters, digits and '-'"
+
+static void read_method(json_reader_t *reader, const json_field_t *field,
+                        const char *path, struct json_object *value,
+                        void *out);
+static void read_path(json_reader_t *reader, const json_field_t *field,
+                      const char *path, struct json_object *value, void *out);
+static void read_run(json_reader_t *reader, const json_field_t *field,
+                     const char *path, struct json_object *value, void *out);
+static void read_hosts(json_reader_t *reader, const json_field_t *field,
+                       const char *path, struct json_object *value, void *out);
+static void read_kinds(json_reader_t *reader, const json_field_t *field,
+                       const char *path, struct json_object *value, void *out);
+
+#define NAME_FIELD(type, member)                                              \
+    {                                                                         \
+        .name = #member, .read = json_read_name,                              \
+        .offset = offsetof(type, member), .size = CONTRACT_NAME_MAX + 1,      \
+        .required = true, .expected = NAME_EXPECTED                           \
+    }
+#define INT_FIELD(type, member, low, high, is_required)                       \
+    {                                                                         \
+        .name = #member, .read = json_read_int,                               \
+        .offset = offsetof(type, member), .required = (is_required),          \
+        .min = (low), .max = (high)                                           \
+    }
+
+static const json_field_t kind_fields[] = {
+    NAME_FIELD(kind_t, name),
+    NAME_FIELD(kind_t, service),
+    {.name = "method",
+     .read = read_method,
+     .required = true,
+     .expected = "an HTTP method of at most 15 upper-case letters"},
+    {.name = "path",
+     .read = read_path,
+     .required = true,
+     .expected = "a path of at most 255 visible ASCII characters that starts "
+                 "with '/', without '?' and '#', with '*' only at its end"},
+    INT_FIELD(kind_t, worth, 1, CONTRACT_WORTH_MAX, true),
+    INT_FIELD(kind_t, deadline_ms, DEADLINE_MIN_MS, DEADLINE_MAX_MS, true),
+    {.name = "run",
+     .read = read_run,
+     .required = true,
+     .expected = "\"repeatable\" or \"once\""},
+    INT_FIELD(kind_t, resend_s, 1, RESEND_MAX_S, false),
+};
+
+static const json_field_t contract_fields[] = {
+    NAME_FIELD(contract_t, customer),
+    {.name = "hosts",
+     .read = read_hosts,
+     .expected = "an array of at most 16 host names of at most 63 lower-case "
+                 "letters, digits, '-' and '.'"},
+    INT_FIELD(contract_t, retries, 0, CONTRACT_RETRIES_MAX, true),
+    INT_FIELD(contract_t, client_retry_percent, 0, 100, true),
+    {.name = "kinds",
+     .read = read_kinds,
+     .required = true,
+     .expected = "an array of 1 to 256 kinds"},
+};
+
+static void
+read_method(json_reader_t *reader, const json_field_t *field, const char *path,
+            struct json_object *value, void *out)
+{
+    kind_t *kind = out;
+    const char *text = json_string(value);
+    size_t len = text == NULL ? 0 : strspn(text, "ABCDEFGHIJKLMNOPQRSTUVWXYZ");
+    if (len == 0 || text[len] != '\0' || len >= sizeof(kind->method)) {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    memcpy(kind->method, text, len + 1);
+}
+
+static bool
+path_is_valid(const char *text)
+{
+    size_t len = strlen(text);
+    if (text[0] != '/' || len > CONTRACT_PATH_MAX) {
+        return false;
+    }
+    for (size_t i = 0; i < len; i++) {
+        if (!g_ascii_isgraph(text[i]) || text[i] == '?' || text[i] == '#' ||
+            (text[i] == '*' && i + 1 < len))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+read_path(json_reader_t *reader, const json_field_t *field, const char *path,
+          struct json_object *value, void *out)
+{
+    kind_t *kind = out;
+    const char *text = json_string(value);
+    if (text == NULL || !path_is_valid(text)) {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    g_strlcpy(kind->path, text, sizeof(kind->path));
+}
+
+static void
+read_run(json_reader_t *reader, const json_field_t *field, const char *path,
+         struct json_object *value, void *out)
+{
+    kind_t *kind = out;
+    const char *text = json_string(value);
+    if (g_strcmp0(text, "once") == 0) {
+        kind->run = RUN_ONCE;
+    }
+    else if (g_strcmp0(text, "repeatable") == 0) {
+        kind->run = RUN_REPEATABLE;
+    }
+    else {
+        json_problem_found(reader, path, value, field->expected);
+    }
+}
+
+static bool
+host_is_valid(const char *text)
+{
+    size_t len = strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789-.");
+    return len > 0 && text[len] == '\0' && len <= CONTRACT_NAME_MAX &&
+           text[0] != '.' && text[0] != '-';
+}
+
+static void
+read_hosts(json_reader_t *reader, const json_field_t *field, const char *path,
+           struct json_object *value, void *out)
+{
+    contract_t *contract = out;
+    if (!json_object_is_type(value, json_type_array) ||
+        json_object_array_length(value) > CONTRACT_HOSTS_MAX)
+    {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    for (size_t i = 0; i < json_object_array_length(value); i++) {
+        struct json_object *host = json_object_array_get_idx(value, i);
+        const char *text = json_string(host);
+        char *child = g_strdup_printf("%s[%zu]", path, i);
+        if (text == NULL || !host_is_valid(text)) {
+            json_problem_found(reader, child, host,
+                               "a host name of at most 63 lower-case letters, "
+                               "digits, '-' and '.'");
+        }
+        else if (contract_has_host(contract, slice_from_string(text))) {
+            json_problem_found(reader, child, host, "each host once");
+        }
+        else {
+            g_strlcpy(contract->hosts[contract->host_count++], text,
+                      sizeof(contract->hosts[0]));
+        }
+        g_free(child);
+    }
+}
+
+static void
+check_run(json_reader_t *reader, const char *path, struct json_object *value,
+          const kind_t *kind)
+{
+    bool has_run = json_object_object_get_ex(value, "run", NULL);
+    bool has_resend = json_object_object_get_ex(value, "resend_s", NULL);
+    if (!has_run) {
+        return;
+    }
+    if (kind->run == RUN_ONCE && !has_resend) {
+        json_problem(reader, path,
+                     "run is \"once\" without resend_s, expected resend_s: "
+                     "without it no request key can be issued");
+    }
+    if (kind->run == RUN_REPEATABLE && has_resend) {
+        json_problem(reader, path,
+                     "resend_s with run \"repeatable\", expected it only with "
+                     "run \"once\": repeatable kinds have no request key");
+    }
+    if (kind->run == RUN_ONCE && kind->resend_s > 0 &&
+        (int64_t)kind->resend_s * 1000 < kind->deadline_ms)
+    {
+        json_problem(reader, path,
+                     "resend_s %d is shorter than deadline_ms %d, expected "
+                     "the key to outlive the request",
+                     kind->resend_s, kind->deadline_ms);
+    }
+    if (kind->run == RUN_ONCE && (strcmp(kind->method, "GET") == 0 ||
+                                  strcmp(kind->method, "HEAD") == 0))
+    {
+        json_problem(reader, path,
+                     "run \"once\" with method %s, expected another method: "
+                     "HTTP clients and proxies may repeat it on their own",
+                     kind->method);
+    }
+}
+
+/// Whether every path that @p later matches is already matched by @p earlier.
+static bool
+path_covers(const char *earlier, const char *later)
+{
+    size_t len = strlen(earlier);
+    if (len > 0 && earlier[len - 1] == '*') {
+        return strncmp(earlier, later, len - 1) == 0;
+    }
+    return len > 0 && strcmp(earlier, later) == 0;
+}
+
+static void
+check_against_earlier(json_reader_t *reader, const char *path,
+                      const contract_t *contract, const kind_t *kind)
+{
+    for (const kind_t *earlier = contract->kinds; earlier < kind; earlier++) {
+        if (kind->name[0] != '\0' && strcmp(earlier->name, kind->name) == 0) {
+            json_problem(reader, path,
+                         "found a second kind named \"%s\", expected "
+                         "different names",
+                         kind->name);
+        }
+        if (kind->method[0] != '\0' && kind->path[0] != '\0' &&
+            strcmp(earlier->method, kind->method) == 0 &&
+            path_covers(earlier->path, kind->path))
+        {
+            json_problem(reader, path,
+                         "%s %s is already matched by %s of kind \"%s\", "
+                         "which stands before it, expected the more specific "
+                         "path first",
+                         kind->method, kind->path, earlier->path,
+                         earlier->name);
+            return;
+        }
+    }
+}
+
+static void
+read_kinds(json_reader_t *reader, const json_field_t *field, const char *path,
+           struct json_object *value, void *out)
+{
+    contract_t *contract = out;
+    size_t count = json_object_is_type(value, json_type_array)
+                       ? json_object_array_length(value)
+                       : 0;
+    if (count == 0 || count > CONTRACT_KINDS_MAX) {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    contract->kinds = g_new0(kind_t, count);
+    contract->kind_count = (uint32_t)count;
+    for (size_t i = 0; i < count; i++) {
+        struct json_object *item = json_object_array_get_idx(value, i);
+        kind_t *kind = &contract->kinds[i];
+        char *child = g_strdup_printf("%s[%zu]", path, i);
+        json_read_fields(reader, child, item, kind_fields,
+                         G_N_ELEMENTS(kind_fields), kind);
+        if (json_object_is_type(item, json_type_object)) {
+            check_run(reader, child, item, kind);
+            check_against_earlier(reader, child, contract, kind);
+        }
+        g_free(child);
+    }
+}
+
+/// Parses and checks one contract (JSON with comments). @p file names the
+/// source in messages. Appends every problem found to @p problems (char *, one
+/// line each: file, line, field, found, expected). Returns false if there is
+/// any; then @p contract needs no contract_finish().
+bool
+contract_parse(contract_t *contract, const char *file, slice_t text,
+               GPtrArray *problems)
+{
+    *contract = (contract_t){0};
+    json_reader_t reader;
+    if (!json_reader_open(&reader, file, text, problems)) {
+        return false;
+    }
+    json_read_fields(&reader, "", reader.root, contract_fields,
+                     G_N_ELEMENTS(contract_fields), contract);
+    bool valid = reader.problem_count == 0;
+    json_reader_close(&reader);
+    if (!valid) {
+        contract_finish(contract);
+    }
+    return valid;
+}
+
+/// Releases the memory of a parsed contract.
+void
+contract_finish(contract_t *contract)
+{
+    g_free(contract->kinds);
+    *contract = (contract_t){0};
+}
+
+static bool
+path_matches(const char *pattern, slice_t path)
+{
+    size_t len = strlen(pattern);
+    if (pattern[len - 1] == '*') {
+        return slice_starts_with(path, (slice_t){pattern, len - 1});
+    }
+    return slice_equal_string(path, pattern);
+}
+
+/// Finds the first kind that matches; @p path may carry a query, which does
+/// not count. NULL if none.
+const kind_t *
+contract_match(const contract_t *contract, slice_t method, slice_t path)
+{
+    const char *query =
+        path.len == 0 ? NULL : memchr(path.data, '?', path.len);
+    if (query != NULL) {
+        path.len = (size_t)(query - path.data);
+    }
+    for (uint32_t i = 0; i < contract->kind_count; i++) {
+        const kind_t *kind = &contract->kinds[i];
+        if (slice_equal_string(method, kind->method) &&
+            path_matches(kind->path, path)) {
+            return kind;
+        }
+    }
+    return NULL;
+}
+
+/// Whether the contract names @p host, the value of a Host header. A port is
+/// ignored, and so is the case of letters.
+bool
+contract_has_host(const contract_t *contract, slice_t host)
+{
+    const char *port = host.len == 0 ? NULL : memchr(host.data, ':', host.len);
+    if (port != NULL) {
+        host.len = (size_t)(port - host.data);
+    }
+    for (uint32_t i = 0; i < contract->host_count; i++) {
+        if (strlen(contract->hosts[i]) == host.len &&
+            g_ascii_strncasecmp(contract->hosts[i], host.data, host.len) == 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Derives the limits of a kind; explain_contract() prints the reasons.
+kind_limits_t
+kind_limits(const contract_t *contract, const kind_t *kind)
+{
+    bool repeatable = kind->run == RUN_REPEATABLE;
+    return (kind_limits_t){
+        .attempts_max = 1 + contract->retries,
+        .queue_wait_ms = kind->deadline_ms,
+        .key_life_ms = repeatable ? 0 : kind->resend_s * 1000,
+        .hedge = repeatable && contract->retries > 0,
+    };
+}
--- a/src/ibisfield/contract/contract.h
+++ b/src/ibisfield/contract/contract.h
@@ -6,15 +6,9 @@
 #include "ibisfield/base/slice.h"
 #include "ibisfield/contract/contract_defs.h"
 
-/// Parses and checks one contract (JSON with comments). @p file names the
-/// source in messages. Appends every problem found to @p problems (char *, one
-/// line each: file, field, found, expected). Returns false if there is any;
-/// then @p contract needs no contract_finish().
 bool contract_parse(contract_t *contract, const char *file, slice_t text,
                     GPtrArray *problems);
 void contract_finish(contract_t *contract);
-
-/// Finds the first kind that matches; @p path may carry a query. NULL if none.
 const kind_t *contract_match(const contract_t *contract, slice_t method,
                              slice_t path);
 bool contract_has_host(const contract_t *contract, slice_t host);
--- /dev/null
+++ b/src/ibisfield/contract/json_reader.h
@@ -0,0 +1,63 @@
+#ifndef IBISFIELD_CONTRACT_JSON_READER_H
+#define IBISFIELD_CONTRACT_JSON_READER_H
+
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ibisfield/base/slice.h"
+
+/// Largest text that is read, 1 MB: the platform's bound for a value.
+#define JSON_TEXT_MAX_BYTES 1048576
+/// Problems listed for one text; more would flood logs and terminals.
+#define JSON_PROBLEMS_MAX 100
+
+/// A parsed text and where problems with it are reported.
+typedef struct {
+    const char *file;         ///< source as named in messages
+    GPtrArray *problems;      ///< char *, one line each
+    struct json_object *root; ///< always an object once opened
+    GHashTable *lines;        ///< escaped field path to line number
+    uint32_t problem_count;   ///< of this text, listed or not
+} json_reader_t;
+
+typedef struct json_field json_field_t;
+
+/// Reads @p value into the member of @p out that @p field names.
+typedef void (*json_read_t)(json_reader_t *reader, const json_field_t *field,
+                            const char *path, struct json_object *value,
+                            void *out);
+
+/// One field of a JSON object and the struct member that receives it.
+struct json_field {
+    const char *name;
+    json_read_t read;
+    size_t offset;
+    size_t size;
+    bool required;
+    int32_t min; ///< json_read_int only
+    int32_t max;
+    int32_t fallback;     ///< of an optional integer
+    const char *expected; ///< for messages; NULL: from min and max
+};
+
+bool json_reader_open(json_reader_t *reader, const char *file, slice_t text,
+                      GPtrArray *problems);
+void json_reader_close(json_reader_t *reader);
+void json_problem(json_reader_t *reader, const char *path, const char *format,
+                  ...) G_GNUC_PRINTF(3, 4);
+void json_problem_found(json_reader_t *reader, const char *path,
+                        struct json_object *found, const char *expected);
+void json_read_fields(json_reader_t *reader, const char *path,
+                      struct json_object *object, const json_field_t *fields,
+                      size_t field_count, void *out);
+const char *json_string(struct json_object *value);
+void json_read_int(json_reader_t *reader, const json_field_t *field,
+                   const char *path, struct json_object *value, void *out);
+void json_read_name(json_reader_t *reader, const json_field_t *field,
+                    const char *path, struct json_object *value, void *out);
+char *json_load_file(const char *file, size_t *len, GPtrArray *problems);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/contract/settings.c
@@ -0,0 +1,293 @@
+/// @file
+/// Settings of one node: reading and checking.
+
+#include "ibisfield/contract/settings.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "ibisfield/contract/json_reader.h"
+
+#define NAME_EXPECTED "a name of at most 63 lower-case letters, digits and '-'"
+#define ENDPOINT_EXPECTED "an IPv4 address and a port, such as \"10.0.0.1:80\""
+#define URL_EXPECTED "a URL such as \"http://10.0.0.1:80\", without a path"
+#define HTTP_PREFIX "http://"
+
+static void read_endpoint(json_reader_t *reader, const json_field_t *field,
+                          const char *path, struct json_object *value,
+                          void *out);
+static void read_url(json_reader_t *reader, const json_field_t *field,
+                     const char *path, struct json_object *value, void *out);
+static void read_seeds(json_reader_t *reader, const json_field_t *field,
+                       const char *path, struct json_object *value, void *out);
+static void read_log_level(json_reader_t *reader, const json_field_t *field,
+                           const char *path, struct json_object *value,
+                           void *out);
+
+#define NAME_FIELD(member)                                                    \
+    {                                                                         \
+        .name = #member, .read = json_read_name,                              \
+        .offset = offsetof(settings_t, member),                               \
+        .size = SETTINGS_NAME_MAX + 1, .required = true,                      \
+        .expected = NAME_EXPECTED                                             \
+    }
+#define ENDPOINT_FIELD(member)                                                \
+    {                                                                         \
+        .name = #member, .read = read_endpoint,                               \
+        .offset = offsetof(settings_t, member), .required = true,             \
+        .expected = ENDPOINT_EXPECTED                                         \
+    }
+#define URL_FIELD(member)                                                     \
+    {                                                                         \
+        .name = #member, .read = read_url,                                    \
+        .offset = offsetof(settings_t, member), .required = true,             \
+        .expected = URL_EXPECTED                                              \
+    }
+#define REQUIRED_INT_FIELD(member, low, high)                                 \
+    {                                                                         \
+        .name = #member, .read = json_read_int,                               \
+        .offset = offsetof(settings_t, member), .required = true,             \
+        .min = (low), .max = (high)                                           \
+    }
+#define INT_FIELD(member, low, high, value)                                   \
+    {                                                                         \
+        .name = #member, .read = json_read_int,                               \
+        .offset = offsetof(settings_t, member), .min = (low), .max = (high),  \
+        .fallback = (value)                                                   \
+    }
+
+static const json_field_t settings_fields[] = {
+    NAME_FIELD(vm),
+    NAME_FIELD(data_centre),
+    NAME_FIELD(service),
+    ENDPOINT_FIELD(caller_listen),
+    ENDPOINT_FIELD(egress_listen),
+    ENDPOINT_FIELD(peer_listen),
+    ENDPOINT_FIELD(control_listen),
+    ENDPOINT_FIELD(operator_listen),
+    ENDPOINT_FIELD(upstream),
+    REQUIRED_INT_FIELD(upstream_slots, 1, 100000),
+    REQUIRED_INT_FIELD(upstream_connections, 1, 100000),
+    URL_FIELD(config_url),
+    URL_FIELD(list_url),
+    {.name = "seeds",
+     .read = read_seeds,
+     .expected = "an array of at most 16 control addresses"},
+    INT_FIELD(max_request_bytes, 1, 67108864, 1048576),
+    INT_FIELD(max_answer_bytes, 1, 67108864, 4194304),
+    INT_FIELD(max_calls, 1, 1000000, 4096),
+    INT_FIELD(max_connections, 1, 1000000, 4096),
+    INT_FIELD(remote_cost_us, 0, 10000000, 3000),
+    INT_FIELD(key_linger_ms, 0, 600000, 5000),
+    INT_FIELD(drain_limit_ms, 1, 3600000, 30000),
+    INT_FIELD(answer_store_bytes, 0, 1073741824, 16777216),
+    {.name = "log_level",
+     .read = read_log_level,
+     .expected = "\"debug\", \"info\" or \"warning\""},
+};
+
+/// Parses "address:port" with an IPv4 address and a port from 1 to 65535.
+static bool
+parse_endpoint(endpoint_t *endpoint, const char *text)
+{
+    const char *colon = text == NULL ? NULL : strchr(text, ':');
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(endpoint->address)) {
+        return false;
+    }
+    endpoint_t parsed = {0};
+    memcpy(parsed.address, text, (size_t)(colon - text));
+    struct in_addr address;
+    size_t digits = strspn(colon + 1, "0123456789");
+    if (inet_pton(AF_INET, parsed.address, &address) != 1 || digits == 0 ||
+        digits > 5 || colon[1 + digits] != '\0')
+    {
+        return false;
+    }
+    guint64 port = g_ascii_strtoull(colon + 1, NULL, 10);
+    if (port == 0 || port > UINT16_MAX) {
+        return false;
+    }
+    parsed.port = (uint16_t)port;
+    *endpoint = parsed;
+    return true;
+}
+
+static void
+read_endpoint(json_reader_t *reader, const json_field_t *field,
+              const char *path, struct json_object *value, void *out)
+{
+    endpoint_t endpoint;
+    if (!parse_endpoint(&endpoint, json_string(value))) {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    memcpy((char *)out + field->offset, &endpoint, sizeof(endpoint));
+}
+
+static void
+read_url(json_reader_t *reader, const json_field_t *field, const char *path,
+         struct json_object *value, void *out)
+{
+    const char *text = json_string(value);
+    endpoint_t endpoint;
+    if (text == NULL || !g_str_has_prefix(text, HTTP_PREFIX) ||
+        !parse_endpoint(&endpoint, text + strlen(HTTP_PREFIX)))
+    {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    g_strlcpy((char *)out + field->offset, text, SETTINGS_URL_MAX + 1);
+}
+
+static bool
+same_endpoint(const endpoint_t *a, const endpoint_t *b)
+{
+    return a->port == b->port && strcmp(a->address, b->address) == 0;
+}
+
+static bool
+has_seed(const settings_t *settings, const endpoint_t *seed)
+{
+    for (uint32_t i = 0; i < settings->seed_count; i++) {
+        if (same_endpoint(&settings->seeds[i], seed)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+read_seeds(json_reader_t *reader, const json_field_t *field, const char *path,
+           struct json_object *value, void *out)
+{
+    settings_t *settings = out;
+    if (!json_object_is_type(value, json_type_array) ||
+        json_object_array_length(value) > SETTINGS_SEEDS_MAX)
+    {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    for (size_t i = 0; i < json_object_array_length(value); i++) {
+        struct json_object *item = json_object_array_get_idx(value, i);
+        char *child = g_strdup_printf("%s[%zu]", path, i);
+        endpoint_t seed;
+        if (!parse_endpoint(&seed, json_string(item))) {
+            json_problem_found(reader, child, item, ENDPOINT_EXPECTED);
+        }
+        else if (has_seed(settings, &seed)) {
+            json_problem_found(reader, child, item, "each seed once");
+        }
+        else {
+            settings->seeds[settings->seed_count++] = seed;
+        }
+        g_free(child);
+    }
+}
+
+static void
+read_log_level(json_reader_t *reader, const json_field_t *field,
+               const char *path, struct json_object *value, void *out)
+{
+    settings_t *settings = out;
+    const char *text = json_string(value);
+    if (g_strcmp0(text, "debug") != 0 && g_strcmp0(text, "info") != 0 &&
+        g_strcmp0(text, "warning") != 0)
+    {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    g_strlcpy(settings->log_level, text, sizeof(settings->log_level));
+}
+
+/// Whether two sockets can't listen at both addresses.
+static bool
+endpoints_clash(const endpoint_t *a, const endpoint_t *b)
+{
+    return a->port != 0 && a->port == b->port &&
+           (strcmp(a->address, b->address) == 0 ||
+            strcmp(a->address, "0.0.0.0") == 0 ||
+            strcmp(b->address, "0.0.0.0") == 0);
+}
+
+static void
+check_endpoints(json_reader_t *reader, const settings_t *settings)
+{
+    const struct {
+        const char *name;
+        const endpoint_t *endpoint;
+    } listeners[] = {
+        {"caller_listen", &settings->caller_listen},
+        {"egress_listen", &settings->egress_listen},
+        {"peer_listen", &settings->peer_listen},
+        {"control_listen", &settings->control_listen},
+        {"operator_listen", &settings->operator_listen},
+        {"upstream", &settings->upstream},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
+        for (size_t j = 0; j < i; j++) {
+            if (endpoints_clash(listeners[i].endpoint, listeners[j].endpoint))
+            {
+                json_problem(reader, listeners[i].name,
+                             "found the address of %s, expected a different "
+                             "address or port",
+                             listeners[j].name);
+            }
+        }
+    }
+}
+
+static void
+check_settings(json_reader_t *reader, const settings_t *settings)
+{
+    check_endpoints(reader, settings);
+    if (settings->upstream_connections > 0 &&
+        settings->upstream_connections < settings->upstream_slots)
+    {
+        json_problem(reader, "upstream_connections",
+                     "found %d, expected at least upstream_slots %d: a "
+                     "connection carries one request at a time",
+                     settings->upstream_connections, settings->upstream_slots);
+    }
+    if (settings->drain_limit_ms > 0 &&
+        settings->drain_limit_ms < settings->key_linger_ms)
+    {
+        json_problem(reader, "drain_limit_ms",
+                     "found %d, expected at least key_linger_ms %d: the limit "
+                     "would cut the linger",
+                     settings->drain_limit_ms, settings->key_linger_ms);
+    }
+    if (settings->control_listen.port != 0 &&
+        has_seed(settings, &settings->control_listen))
+    {
+        json_problem(reader, "seeds",
+                     "found the node's own control_listen, expected other "
+                     "nodes");
+    }
+}
+
+/// Parses and checks the settings of a node (JSON with comments). Appends
+/// every problem found to @p problems (char *, one line each: file, line,
+/// field, found, expected) and returns false if there is any.
+bool
+settings_parse(settings_t *settings, const char *file, slice_t text,
+               GPtrArray *problems)
+{
+    *settings = (settings_t){.log_level = "info"};
+    json_reader_t reader;
+    if (!json_reader_open(&reader, file, text, problems)) {
+        return false;
+    }
+    json_read_fields(&reader, "", reader.root, settings_fields,
+                     G_N_ELEMENTS(settings_fields), settings);
+    check_settings(&reader, settings);
+    bool valid = reader.problem_count == 0;
+    json_reader_close(&reader);
+    return valid;
+}
+
+/// Releases the memory of parsed settings; they own none at present.
+void
+settings_finish(settings_t *settings)
+{
+    *settings = (settings_t){0};
+}
--- a/src/ibisfield/contract/settings.h
+++ b/src/ibisfield/contract/settings.h
@@ -6,8 +6,6 @@
 #include "ibisfield/base/slice.h"
 #include "ibisfield/contract/settings_defs.h"
 
-/// Parses and checks the settings of a node (JSON with comments); same
-/// conventions as contract_parse().
 bool settings_parse(settings_t *settings, const char *file, slice_t text,
                     GPtrArray *problems);
 void settings_finish(settings_t *settings);
