--- a/src/ibisfield/contract/contract.c
+++ b/src/ibisfield/contract/contract.c
@@ -309,13 +309,17 @@
 }
 
 static bool
-path_matches(const char *pattern, slice_t path)
+kind_matches(const kind_t *kind, slice_t method, slice_t path)
 {
-    size_t len = strlen(pattern);
-    if (pattern[len - 1] == '*') {
-        return slice_starts_with(path, (slice_t){pattern, len - 1});
+    slice_t pattern = slice_from_string(kind->path);
+    if (!slice_equal_string(method, kind->method) || pattern.len == 0) {
+        return false;
+    }
+    if (pattern.data[pattern.len - 1] == '*') {
+        pattern.len--;
+        return slice_starts_with(path, pattern);
     }
-    return slice_equal_string(path, pattern);
+    return slice_equal(path, pattern);
 }
 
 /// Finds the first kind that matches; @p path may carry a query, which does
@@ -329,10 +333,8 @@
         path.len = (size_t)(query - path.data);
     }
     for (uint32_t i = 0; i < contract->kind_count; i++) {
-        const kind_t *kind = &contract->kinds[i];
-        if (slice_equal_string(method, kind->method) &&
-            path_matches(kind->path, path)) {
-            return kind;
+        if (kind_matches(&contract->kinds[i], method, path)) {
+            return &contract->kinds[i];
         }
     }
     return NULL;
