Add a stateful fuzz target for the call path

Nine nodes with the real core, manual clocks and a simulated network; the oracle counts runs, answers and attempts from outside.

--- /dev/null
+++ b/test/fuzz/common/call_adapters.c
@@ -0,0 +1,436 @@
+/// @file
+/// Fake adapters of entry and guard: exchanges between nodes, upstreams that
+/// call the next service, and faults.
+
+#include "fuzz/common/call_world.h"
+
+#include <stdio.h>
+
+#define LINK_US (2 * US_PER_MS)
+#define CONNECT_TIMEOUT_US (200 * US_PER_MS)
+#define HOLD_US (90 * US_PER_S)
+#define RUN_US (5 * US_PER_MS)
+#define SLOW_RUN_US (3 * US_PER_S)
+
+/// Returns the request as its caller sent it, before it was forwarded.
+const submission_t *
+origin_of(const submission_t *submission)
+{
+    return submission->origin == NULL ? submission : submission->origin;
+}
+
+static exchange_t *
+start_exchange(node_t *node, call_handle_t call, void *user, uint32_t to,
+               const attempt_info_t *info)
+{
+    world_t *world = node->world;
+    exchange_t *exchange = g_new0(exchange_t, 1);
+    g_ptr_array_add(world->exchanges, exchange);
+    exchange->submission = user;
+    exchange->from = node->number;
+    exchange->from_incarnation = node->incarnation;
+    exchange->to = to;
+    exchange->to_incarnation = world->nodes[to].incarnation;
+    exchange->call = call;
+    exchange->info = *info;
+    g_strlcpy(exchange->customer, info->customer, sizeof(exchange->customer));
+    g_strlcpy(exchange->kind, info->kind, sizeof(exchange->kind));
+    exchange->info.customer = exchange->customer;
+    exchange->info.kind = exchange->kind;
+    exchange->fault = world->send_fault;
+    world->send_fault = SEND_NORMAL;
+    exchange->sender_open = true;
+    exchange->due_us =
+        world->now_us +
+        (exchange->fault == SEND_HOLD_REQUEST ? HOLD_US : LINK_US);
+    exchange->timeout_us = world->now_us + info->wait_us;
+    if (world->cut[node->number / SERVICES][to / SERVICES]) {
+        exchange->fault = SEND_REFUSED;
+        exchange->due_us = world->now_us + CONNECT_TIMEOUT_US;
+    }
+    return exchange;
+}
+
+static void
+fake_send(entry_io_t *io, call_handle_t call, void *user, uint32_t attempt,
+          vm_handle_t vm, const attempt_info_t *info)
+{
+    node_t *node = (node_t *)io;
+    const char *name = picker_vm_name(&node->picker, vm);
+    uint32_t to = (uint32_t)atoi(name + 2);
+    exchange_t *exchange = start_exchange(node, call, user, to, info);
+    exchange->attempt = attempt;
+    oracle_attempt(node->world, exchange);
+}
+
+static void
+fake_forward(entry_io_t *io, call_handle_t call, void *user,
+             const char *vm_name, const attempt_info_t *info)
+{
+    node_t *node = (node_t *)io;
+    uint32_t to = vm_name[0] == 'v' && vm_name[1] == 'm'
+                      ? (uint32_t)atoi(vm_name + 2) % NODES
+                      : 0;
+    exchange_t *exchange = start_exchange(node, call, user, to, info);
+    exchange->forward = true;
+    if (strcmp(node->world->nodes[to].name, vm_name) != 0) {
+        exchange->fault = SEND_REFUSED;
+    }
+}
+
+static void
+fake_cancel(entry_io_t *io, call_handle_t call, void *user, uint32_t attempt)
+{
+    (void)user;
+    node_t *node = (node_t *)io;
+    for (guint i = 0; i < node->world->exchanges->len; i++) {
+        exchange_t *exchange = g_ptr_array_index(node->world->exchanges, i);
+        if (exchange->sender_open && exchange->from == node->number &&
+            exchange->from_incarnation == node->incarnation &&
+            exchange->call == call && exchange->attempt == attempt)
+        {
+            exchange->sender_open = false;
+        }
+    }
+}
+
+/// Sends a request again with the key that its refusal carried.
+void
+send_again_with_key(world_t *world, submission_t *submission)
+{
+    submission_t again = *submission;
+    submission->next_key[0] = '\0';
+    memcpy(again.key, again.next_key, sizeof(again.next_key));
+    again.next_key[0] = '\0';
+    again.follows_keys = false;
+    if (again.parent == NULL) {
+        again.root = NULL;
+    }
+    else {
+        again.counted = again.parent->account_open;
+    }
+    world_submit(world, &again);
+}
+
+/// The caller, or the upstream that made the call, has its answer.
+static void
+caller_answered(world_t *world, submission_t *submission,
+                const entry_answer_t *answer, const char *text)
+{
+    oracle_answer(world, submission, answer, text);
+    bool follows = submission->follows_keys &&
+                   answer->reason == REASON_KEY_REQUIRED &&
+                   answer->fresh_key[0] != '\0';
+    if (answer->fresh_key[0] != '\0') {
+        submission_t *issued = g_new(submission_t, 1);
+        *issued = *submission;
+        g_strlcpy(issued->key, answer->fresh_key, sizeof(issued->key));
+        g_ptr_array_add(world->keys, issued);
+    }
+    if (follows) {
+        // Sent later: adapters don't call back.
+        memcpy(submission->next_key, answer->fresh_key,
+               sizeof(submission->next_key));
+    }
+    else if (submission->parent != NULL) {
+        submission->parent->waits_for_child = false;
+        submission->parent->due_us = world->now_us + LINK_US;
+    }
+}
+
+static void
+fake_answer(entry_io_t *io, call_handle_t call, void *user,
+            const entry_answer_t *answer)
+{
+    (void)call;
+    node_t *node = (node_t *)io;
+    submission_t *submission = user;
+    char text[64] = "none";
+    if (answer->attempt != 0 && node->delivered != NULL) {
+        g_strlcpy(text, node->delivered, sizeof(text));
+    }
+    else if (answer->stored_answer.data != NULL) {
+        size_t len = MIN(answer->stored_answer.len, sizeof(text) - 1);
+        memcpy(text, answer->stored_answer.data, len);
+        text[len] = '\0';
+    }
+    if (submission->via == NULL) {
+        caller_answered(node->world, submission, answer, text);
+        return;
+    }
+    submission->ended = true;
+    exchange_t *via = submission->via;
+    via->forwarded_answer = *answer;
+    via->answered = true;
+    g_strlcpy(via->text, text, sizeof(via->text));
+    via->stage = STAGE_ANSWER;
+    via->due_us = node->world->now_us +
+                  (via->fault == SEND_HOLD_ANSWER ? HOLD_US : LINK_US);
+}
+
+const entry_io_vtable_t fake_entry_io = {fake_send, fake_cancel, fake_forward,
+                                         fake_answer};
+
+static node_t *
+node_of_guard(guard_io_t *io)
+{
+    return (node_t *)((char *)io - offsetof(node_t, guard_io));
+}
+
+static void
+fake_start(guard_io_t *io, call_handle_t handle, void *user,
+           uint64_t request_id, int64_t budget_us, int64_t wait_us)
+{
+    (void)wait_us;
+    node_t *node = node_of_guard(io);
+    world_t *world = node->world;
+    exchange_t *exchange = user;
+    run_t *run = g_new0(run_t, 1);
+    run->id = world->runs->len;
+    g_ptr_array_add(world->runs, run);
+    run->node = node->number;
+    run->incarnation = node->incarnation;
+    run->exchange = exchange;
+    run->guard_handle = handle;
+    run->account = request_id;
+    run->account_open = request_id != 0;
+    run->fault = world->run_fault;
+    world->run_fault = RUN_NORMAL;
+    run->due_us =
+        world->now_us + (run->fault == RUN_SLOW ? SLOW_RUN_US : RUN_US);
+    exchange->run = run;
+    oracle_run(world, run, budget_us);
+}
+
+static void
+fake_guard_cancel(guard_io_t *io, call_handle_t handle, void *user)
+{
+    (void)handle;
+    exchange_t *exchange = user;
+    oracle_guard_cancel(node_of_guard(io)->world, exchange);
+    exchange->run->account_open = false;
+}
+
+static attempt_result_t
+result_of(const guard_answer_t *answer)
+{
+    attempt_result_t result = {
+        .kind = answer->reason == REASON_NONE        ? ATTEMPT_ANSWERED
+                : answer->outcome == OUTCOME_NOT_RUN ? ATTEMPT_REFUSED
+                                                     : ATTEMPT_LOST,
+        .reason = answer->reason,
+        .status = 200,
+        .retries_left = answer->retries_left,
+        .retry_after_ms = answer->retry_after_ms,
+        .has_load = true,
+        .load = answer->load,
+    };
+    return result;
+}
+
+static void
+fake_guard_answer(guard_io_t *io, call_handle_t handle, void *user,
+                  const guard_answer_t *answer)
+{
+    (void)handle;
+    world_t *world = node_of_guard(io)->world;
+    exchange_t *exchange = user;
+    exchange->stage = STAGE_ANSWER;
+    exchange->result = result_of(answer);
+    exchange->due_us =
+        world->now_us +
+        (exchange->fault == SEND_HOLD_ANSWER ? HOLD_US : LINK_US);
+    if (exchange->run != NULL) {
+        exchange->run->account_open = false;
+        snprintf(exchange->text, sizeof(exchange->text), "run %u whole",
+                 exchange->run->id);
+    }
+}
+
+const guard_io_vtable_t fake_guard_io = {fake_start, fake_guard_cancel,
+                                         fake_guard_answer};
+
+/// Tells the sender how the exchange ended, if it still waits.
+static void
+report(world_t *world, exchange_t *exchange, attempt_result_kind_t kind)
+{
+    node_t *node =
+        world_node_of(world, exchange->from, exchange->from_incarnation);
+    if (!exchange->sender_open || node == NULL) {
+        return;
+    }
+    exchange->sender_open = false;
+    if (exchange->forward) {
+        bool answered = kind == ATTEMPT_ANSWERED;
+        submission_t *submission = exchange->submission;
+        if (answered && !submission->ended) {
+            caller_answered(world, submission, &exchange->forwarded_answer,
+                            exchange->text);
+        }
+        entry_forward_done(&node->entry, exchange->call, answered,
+                           kind != ATTEMPT_CONNECT_FAILED);
+        return;
+    }
+    attempt_result_t result = exchange->result;
+    if (kind != exchange->result.kind) {
+        result = (attempt_result_t){.kind = kind};
+    }
+    if (kind == ATTEMPT_ANSWERED) {
+        result.answer = slice_from_string(exchange->text);
+        node->delivered = exchange->text;
+    }
+    entry_attempt_done(&node->entry, exchange->call, exchange->attempt,
+                       &result);
+    node->delivered = NULL;
+}
+
+/// The sender's side of the connection ends without an answer.
+void
+close_sender(world_t *world, exchange_t *exchange)
+{
+    bool sent = exchange->reached || exchange->stage != STAGE_REQUEST ||
+                exchange->fault != SEND_REFUSED;
+    report(world, exchange, sent ? ATTEMPT_LOST : ATTEMPT_CONNECT_FAILED);
+}
+
+static void
+serve_forwarded(world_t *world, exchange_t *exchange)
+{
+    const submission_t *origin = exchange->submission;
+    submission_t model = *origin;
+    model.origin = exchange->submission;
+    model.via = exchange;
+    model.node = exchange->to;
+    model.parent = NULL;
+    model.follows_keys = false;
+    exchange->guard_handle = world_submit(world, &model)->handle;
+}
+
+static void
+serve_attempt(node_t *node, exchange_t *exchange)
+{
+    exchange->deadline_us = node->clock.now_us + exchange->info.budget_us;
+    exchange->after_leaving = node->told_leaving;
+    guard_request_t request = {
+        .customer = slice_from_string(exchange->info.customer),
+        .kind = slice_from_string(exchange->info.kind),
+        .worth = exchange->info.worth,
+        .budget_us = exchange->info.budget_us,
+        .retries = exchange->info.retries,
+        .once = exchange->info.once,
+        .user = exchange,
+    };
+    exchange->guard_handle = guard_request(&node->guard, &request);
+}
+
+/// Delivers the request. A request whose sender has closed its connection may
+/// still arrive: the guard reads the bytes before the end of the connection.
+static void
+deliver_request(world_t *world, exchange_t *exchange)
+{
+    node_t *node =
+        world_node_of(world, exchange->to, exchange->to_incarnation);
+    if (exchange->fault == SEND_REFUSED || node == NULL) {
+        exchange->stage = STAGE_DONE;
+        report(world, exchange,
+               exchange->fault == SEND_RESET_BEFORE ? ATTEMPT_LOST
+                                                    : ATTEMPT_CONNECT_FAILED);
+        return;
+    }
+    if (exchange->fault == SEND_RESET_BEFORE) {
+        exchange->stage = STAGE_DONE;
+        report(world, exchange, ATTEMPT_LOST);
+        return;
+    }
+    exchange->reached = true;
+    exchange->stage = STAGE_SERVED;
+    if (exchange->forward) {
+        serve_forwarded(world, exchange);
+        return;
+    }
+    serve_attempt(node, exchange);
+    if (exchange->fault == SEND_RESET_AFTER) {
+        exchange->timeout_us = world->now_us;
+    }
+}
+
+/// The receiver sees the end of the connection.
+void
+tell_sender_gone(world_t *world, exchange_t *exchange)
+{
+    exchange->gone_told = true;
+    node_t *node =
+        world_node_of(world, exchange->to, exchange->to_incarnation);
+    if (node == NULL) {
+        return;
+    }
+    exchange->stage = STAGE_DONE;
+    if (exchange->forward) {
+        entry_caller_gone(&node->entry, exchange->guard_handle);
+    }
+    else {
+        guard_sender_gone(&node->guard, exchange->guard_handle);
+    }
+}
+
+/// Moves an exchange on whose next event is due.
+void
+deliver_exchange(world_t *world, exchange_t *exchange)
+{
+    if (exchange->stage == STAGE_REQUEST) {
+        deliver_request(world, exchange);
+        return;
+    }
+    exchange->stage = STAGE_DONE;
+    if (exchange->fault == SEND_ANSWER_CUT) {
+        report(world, exchange, ATTEMPT_LOST);
+        return;
+    }
+    report(world, exchange,
+           exchange->forward ? ATTEMPT_ANSWERED : exchange->result.kind);
+}
+
+static void
+call_next_service(world_t *world, run_t *run, uint32_t service)
+{
+    const submission_t *request = origin_of(run->exchange->submission);
+    bool once = world->kinds[request->kind].run == RUN_ONCE;
+    submission_t model = {
+        .root = request->root,
+        .parent = run,
+        .node = run->node,
+        // The upstream names another customer; the account's holds.
+        .customer = run->account_open
+                        ? (request->root->customer + 1) % CUSTOMERS
+                        : request->root->customer,
+        .kind = (service + 1) * KINDS_PER_SERVICE + once,
+        .body = request->body,
+        .follows_keys = true,
+        .counted = run->account_open,
+    };
+    run->child_sent = true;
+    run->waits_for_child = true;
+    world_submit(world, &model);
+}
+
+/// Moves a run on: the call to the next service, then the answer.
+void
+advance_run(world_t *world, run_t *run)
+{
+    node_t *node = world_node_of(world, run->node, run->incarnation);
+    if (node == NULL) {
+        run->ended = true;
+        return;
+    }
+    uint32_t service = service_of_node(run->node);
+    bool runs = run->fault != RUN_CONNECT_FAILED && run->fault != RUN_SHED;
+    if (runs && !run->child_sent && service + 1 < SERVICES) {
+        call_next_service(world, run, service);
+        return;
+    }
+    static const upstream_result_t results[RUN_FAULTS] = {
+        UPSTREAM_ANSWERED, UPSTREAM_CONNECT_FAILED, UPSTREAM_SHED,
+        UPSTREAM_LOST,     UPSTREAM_TOO_LARGE,      UPSTREAM_ANSWERED};
+    run->ended = true;
+    guard_upstream_done(&node->guard, run->guard_handle, results[run->fault]);
+}
--- /dev/null
+++ b/test/fuzz/common/call_world.c
@@ -0,0 +1,408 @@
+/// @file
+/// Nodes of the call fuzzer: life of their processes, time and delivery.
+
+#include "fuzz/common/call_world.h"
+
+#include <stdio.h>
+
+#define EVENTS_MAX 2000 ///< in one step; a bound against endless loops
+
+/// Returns the service of a node's upstream.
+uint32_t
+service_of_node(uint32_t node)
+{
+    return node % SERVICES;
+}
+
+static const contract_t *
+find_contract(void *context, slice_t customer)
+{
+    const world_t *world = context;
+    for (uint32_t i = 0; i < CUSTOMERS; i++) {
+        if (slice_equal_string(customer, world->contracts[i].customer)) {
+            return &world->contracts[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+init_kinds(world_t *world)
+{
+    for (uint32_t i = 0; i < G_N_ELEMENTS(world->kinds); i++) {
+        bool once = i % KINDS_PER_SERVICE == 1;
+        kind_t *kind = &world->kinds[i];
+        *kind = (kind_t){
+            .worth = (int32_t)(10 + 10 * i),
+            .deadline_ms = DEADLINE_MS,
+            .resend_s = once ? KEY_LIFE_S : 0,
+            .run = once ? RUN_ONCE : RUN_REPEATABLE,
+        };
+        snprintf(kind->name, sizeof(kind->name), "k%u", i);
+        snprintf(kind->service, sizeof(kind->service), "s%u",
+                 i / KINDS_PER_SERVICE);
+        snprintf(kind->method, sizeof(kind->method), "GET");
+        snprintf(kind->path, sizeof(kind->path), "/k%u", i);
+    }
+}
+
+static void
+init_stores(node_t *node)
+{
+    world_t *world = node->world;
+    const clock_source_t *clock = &node->clock.base;
+    key_table_options_t keys = {
+        .vm = node->name,
+        .incarnation = node->incarnation,
+        .secret = {(uint8_t)node->incarnation, (uint8_t)node->number, 7},
+        .max_records = world->max_records,
+        .max_answer_bytes = 64,
+    };
+    key_table_init(&node->keys, clock, &keys);
+    retry_accounts_init(&node->accounts, 16, node->incarnation);
+    client_retry_budget_init(&node->client_retries, clock);
+    picker_options_t picker = {
+        .own_vm = node->name,
+        .own_data_centre = "d",
+        .seed = node->incarnation,
+    };
+    picker_init(&node->picker, clock, &picker);
+}
+
+static void
+init_node(world_t *world, uint32_t number)
+{
+    node_t *node = &world->nodes[number];
+    *node = (node_t){
+        .entry_io.vtable = &fake_entry_io,
+        .guard_io.vtable = &fake_guard_io,
+        .world = world,
+        .number = number,
+        .incarnation = ++world->incarnations,
+    };
+    snprintf(node->name, sizeof(node->name), "vm%u", number);
+    manual_clock_init(&node->clock, world->now_us);
+    init_stores(node);
+    admission_options_t admission = {.slots = 2, .queue_max = 3, .seed = 5};
+    guard_init(&node->guard, &node->clock.base, &node->guard_io,
+               &node->accounts, &admission);
+    entry_options_t options = {
+        .clock = &node->clock.base,
+        .io = &node->entry_io,
+        .lookup = find_contract,
+        .lookup_context = world,
+        .picker = &node->picker,
+        .keys = &node->keys,
+        .accounts = &node->accounts,
+        .client_retries = &node->client_retries,
+        .max_calls = 12,
+        .seed = node->incarnation,
+    };
+    entry_init(&node->entry, &options);
+    entry_set_ready(&node->entry, true);
+    for (uint32_t vm = 0; vm < NODES; vm++) {
+        world_list(world, number, vm, true, false);
+    }
+}
+
+static void
+finish_node(node_t *node)
+{
+    entry_finish(&node->entry);
+    guard_finish(&node->guard);
+    picker_finish(&node->picker);
+    client_retry_budget_finish(&node->client_retries);
+    retry_accounts_finish(&node->accounts);
+    key_table_finish(&node->keys);
+}
+
+/// Starts all nodes. Customer 0 has @p retries, customer 1 one more.
+void
+world_init(world_t *world, uint32_t retries, uint32_t max_records)
+{
+    *world = (world_t){.now_us = 1000 * US_PER_S, .max_records = max_records};
+    init_kinds(world);
+    for (uint32_t i = 0; i < CUSTOMERS; i++) {
+        world->contracts[i] = (contract_t){
+            .retries = (int32_t)(retries + i),
+            .client_retry_percent = 10,
+            .kinds = world->kinds,
+            .kind_count = G_N_ELEMENTS(world->kinds),
+        };
+        snprintf(world->contracts[i].customer,
+                 sizeof(world->contracts[i].customer), "c%u", i);
+    }
+    world->submissions = g_ptr_array_new_with_free_func(g_free);
+    world->exchanges = g_ptr_array_new_with_free_func(g_free);
+    world->runs = g_ptr_array_new_with_free_func(g_free);
+    world->keys = g_ptr_array_new_with_free_func(g_free);
+    world->key_facts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    for (uint32_t i = 0; i < NODES; i++) {
+        init_node(world, i);
+    }
+}
+
+/// Frees the world.
+void
+world_finish(world_t *world)
+{
+    for (uint32_t i = 0; i < NODES; i++) {
+        finish_node(&world->nodes[i]);
+    }
+    g_ptr_array_free(world->submissions, TRUE);
+    g_ptr_array_free(world->exchanges, TRUE);
+    g_ptr_array_free(world->runs, TRUE);
+    g_ptr_array_free(world->keys, TRUE);
+    g_hash_table_destroy(world->key_facts);
+}
+
+/// Returns the node if this incarnation still runs, else NULL.
+node_t *
+world_node_of(world_t *world, uint32_t node, uint32_t incarnation)
+{
+    node_t *found = &world->nodes[node];
+    return found->incarnation == incarnation ? found : NULL;
+}
+
+/// Kills a node's VM at once and starts its next incarnation.
+void
+world_replace(world_t *world, uint32_t number)
+{
+    node_t *node = &world->nodes[number];
+    for (guint i = 0; i < world->submissions->len; i++) {
+        submission_t *submission = g_ptr_array_index(world->submissions, i);
+        if (submission->node == number &&
+            submission->incarnation == node->incarnation) {
+            submission->gone |= !submission->ended;
+            submission->ended = true;
+            if (submission->parent != NULL) {
+                submission->next_key[0] = '\0';
+            }
+        }
+    }
+    for (guint i = 0; i < world->exchanges->len; i++) {
+        exchange_t *exchange = g_ptr_array_index(world->exchanges, i);
+        if (exchange->from == number &&
+            exchange->from_incarnation == node->incarnation)
+        {
+            exchange->sender_open = false;
+        }
+        if (exchange->to == number && exchange->stage == STAGE_SERVED &&
+            exchange->to_incarnation == node->incarnation)
+        {
+            exchange->timeout_us = world->now_us;
+        }
+    }
+    finish_node(node);
+    init_node(world, number);
+}
+
+/// Changes what node @p at knows about @p vm.
+void
+world_list(world_t *world, uint32_t at, uint32_t vm, bool present,
+           bool leaving)
+{
+    char name[16], service[16], data_centre[16];
+    snprintf(name, sizeof(name), "vm%u", vm);
+    snprintf(service, sizeof(service), "s%u", service_of_node(vm));
+    snprintf(data_centre, sizeof(data_centre), "d%u", vm / SERVICES);
+    if (!present) {
+        picker_remove_vm(&world->nodes[at].picker, name);
+        return;
+    }
+    picker_vm_t listed = {
+        .vm = name,
+        .data_centre = data_centre,
+        .service = service,
+        .leaving = leaving,
+    };
+    picker_set_vm(&world->nodes[at].picker, &listed);
+}
+
+/// Tells a guard whether its VM is leaving.
+void
+world_set_leaving(world_t *world, uint32_t node, bool leaving)
+{
+    world->nodes[node].told_leaving = leaving;
+    guard_set_leaving(&world->nodes[node].guard, leaving);
+}
+
+static uint64_t
+hash_of(const submission_t *submission)
+{
+    return submission->kind * 1000 + submission->body;
+}
+
+/// Gives a request like @p model to the entry of its node.
+submission_t *
+world_submit(world_t *world, const submission_t *model)
+{
+    submission_t *submission = g_new(submission_t, 1);
+    *submission = *model;
+    g_ptr_array_add(world->submissions, submission);
+    node_t *node = &world->nodes[submission->node];
+    submission->incarnation = node->incarnation;
+    submission->ended = submission->gone = submission->told_not_run = false;
+    submission->runs = 0;
+    if (submission->root == NULL) {
+        submission->root = submission;
+        memset(submission->attempts, 0, sizeof(submission->attempts));
+    }
+    const kind_t *kind = &world->kinds[submission->kind];
+    const exchange_t *via = submission->via;
+    const char *customer =
+        via == NULL ? world->contracts[submission->customer].customer
+                    : via->info.customer;
+    entry_request_t request = {
+        .customer = slice_from_string(customer),
+        .method = SLICE_LITERAL("GET"),
+        .path = slice_from_string(kind->path),
+        .body_hash = hash_of(submission),
+        .key = slice_from_string(submission->key),
+        .source = submission->parent == NULL && via == NULL
+                      ? 1 + submission->customer
+                      : 0,
+        .egress = submission->parent != NULL,
+        .request_id =
+            submission->parent == NULL ? 0 : submission->parent->account,
+        .from_peer = via != NULL,
+        .worth = via == NULL ? 0 : via->info.worth,
+        .budget_us = via == NULL ? 0 : via->info.budget_us,
+        .retries = via == NULL ? 0 : via->info.retries,
+        .user = submission,
+    };
+    submission->handle = entry_request(&node->entry, &request);
+    return submission;
+}
+
+/// The caller closes its connection.
+void
+world_caller_gone(world_t *world, submission_t *submission)
+{
+    node_t *node =
+        world_node_of(world, submission->node, submission->incarnation);
+    if (submission->ended || node == NULL || node->paused ||
+        submission->parent != NULL || submission->via != NULL)
+    {
+        return;
+    }
+    submission->ended = submission->gone = true;
+    entry_caller_gone(&node->entry, submission->handle);
+}
+
+static bool
+is_awake(const world_t *world, uint32_t node)
+{
+    return !world->nodes[node].paused;
+}
+
+/// Carries out the next event of an exchange, if one is due.
+static bool
+step_exchange(world_t *world, exchange_t *exchange)
+{
+    bool sender_awake = is_awake(world, exchange->from);
+    bool path =
+        !world->cut[exchange->from / SERVICES][exchange->to / SERVICES];
+    if (exchange->sender_open && sender_awake &&
+        exchange->timeout_us <= world->now_us)
+    {
+        close_sender(world, exchange);
+        return true;
+    }
+    if (exchange->stage == STAGE_SERVED && !exchange->sender_open &&
+        !exchange->gone_told && path && is_awake(world, exchange->to))
+    {
+        tell_sender_gone(world, exchange);
+        return true;
+    }
+    if (exchange->stage == STAGE_SERVED || exchange->stage == STAGE_DONE ||
+        exchange->due_us > world->now_us)
+    {
+        return false;
+    }
+    bool to_sender = exchange->stage == STAGE_ANSWER ||
+                     exchange->fault == SEND_REFUSED ||
+                     exchange->fault == SEND_RESET_BEFORE;
+    bool refused = exchange->fault == SEND_REFUSED;
+    if ((!path && !refused) ||
+        !(to_sender ? sender_awake : is_awake(world, exchange->to)))
+    {
+        return false;
+    }
+    deliver_exchange(world, exchange);
+    return true;
+}
+
+static bool
+step_run(world_t *world, run_t *run)
+{
+    if (run->ended || run->waits_for_child || run->due_us > world->now_us ||
+        !is_awake(world, run->node))
+    {
+        return false;
+    }
+    advance_run(world, run);
+    return true;
+}
+
+static bool
+step_submission(world_t *world, submission_t *submission)
+{
+    if (submission->next_key[0] == '\0' || !is_awake(world, submission->node))
+    {
+        return false;
+    }
+    send_again_with_key(world, submission);
+    return true;
+}
+
+static void
+deliver_due(world_t *world)
+{
+    bool moved = true;
+    for (int events = 0; moved && events < EVENTS_MAX; events++) {
+        moved = false;
+        for (guint i = 0; i < world->exchanges->len; i++) {
+            moved |=
+                step_exchange(world, g_ptr_array_index(world->exchanges, i));
+        }
+        for (guint i = 0; i < world->runs->len; i++) {
+            moved |= step_run(world, g_ptr_array_index(world->runs, i));
+        }
+        for (guint i = 0; i < world->submissions->len; i++) {
+            moved |= step_submission(world,
+                                     g_ptr_array_index(world->submissions, i));
+        }
+    }
+}
+
+static void
+tick_nodes(world_t *world)
+{
+    for (uint32_t i = 0; i < NODES; i++) {
+        node_t *node = &world->nodes[i];
+        node->clock.now_us = world->now_us + node->skew_us;
+        if (node->paused) {
+            continue;
+        }
+        entry_tick(&node->entry);
+        guard_tick(&node->guard);
+        key_table_tick(&node->keys);
+        if (node->stopping && entry_in_flight(&node->entry) == 0 &&
+            guard_in_flight(&node->guard) == 0)
+        {
+            oracle_stop(world, node);
+            world_replace(world, i);
+        }
+    }
+}
+
+/// Lets time pass and delivers what is due.
+void
+world_advance(world_t *world, int64_t step_us)
+{
+    world->now_us += step_us;
+    tick_nodes(world);
+    deliver_due(world);
+}
--- /dev/null
+++ b/test/fuzz/common/call_world.h
@@ -0,0 +1,175 @@
+#ifndef IBISFIELD_TEST_FUZZ_COMMON_CALL_WORLD_H
+#define IBISFIELD_TEST_FUZZ_COMMON_CALL_WORLD_H
+
+#include "ibisfield/call/entry.h"
+#include "ibisfield/call/guard.h"
+
+#define DATA_CENTRES 3
+#define SERVICES 3 ///< "s0" calls "s1", "s1" calls "s2"
+#define NODES (DATA_CENTRES * SERVICES)
+#define CUSTOMERS 2
+#define KINDS_PER_SERVICE 2 ///< repeatable, once
+#define KEY_LIFE_S 30
+#define DEADLINE_MS 1000
+
+typedef enum {
+    SEND_NORMAL,
+    SEND_REFUSED,      ///< no byte sent
+    SEND_RESET_BEFORE, ///< bytes sent, the guard never gets the request
+    SEND_RESET_AFTER,  ///< reset once the guard has the request
+    SEND_ANSWER_CUT,
+    SEND_HOLD_REQUEST, ///< the request arrives much later
+    SEND_HOLD_ANSWER,
+    SEND_FAULTS
+} send_fault_t;
+
+typedef enum {
+    RUN_NORMAL,
+    RUN_CONNECT_FAILED,
+    RUN_SHED,
+    RUN_LOST,
+    RUN_TOO_LARGE,
+    RUN_SLOW,
+    RUN_FAULTS
+} run_fault_t;
+
+typedef struct world world_t;
+typedef struct run run_t;
+typedef struct exchange exchange_t;
+
+/// One VM with its node. Stopped processes are replaced by a new incarnation.
+typedef struct {
+    entry_io_t entry_io; ///< first member: adapters cast back
+    guard_io_t guard_io;
+    world_t *world;
+    uint32_t number;
+    char name[16];
+    uint32_t incarnation;
+    bool paused;
+    bool stopping; ///< planned stop: exits when nothing is in flight
+    bool told_leaving;
+    manual_clock_t clock;
+    int64_t skew_us;
+    key_table_t keys;
+    retry_accounts_t accounts;
+    picker_t picker;
+    client_retry_budget_t client_retries;
+    entry_t entry;
+    guard_t guard;
+    const char *delivered; ///< answer text of the attempt being reported
+} node_t;
+
+/// A request given to an entry: by a caller, an upstream or another node.
+typedef struct submission {
+    struct submission *root;   ///< request of a caller at the chain's start
+    struct submission *origin; ///< forwarded: the one at the first node
+    run_t *parent;             ///< of an upstream: the run that makes it
+    exchange_t *via;           ///< forwarded: how it got here
+    uint32_t node, incarnation;
+    uint32_t customer, kind, body; ///< what the request is
+    char key[KEY_TEXT_MAX + 8];
+    call_handle_t handle;
+    bool follows_keys;               ///< sends again with the key that it gets
+    char next_key[KEY_TEXT_MAX + 1]; ///< key to send again with, "" for none
+    bool counted;                    ///< its account was open when it was sent
+    bool ended; ///< answered, or its caller or node has gone
+    bool gone;  ///< its caller has gone or its node was killed
+    bool told_not_run;
+    uint32_t runs;
+    uint32_t attempts[SERVICES]; ///< root: attempts sent to each service
+} submission_t;
+
+typedef enum {
+    STAGE_REQUEST, ///< on its way
+    STAGE_SERVED,  ///< at the receiver
+    STAGE_ANSWER,  ///< on its way back
+    STAGE_DONE,
+} stage_t;
+
+/// An HTTP exchange between two nodes.
+struct exchange {
+    submission_t *submission;
+    bool forward;
+    uint32_t from, from_incarnation, to, to_incarnation;
+    call_handle_t call;
+    uint32_t attempt;
+    attempt_info_t info;
+    char customer[16], kind[16];
+    send_fault_t fault;
+    stage_t stage;
+    bool reached;     ///< the receiver has accepted the connection
+    bool sender_open; ///< the sender waits for the answer
+    bool gone_told;   ///< the receiver knows that the sender has gone
+    bool after_leaving;
+    int64_t due_us, timeout_us;
+    call_handle_t guard_handle;
+    int64_t deadline_us; ///< on the guard's clock
+    run_t *run;
+    attempt_result_t result;
+    bool answered; ///< forward: an answer came
+    char text[64]; ///< of the answer
+    entry_answer_t forwarded_answer;
+};
+
+/// A request at an upstream.
+struct run {
+    uint32_t id, node, incarnation;
+    exchange_t *exchange;
+    call_handle_t guard_handle;
+    uint64_t account;
+    run_fault_t fault;
+    bool child_sent;
+    bool waits_for_child;
+    bool account_open;
+    bool ended;
+    int64_t due_us;
+};
+
+struct world {
+    int64_t now_us;
+    node_t nodes[NODES];
+    contract_t contracts[CUSTOMERS];
+    kind_t kinds[SERVICES * KINDS_PER_SERVICE];
+    bool cut[DATA_CENTRES][DATA_CENTRES];
+    GPtrArray *submissions, *exchanges, *runs; ///< all of them, in order
+    GHashTable *key_facts;
+    GPtrArray *keys; ///< submissions that got a fresh key
+    send_fault_t send_fault;
+    run_fault_t run_fault;
+    uint32_t incarnations;
+    uint32_t max_records;
+};
+
+// call_world.c: nodes and the network between them.
+void world_init(world_t *world, uint32_t retries, uint32_t max_records);
+void world_finish(world_t *world);
+void world_advance(world_t *world, int64_t step_us);
+submission_t *world_submit(world_t *world, const submission_t *model);
+void world_caller_gone(world_t *world, submission_t *submission);
+void world_replace(world_t *world, uint32_t node);
+void world_list(world_t *world, uint32_t at, uint32_t vm, bool present,
+                bool leaving);
+void world_set_leaving(world_t *world, uint32_t node, bool leaving);
+node_t *world_node_of(world_t *world, uint32_t node, uint32_t incarnation);
+uint32_t service_of_node(uint32_t node);
+
+// call_adapters.c: the fake adapters of entry and guard.
+extern const entry_io_vtable_t fake_entry_io;
+extern const guard_io_vtable_t fake_guard_io;
+void deliver_exchange(world_t *world, exchange_t *exchange);
+void close_sender(world_t *world, exchange_t *exchange);
+void advance_run(world_t *world, run_t *run);
+void tell_sender_gone(world_t *world, exchange_t *exchange);
+void send_again_with_key(world_t *world, submission_t *submission);
+const submission_t *origin_of(const submission_t *submission);
+
+// call_oracle.c: counts from outside.
+void oracle_attempt(world_t *world, const exchange_t *exchange);
+void oracle_run(world_t *world, run_t *run, int64_t budget_us);
+void oracle_answer(world_t *world, submission_t *submission,
+                   const entry_answer_t *answer, const char *text);
+void oracle_guard_cancel(world_t *world, const exchange_t *exchange);
+void oracle_stop(world_t *world, const node_t *node);
+void oracle_end(world_t *world);
+
+#endif
