Fuzz contract changes, misrouted and forged answers; clamp durations

The fuzzer stepped a node's clock back while a request ran: the guard then reported a negative service time, which the admission converts to an unsigned number (undefined).

--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -177,10 +177,17 @@
     return count;
 }
 
+/// Returns the time since an attempt was sent; 0 if the clock was stepped
+/// back meanwhile.
+static int64_t
+attempt_age_us(const entry_t *entry, const entry_attempt_t *attempt)
+{
+    return MAX(clock_now_us(entry->options.clock) - attempt->sent_us, 0);
+}
+
 static void
 cancel_attempts(entry_t *entry, entry_call_t *call)
 {
-    int64_t now_us = clock_now_us(entry->options.clock);
     for (uint32_t i = 0; i < call->attempt_count; i++) {
         entry_attempt_t *attempt = &call->attempts[i];
         if (!attempt->running) {
@@ -190,7 +197,7 @@
         entry->options.io->vtable->cancel(entry->options.io, call->handle,
                                           call->user, attempt->number);
         picker_report(entry->options.picker, attempt->vm, call->kind_hash,
-                      REPORT_CANCELLED, now_us - attempt->sent_us, NULL);
+                      REPORT_CANCELLED, attempt_age_us(entry, attempt), NULL);
     }
 }
 
@@ -401,10 +408,9 @@
     if (attempt == NULL) {
         return;
     }
-    int64_t now_us = clock_now_us(entry->options.clock);
     attempt->running = false;
     picker_report(entry->options.picker, attempt->vm, call->kind_hash,
-                  report_of(result), now_us - attempt->sent_us,
+                  report_of(result), attempt_age_us(entry, attempt),
                   result->has_load ? &result->load : NULL);
     // Nothing of a request that wasn't connected can hold units.
     give_back_units(entry, call,
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -218,7 +218,9 @@
     if (request == NULL || !request->running) {
         return;
     }
-    int64_t service_us = clock_now_us(guard->clock) - request->started_us;
+    // A clock that was stepped back must not make a negative duration.
+    int64_t service_us =
+        MAX(clock_now_us(guard->clock) - request->started_us, 0);
     admission_done(&guard->admission, request->kind, service_us,
                    result == UPSTREAM_ANSWERED);
     switch (result) {
--- a/test/fuzz/common/call_adapters.c
+++ b/test/fuzz/common/call_adapters.c
@@ -73,6 +73,13 @@
                       : 0;
     exchange_t *exchange = start_exchange(node, call, user, to, info);
     exchange->forward = true;
+    oracle_forward(exchange);
+    if (exchange->fault == SEND_WRONG_NODE) {
+        exchange->to = (to + 1) % NODES;
+        exchange->to_incarnation =
+            node->world->nodes[exchange->to].incarnation;
+        return;
+    }
     if (strcmp(node->world->nodes[to].name, vm_name) != 0) {
         exchange->fault = SEND_REFUSED;
     }
@@ -237,6 +244,9 @@
     exchange_t *exchange = user;
     exchange->stage = STAGE_ANSWER;
     exchange->result = result_of(answer);
+    if (exchange->fault == SEND_UNITS_FORGED) {
+        exchange->result.retries_left = 1000;
+    }
     exchange->due_us =
         world->now_us +
         (exchange->fault == SEND_HOLD_ANSWER ? HOLD_US : LINK_US);
@@ -303,7 +313,7 @@
     model.node = exchange->to;
     model.parent = NULL;
     model.follows_keys = false;
-    exchange->guard_handle = world_submit(world, &model)->handle;
+    exchange->served = world_submit(world, &model);
 }
 
 static void
@@ -366,7 +376,8 @@
     }
     exchange->stage = STAGE_DONE;
     if (exchange->forward) {
-        entry_caller_gone(&node->entry, exchange->guard_handle);
+        exchange->served->ended = true;
+        entry_caller_gone(&node->entry, exchange->served->handle);
     }
     else {
         guard_sender_gone(&node->guard, exchange->guard_handle);
--- a/test/fuzz/common/call_oracle.c
+++ b/test/fuzz/common/call_oracle.c
@@ -62,6 +62,15 @@
     }
 }
 
+/// A request goes to the owner of its key once and never further.
+void
+oracle_forward(const exchange_t *exchange)
+{
+    if (exchange->submission->via != NULL) {
+        fail("forward", "a forwarded request was forwarded again");
+    }
+}
+
 /// P4 and P5: an upstream runs a request.
 void
 oracle_run(world_t *world, run_t *run, int64_t budget_us)
@@ -82,7 +91,7 @@
         fail("P4", "request ran after its caller was told not-run");
     }
     if (request->key[0] == '\0') {
-        if (world->kinds[request->kind].run == RUN_ONCE) {
+        if (request->once) {
             fail("P5", "unrepeatable request ran without a key");
         }
         return;
@@ -190,7 +199,9 @@
         const submission_t *submission =
             g_ptr_array_index(world->submissions, i);
         if (!submission->ended) {
-            fail("liveness", "request %u was never answered", i);
+            fail("liveness", "request %u of kind %u at node %u%s", i,
+                 submission->kind, submission->node,
+                 submission->parent != NULL ? ", of an upstream" : "");
         }
     }
     for (uint32_t i = 0; i < NODES; i++) {
--- a/test/fuzz/common/call_world.c
+++ b/test/fuzz/common/call_world.c
@@ -19,7 +19,9 @@
 {
     const world_t *world = context;
     for (uint32_t i = 0; i < CUSTOMERS; i++) {
-        if (slice_equal_string(customer, world->contracts[i].customer)) {
+        if (slice_equal_string(customer, world->contracts[i].customer) &&
+            !world->contract_hidden[i])
+        {
             return &world->contracts[i];
         }
     }
@@ -250,6 +252,7 @@
         memset(submission->attempts, 0, sizeof(submission->attempts));
     }
     const kind_t *kind = &world->kinds[submission->kind];
+    submission->once = kind->run == RUN_ONCE;
     const exchange_t *via = submission->via;
     const char *customer =
         via == NULL ? world->contracts[submission->customer].customer
--- a/test/fuzz/common/call_world.h
+++ b/test/fuzz/common/call_world.h
@@ -20,6 +20,8 @@
     SEND_ANSWER_CUT,
     SEND_HOLD_REQUEST, ///< the request arrives much later
     SEND_HOLD_ANSWER,
+    SEND_WRONG_NODE,   ///< a stale list names another node's address
+    SEND_UNITS_FORGED, ///< the answer hands back more units than were lent
     SEND_FAULTS
 } send_fault_t;
 
@@ -71,9 +73,10 @@
     call_handle_t handle;
     bool follows_keys;               ///< sends again with the key that it gets
     char next_key[KEY_TEXT_MAX + 1]; ///< key to send again with, "" for none
-    bool counted;                    ///< its account was open when it was sent
-    bool ended; ///< answered, or its caller or node has gone
-    bool gone;  ///< its caller has gone or its node was killed
+    bool once;    ///< its kind was unrepeatable when it was sent
+    bool counted; ///< its account was open when it was sent
+    bool ended;   ///< answered, or its caller or node has gone
+    bool gone;    ///< its caller has gone or its node was killed
     bool told_not_run;
     uint32_t runs;
     uint32_t attempts[SERVICES]; ///< root: attempts sent to each service
@@ -103,7 +106,8 @@
     bool after_leaving;
     int64_t due_us, timeout_us;
     call_handle_t guard_handle;
-    int64_t deadline_us; ///< on the guard's clock
+    submission_t *served; ///< forward: the request at the owner
+    int64_t deadline_us;  ///< on the guard's clock
     run_t *run;
     attempt_result_t result;
     bool answered; ///< forward: an answer came
@@ -130,6 +134,7 @@
     node_t nodes[NODES];
     contract_t contracts[CUSTOMERS];
     kind_t kinds[SERVICES * KINDS_PER_SERVICE];
+    bool contract_hidden[CUSTOMERS]; ///< not in force
     bool cut[DATA_CENTRES][DATA_CENTRES];
     GPtrArray *submissions, *exchanges, *runs; ///< all of them, in order
     GHashTable *key_facts;
@@ -165,6 +170,7 @@
 
 // call_oracle.c: counts from outside.
 void oracle_attempt(world_t *world, const exchange_t *exchange);
+void oracle_forward(const exchange_t *exchange);
 void oracle_run(world_t *world, run_t *run, int64_t budget_us);
 void oracle_answer(world_t *world, submission_t *submission,
                    const entry_answer_t *answer, const char *text);
--- a/test/fuzz/fuzz_calls.c
+++ b/test/fuzz/fuzz_calls.c
@@ -172,6 +172,22 @@
     }
 }
 
+/// Removes or restores a contract, or changes whether a kind is repeatable.
+static void
+op_contract(world_t *world, input_t *input)
+{
+    uint32_t what = take(input);
+    if (what < 64) {
+        bool *hidden = &world->contract_hidden[what % CUSTOMERS];
+        *hidden = !*hidden;
+        return;
+    }
+    kind_t *kind = &world->kinds[what % SERVICES * KINDS_PER_SERVICE + 1];
+    bool once = kind->run == RUN_ONCE;
+    kind->run = once ? RUN_REPEATABLE : RUN_ONCE;
+    kind->resend_s = once ? 0 : KEY_LIFE_S;
+}
+
 /// Reports old results once more, as an adapter with a fault may do.
 static void
 op_stale(world_t *world, input_t *input)
@@ -208,7 +224,7 @@
 run_operation(world_t *world, input_t *input)
 {
     uint32_t how;
-    switch (take(input) % 18) {
+    switch (take(input) % 20) {
     case 0:
     case 1:
         op_request(world, input);
@@ -254,6 +270,9 @@
     case 16:
         op_clock_step(world, input);
         break;
+    case 17:
+        op_contract(world, input);
+        break;
     default:
         how = take(input);
         if (how % 2 == 0) {
