--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -86,9 +86,10 @@
      .expected = "\"debug\", \"info\" or \"warning\""},
 };
 
-/// Parses "address:port" with an IPv4 address and a port from 1 to 65535.
-static bool
-parse_endpoint(endpoint_t *endpoint, const char *text)
+/// Parses "address:port" with an IPv4 address and a port from 1 to 65535;
+/// @p text may be NULL. Returns false and leaves @p endpoint if it is invalid.
+bool
+endpoint_parse(endpoint_t *endpoint, const char *text)
 {
     const char *colon = text == NULL ? NULL : strchr(text, ':');
     if (colon == NULL || (size_t)(colon - text) >= sizeof(endpoint->address)) {
@@ -117,7 +118,7 @@
               const char *path, struct json_object *value, void *out)
 {
     endpoint_t endpoint;
-    if (!parse_endpoint(&endpoint, json_string(value))) {
+    if (!endpoint_parse(&endpoint, json_string(value))) {
         json_problem_found(reader, path, value, field->expected);
         return;
     }
@@ -131,7 +132,7 @@
     const char *text = json_string(value);
     endpoint_t endpoint;
     if (text == NULL || !g_str_has_prefix(text, HTTP_PREFIX) ||
-        !parse_endpoint(&endpoint, text + strlen(HTTP_PREFIX)))
+        !endpoint_parse(&endpoint, text + strlen(HTTP_PREFIX)))
     {
         json_problem_found(reader, path, value, field->expected);
         return;
@@ -171,7 +172,7 @@
         struct json_object *item = json_object_array_get_idx(value, i);
         char *child = g_strdup_printf("%s[%zu]", path, i);
         endpoint_t seed;
-        if (!parse_endpoint(&seed, json_string(item))) {
+        if (!endpoint_parse(&seed, json_string(item))) {
             json_problem_found(reader, child, item, ENDPOINT_EXPECTED);
         }
         else if (has_seed(settings, &seed)) {
--- a/src/ibisfield/contract/settings.h
+++ b/src/ibisfield/contract/settings.h
@@ -9,5 +9,6 @@
 bool settings_parse(settings_t *settings, const char *file, slice_t text,
                     GPtrArray *problems);
 void settings_finish(settings_t *settings);
+bool endpoint_parse(endpoint_t *endpoint, const char *text);
 
 #endif
--- a/test/functional/test_cli.c
+++ b/test/functional/test_cli.c
@@ -1,21 +1,234 @@
 /// @file
-/// The program as a user starts it.
+/// The program as a user starts it: commands, messages and exit codes.
 
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <nng/nng.h>
+#include <nng/supplemental/http/http.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "common/suite.h"
 
+#define PROGRAM IBISFIELD_BUILD_DIR "/ibisfield"
+#define EXAMPLES IBISFIELD_SOURCE_DIR "/examples/"
+#define ARGUMENTS_MAX 8
+
+/// What one run of the program printed, and its exit code.
+typedef struct {
+    char *output;
+    char *errors;
+    int code;
+} result_t;
+
+/// Runs the program with a list of arguments that ends with NULL.
+static result_t
+run_program(const char *const *arguments)
+{
+    const char *argv[ARGUMENTS_MAX + 2] = {PROGRAM};
+    for (int i = 0; i < ARGUMENTS_MAX && arguments[i] != NULL; i++) {
+        argv[i + 1] = arguments[i];
+    }
+    result_t result = {0};
+    int status = 0;
+    CU_ASSERT_TRUE_FATAL(
+        g_spawn_sync(NULL, (char **)argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
+                     &result.output, &result.errors, &status, NULL));
+    CU_ASSERT_TRUE(WIFEXITED(status));
+    result.code = WEXITSTATUS(status);
+    return result;
+}
+
+#define RUN(...) run_program((const char *const[]){__VA_ARGS__, NULL})
+
+static void
+assert_result(result_t result, int code, const char *output,
+              const char *errors)
+{
+    if (result.code != code || strstr(result.output, output) == NULL ||
+        strstr(result.errors, errors) == NULL)
+    {
+        printf("\nexit code %d\noutput: %s\nerrors: %s\n", result.code,
+               result.output, result.errors);
+        CU_FAIL("other result expected");
+    }
+    g_free(result.output);
+    g_free(result.errors);
+}
+
+/// Writes @p text to a scratch file, runs "check" on it and removes it.
+static void
+assert_check(const char *text, gssize len, int code, const char *errors)
+{
+    char *file = NULL;
+    int fd = g_file_open_tmp("ibisfield-XXXXXX.json", &file, NULL);
+    CU_ASSERT_TRUE_FATAL(fd >= 0);
+    CU_ASSERT_TRUE(g_file_set_contents(file, text, len, NULL));
+    assert_result(RUN("check", file), code, "", errors);
+    g_close(fd, NULL);
+    g_unlink(file);
+    g_free(file);
+}
+
 /// Guards against a build whose program does not start.
 static void
 test_version_is_printed(void)
 {
-    char line[128] = "";
-    FILE *output = popen(IBISFIELD_BUILD_DIR "/ibisfield version", "r");
-    CU_ASSERT_PTR_NOT_NULL_FATAL(output);
-    CU_ASSERT_PTR_NOT_NULL(fgets(line, sizeof(line), output));
-    CU_ASSERT_EQUAL(pclose(output), 0);
-    CU_ASSERT_PTR_NOT_NULL(strstr(line, "ibisfield " IBISFIELD_VERSION));
+    assert_result(RUN("version"), 0, "ibisfield " IBISFIELD_VERSION "\n", "");
+}
+
+/// Guards against examples that a node would refuse.
+static void
+test_examples_are_valid(void)
+{
+    assert_result(RUN("check", EXAMPLES "rosenheim/contract.json",
+                      EXAMPLES "rosenheim/settings.json",
+                      EXAMPLES "tasman/contract.json",
+                      EXAMPLES "tasman/settings.json"),
+                  0, "valid contract of customer tasman, 7 kinds", "");
+    assert_result(RUN("check", EXAMPLES "rosenheim/settings.json"), 0,
+                  "valid settings of VM booking-1, service booking", "");
+}
+
+/// Guards against bookings or lodgements that the examples shed early.
+static void
+test_explain_prints_order_of_shedding(void)
+{
+    assert_result(RUN("explain", EXAMPLES "rosenheim/contract.json"), 0,
+                  "7. worth 100: book-repair\n", "");
+    assert_result(RUN("explain", EXAMPLES "tasman/contract.json"), 0,
+                  "1. worth 10: depot-lookup\n", "");
+}
+
+/// Guards against problems that are hidden, or reported as success.
+static void
+test_check_lists_problems(void)
+{
+    assert_check("{\"customer\":1,\n\"x\":2}", -1, 2, ":2: x: unknown field");
+    assert_check("{\"vm\":1}", -1, 2, ":1: vm: found 1, expected a name");
+    assert_check("{\"y\":1}", -1, 2, "found fields of neither");
+    assert_check("{\"vm\":\"a\",\"kinds\":[]}", -1, 2, "fields of both");
+    assert_check("{", -1, 2, ":1:2: found the end of the text");
+    assert_result(
+        RUN("check", "--contract", EXAMPLES "rosenheim/settings.json"), 2, "",
+        "vm: unknown field");
+    assert_result(
+        RUN("check", "--settings", EXAMPLES "rosenheim/contract.json"), 2, "",
+        "customer: unknown field");
+}
+
+/// Guards against files that hang the program or fill its memory.
+static void
+test_unusable_files_are_refused(void)
+{
+    assert_result(RUN("check", "/nonexistent"), 2, "",
+                  "/nonexistent: can't be opened: No such file");
+    assert_result(RUN("check", IBISFIELD_SOURCE_DIR), 2, "",
+                  "expected a regular file");
+    assert_result(RUN("explain", "/dev/zero"), 2, "",
+                  "expected a regular file");
+    size_t len = 1048577;
+    char *large = g_malloc(len);
+    memset(large, ' ', len);
+    assert_check(large, (gssize)len, 2,
+                 "found more than 1048576 bytes, expected at most 1048576");
+    g_free(large);
+}
+
+/// Guards against a node that starts with settings that were never checked.
+static void
+test_run_refuses_invalid_settings(void)
+{
+    assert_result(RUN("run", EXAMPLES "rosenheim/contract.json"), 2, "",
+                  "customer: unknown field");
+    assert_result(RUN("run", "/nonexistent"), 2, "", "can't be opened");
+}
+
+/// Guards against usage errors that look like success or name no remedy.
+static void
+test_usage_errors_give_2(void)
+{
+    assert_result(RUN("fly"), 2, "", "unknown command 'fly'");
+    assert_result(run_program((const char *const[]){NULL}), 2, "",
+                  "a command is missing");
+    assert_result(RUN("run"), 2, "", "the settings file is missing");
+    assert_result(RUN("run", "a", "b"), 2, "", "found a second file 'b'");
+    assert_result(RUN("check"), 2, "", "the file to check is missing");
+    assert_result(RUN("explain"), 2, "", "the contract file is missing");
+    assert_result(RUN("version", "x"), 2, "", "--help");
+    assert_result(RUN("status", "nowhere"), 2, "", "expected an address");
+    assert_result(RUN("check", "--nonsense"), 2, "", "unrecognized option");
+}
+
+/// Guards against a command without help.
+static void
+test_each_command_has_help(void)
+{
+    assert_result(RUN("--help"), 0, "explain CONTRACT", "");
+    assert_result(RUN("run", "--help"), 0, "ibisfield run [OPTION...] SETT",
+                  "");
+    assert_result(RUN("check", "--help"), 0, "--contract", "");
+    assert_result(RUN("explain", "--help"), 0, "reason", "");
+    assert_result(RUN("status", "--help"), 0, "--json", "");
+    assert_result(RUN("version", "--help"), 0, "Print the version", "");
+}
+
+/// Serves @p page at /status of @p address until nng_http_server_release().
+static nng_http_server *
+serve_status(const char *address, const char *page)
+{
+    char *text = g_strdup_printf("http://%s/status", address);
+    nng_url *url = NULL;
+    nng_http_server *server = NULL;
+    nng_http_handler *handler = NULL;
+    CU_ASSERT_EQUAL_FATAL(nng_url_parse(&url, text), 0);
+    CU_ASSERT_EQUAL_FATAL(nng_http_server_hold(&server, url), 0);
+    CU_ASSERT_EQUAL_FATAL(nng_http_handler_alloc_static(&handler, "/status",
+                                                        page, strlen(page),
+                                                        "application/json"),
+                          0);
+    CU_ASSERT_EQUAL_FATAL(nng_http_server_add_handler(server, handler), 0);
+    CU_ASSERT_EQUAL_FATAL(nng_http_server_start(server), 0);
+    nng_url_free(url);
+    g_free(text);
+    return server;
+}
+
+/// Guards against nodes that are mixed up, fields that are left out, and a
+/// node out of reach that goes unnoticed.
+static void
+test_status_shows_nodes_by_data_centre(void)
+{
+    nng_http_server *north = serve_status(
+        "127.91.0.2:8084", "{\"data_centre\":\"north\",\"limit\":85,"
+                           "\"refused\":[{\"name\":\"contract/c\","
+                           "\"version\":7}],\"peers\":[]}");
+    nng_http_server *east = serve_status(
+        "127.91.0.3:8084", "{\"data_centre\":\"east\",\"x\":\"\\u001b\"}");
+    assert_result(RUN("status", "127.91.0.2:8084"), 0,
+                  "data centre north\nnode 127.91.0.2:8084\n"
+                  "  data_centre: north\n  limit: 85\n  refused:\n"
+                  "    - name=contract/c  version=7\n  peers: none\n",
+                  "");
+    assert_result(RUN("status", "127.91.0.2:8084", "127.91.0.3:8084"), 0,
+                  "  x: \\033\ndata centre north\n", "");
+    assert_result(RUN("status", "--json", "127.91.0.2:8084"), 0,
+                  "\"limit\":85", "");
+    assert_result(RUN("status", "127.91.0.2:8084", "127.91.0.4:8084"), 1,
+                  "node 127.91.0.4:8084: no status",
+                  "get (http://127.91.0.4:8084/status): Connection refused");
+    nng_http_server_release(north);
+    nng_http_server_release(east);
+}
+
+/// Guards against a wrong address whose answer is shown as a node's state.
+static void
+test_status_refuses_other_pages(void)
+{
+    nng_http_server *server = serve_status("127.91.0.5:8084", "hello");
+    assert_result(RUN("status", "127.91.0.5:8084"), 1, "",
+                  "found a body that is not a JSON object");
+    nng_http_server_release(server);
 }
 
 int
@@ -23,6 +236,15 @@
 {
     CU_TestInfo tests[] = {
         {"version", test_version_is_printed},
+        {"examples", test_examples_are_valid},
+        {"explain", test_explain_prints_order_of_shedding},
+        {"check", test_check_lists_problems},
+        {"unusable files", test_unusable_files_are_refused},
+        {"run", test_run_refuses_invalid_settings},
+        {"usage errors", test_usage_errors_give_2},
+        {"status", test_status_shows_nodes_by_data_centre},
+        {"status of others", test_status_refuses_other_pages},
+        {"help", test_each_command_has_help},
         CU_TEST_INFO_NULL,
     };
     return run_suite("cli", tests);
