--- a/src/ibisfield/io/http_client.h
+++ b/src/ibisfield/io/http_client.h
@@ -39,23 +39,14 @@
 http_target_t *http_target_new(loop_t *loop, const endpoint_t *endpoint,
                                uint32_t connections_max,
                                size_t max_answer_bytes);
-/// Ends the target once its exchanges are over; new ones are not allowed.
 void http_target_release(http_target_t *target);
-
-/// Starts an exchange. All slices are copied. @p done is called exactly once,
-/// never from inside this function, unless the exchange is cancelled.
-/// @p timeout_us covers the whole exchange; connect time-outs and exchanges
-/// that never got a connection end as HTTP_CONNECT_FAILED.
 http_exchange_t *http_exchange_start(http_target_t *target, slice_t method,
                                      slice_t path,
                                      const http_header_t *headers,
                                      size_t header_count, slice_t body,
                                      int64_t timeout_us, http_done_t done,
                                      void *context);
-/// Closes the connection; @p done is not called.
 void http_exchange_cancel(http_exchange_t *exchange);
-
-/// Value of a header, SLICE with data NULL if absent.
 slice_t http_header_find(const http_header_t *headers, size_t header_count,
                          const char *name);
 
--- /dev/null
+++ b/src/ibisfield/io/loop.c
@@ -0,0 +1,185 @@
+/// @file
+/// Event loop of a process: h2o's evloop for sockets, an ordered list of
+/// timers, and a queue of callbacks that other threads post.
+
+#include "ibisfield/io/loop.h"
+
+#include <signal.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+/// Longest sleep, so that a lost wake-up can't stop the loop for good.
+#define LOOP_SLEEP_MAX_MS 1000
+/// h2o's client demands a timeout; exchanges have their own deadlines, which
+/// are far below this one.
+#define LOOP_H2O_TIMEOUT_MS 3600000
+
+typedef struct {
+    loop_callback_t callback;
+    void *context;
+} loop_message_t;
+
+static gint
+compare_timers(gconstpointer a, gconstpointer b, gpointer user_data)
+{
+    (void)user_data;
+    const loop_timer_t *left = a;
+    const loop_timer_t *right = b;
+    if (left->due_us == right->due_us) {
+        return 0;
+    }
+    return left->due_us < right->due_us ? -1 : 1;
+}
+
+static void
+run_messages(h2o_socket_t *socket, const char *error)
+{
+    (void)error;
+    loop_t *loop = socket->data;
+    uint64_t count;
+    if (read(loop->wake_fd, &count, sizeof(count)) < 0) {
+        return;
+    }
+    loop_message_t *message;
+    while ((message = g_async_queue_try_pop(loop->messages)) != NULL) {
+        message->callback(message->context);
+        g_free(message);
+    }
+}
+
+static loop_timer_t *
+first_timer(const loop_t *loop)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(loop->timers);
+    return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
+
+/// Runs the timers that are due now. Returns whether any ran.
+static bool
+run_timers(loop_t *loop)
+{
+    bool ran = false;
+    int64_t now_us = clock_now_us(loop->clock);
+    loop_timer_t *timer;
+    while (!loop->stopped && (timer = first_timer(loop)) != NULL &&
+           timer->due_us <= now_us)
+    {
+        loop_timer_stop(loop, timer);
+        timer->callback(timer->context);
+        ran = true;
+    }
+    return ran;
+}
+
+static int32_t
+sleep_ms(const loop_t *loop)
+{
+    const loop_timer_t *timer = first_timer(loop);
+    if (timer == NULL) {
+        return LOOP_SLEEP_MAX_MS;
+    }
+    int64_t wait_us = timer->due_us - clock_now_us(loop->clock);
+    if (wait_us <= 0) {
+        return 0;
+    }
+    int64_t wait_ms = (wait_us + US_PER_MS - 1) / US_PER_MS;
+    return (int32_t)MIN(wait_ms, LOOP_SLEEP_MAX_MS);
+}
+
+/// Initialises the loop. Ignores SIGPIPE for the process, because a peer that
+/// closes its connection must not end it.
+void
+loop_init(loop_t *loop, const clock_source_t *clock)
+{
+    signal(SIGPIPE, SIG_IGN);
+    *loop = (loop_t){.clock = clock, .wake_fd = -1};
+    loop->h2o = h2o_evloop_create();
+    loop->timers = g_sequence_new(NULL);
+    loop->messages = g_async_queue_new();
+    h2o_timeout_init(loop->h2o, &loop->idle_timeout, LOOP_H2O_TIMEOUT_MS);
+    loop->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (loop->wake_fd < 0) {
+        g_error("event=eventfd_failed error=\"%s\"", g_strerror(errno));
+    }
+    loop->wake_socket = h2o_evloop_socket_create(loop->h2o, loop->wake_fd,
+                                                 H2O_SOCKET_FLAG_DONT_READ);
+    loop->wake_socket->data = loop;
+    h2o_socket_read_start(loop->wake_socket, run_messages);
+}
+
+/// Frees the loop. Sockets and timers must have been closed by their owners.
+void
+loop_finish(loop_t *loop)
+{
+    h2o_socket_read_stop(loop->wake_socket);
+    h2o_socket_close(loop->wake_socket);
+    // h2o closes sockets when the loop next runs.
+    h2o_evloop_run(loop->h2o, 0);
+    loop_message_t *message;
+    while ((message = g_async_queue_try_pop(loop->messages)) != NULL) {
+        g_free(message);
+    }
+    g_async_queue_unref(loop->messages);
+    g_sequence_free(loop->timers);
+    h2o_timeout_dispose(loop->h2o, &loop->idle_timeout);
+    h2o_evloop_destroy(loop->h2o);
+}
+
+/// Runs until loop_stop().
+void
+loop_run(loop_t *loop)
+{
+    loop->stopped = false;
+    while (!loop->stopped) {
+        // A timer may leave work on h2o's pending list, which h2o runs only
+        // after it has polled. It must not sleep in that poll.
+        bool ran = run_timers(loop);
+        h2o_evloop_run(loop->h2o, ran ? 0 : sleep_ms(loop));
+    }
+}
+
+/// Makes loop_run() return after the current callback.
+void
+loop_stop(loop_t *loop)
+{
+    loop->stopped = true;
+}
+
+/// Arms the timer once; arming again moves it. A delay of 0 runs the callback
+/// after the current batch of socket events.
+void
+loop_timer_start(loop_t *loop, loop_timer_t *timer, int64_t delay_us,
+                 loop_callback_t callback, void *context)
+{
+    loop_timer_stop(loop, timer);
+    timer->callback = callback;
+    timer->context = context;
+    timer->due_us = clock_now_us(loop->clock) + delay_us;
+    timer->position =
+        g_sequence_insert_sorted(loop->timers, timer, compare_timers, NULL);
+}
+
+/// Disarms the timer; no effect if it isn't armed.
+void
+loop_timer_stop(loop_t *loop, loop_timer_t *timer)
+{
+    (void)loop;
+    if (timer->position != NULL) {
+        g_sequence_remove(timer->position);
+        timer->position = NULL;
+    }
+}
+
+/// Runs @p callback in the loop's thread. May be called from any thread.
+void
+loop_post(loop_t *loop, loop_callback_t callback, void *context)
+{
+    loop_message_t *message = g_new(loop_message_t, 1);
+    *message = (loop_message_t){callback, context};
+    g_async_queue_push(loop->messages, message);
+    const uint64_t one = 1;
+    if (write(loop->wake_fd, &one, sizeof(one)) < 0) {
+        // The counter is full, so the loop is about to wake anyway.
+        return;
+    }
+}
