--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -13,7 +13,19 @@
     X(CALLS_UNKNOWN_TOTAL, "ibisfield_calls_unknown_total", "counter",        \
       "Calls whose outcome is unknown.")                                      \
     X(CALLS_IN_FLIGHT, "ibisfield_calls_in_flight", "gauge",                  \
-      "Calls that wait for their answer.")
+      "Calls that wait for their answer.")                                    \
+    X(CONFIG_ADOPTIONS_TOTAL, "ibisfield_config_adoptions_total", "counter",  \
+      "Configuration items that came into force.")                            \
+    X(CONFIG_ITEMS, "ibisfield_config_items", "gauge",                        \
+      "Configuration items in force.")                                        \
+    X(CONFIG_ITEMS_REFUSED, "ibisfield_config_items_refused", "gauge",        \
+      "Items whose newest known version failed its checks.")                  \
+    X(CONFIG_REFUSALS_TOTAL, "ibisfield_config_refusals_total", "counter",    \
+      "Item versions that failed their checks.")                              \
+    X(PLATFORM_READS_TOTAL, "ibisfield_platform_reads_total", "counter",      \
+      "Reads and watches sent to the platform.")                              \
+    X(PLATFORM_READ_FAILURES_TOTAL, "ibisfield_platform_read_failures_total", \
+      "counter", "Reads and watches that failed or were invalid.")
 
 typedef enum {
 #define METRIC_ENUM(id, name, type, help) METRIC_##id,
--- a/src/ibisfield/config/item_store.h
+++ b/src/ibisfield/config/item_store.h
@@ -1,11 +1,18 @@
 #ifndef IBISFIELD_CONFIG_ITEM_STORE_H
 #define IBISFIELD_CONFIG_ITEM_STORE_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "ibisfield/base/slice.h"
 
+/// Buckets of a group; a power of two. A difference is looked for in the
+/// buckets whose digests differ.
+#define ITEM_BUCKETS 32
+#define ITEM_NAME_MAX 127
+#define ITEM_VALUE_MAX_BYTES (1 << 20)
+
 /// One configuration item. The value is JSON text; a removed item has len 0.
 typedef struct {
     const char *name; ///< "contract/<customer>" or "vm/<vm>"
@@ -19,19 +26,59 @@
     ADOPT_REFUSED, ///< failed its checks; the version before stays in force
 } adopt_t;
 
-typedef struct item_store item_store_t;
-
 /// Called for each item that has come into force; value.len 0: removed.
 typedef void (*item_changed_t)(void *context, const config_item_t *item);
 /// Checks a value before it is adopted; appends problems (char *).
 typedef bool (*item_check_t)(void *context, const config_item_t *item,
                              void *problems);
+/// Returns the group of an item that has passed its checks. It may depend on
+/// name and value only, so that all nodes agree.
+typedef uint64_t (*item_group_t)(void *context, const config_item_t *item);
+
+typedef struct {
+    item_check_t check;     ///< not called for removed items
+    item_changed_t changed; ///< may be NULL
+    item_group_t group;
+} item_hooks_t;
+
+/// What the store keeps of one name.
+typedef struct {
+    char *name;
+    uint64_t version; ///< in force; 0: none
+    char *value;
+    uint32_t value_len;
+    uint64_t group;
+    uint64_t refused_version; ///< above version; 0: none
+    char *refused_why;
+} stored_item_t;
+
+/// Digests over name and version of the items in force in one group.
+typedef struct {
+    uint64_t id;
+    uint64_t digest;
+    uint64_t bucket_digests[ITEM_BUCKETS];
+    GPtrArray *buckets[ITEM_BUCKETS]; ///< stored_item_t
+} item_digests_t;
+
+typedef struct {
+    GHashTable *items;  ///< name to stored_item_t
+    GHashTable *groups; ///< id to item_digests_t
+    uint64_t digest;    ///< over all groups
+    uint32_t refused_count;
+    uint32_t in_force_count; ///< without removed items
+    item_hooks_t hooks;
+    void *context;
+} item_store_t;
 
-void item_store_init(item_store_t *store, item_check_t check,
-                     item_changed_t changed, void *context);
+void item_store_init(item_store_t *store, const item_hooks_t *hooks,
+                     void *context);
 void item_store_finish(item_store_t *store);
 adopt_t item_store_adopt(item_store_t *store, const config_item_t *item);
-/// Version in force; 0 if the name is unknown.
 uint64_t item_store_version(const item_store_t *store, const char *name);
+const stored_item_t *item_store_find(const item_store_t *store,
+                                     const char *name);
+const item_digests_t *item_store_group(const item_store_t *store, uint64_t id);
+bool item_store_wants(const item_store_t *store, const char *name,
+                      uint64_t version);
 
 #endif
--- /dev/null
+++ b/src/ibisfield/config/vm_view.c
@@ -0,0 +1,191 @@
+/// @file
+/// The published list of VMs, parsed from the items "vm/<vm>". Unknown fields
+/// are ignored, so that the platform may add fields.
+
+#include "ibisfield/config/vm_view.h"
+
+#include <arpa/inet.h>
+#include <json-c/json.h>
+
+/// Returns whether the item names a VM.
+bool
+item_is_vm(const char *name)
+{
+    return g_str_has_prefix(name, VM_ITEM_PREFIX);
+}
+
+static void
+add_problem(GPtrArray *problems, const config_item_t *item, const char *field,
+            const char *expected)
+{
+    g_ptr_array_add(problems, g_strdup_printf("%s: %s: expected %s",
+                                              item->name, field, expected));
+}
+
+static bool
+read_text(char *text, size_t size, struct json_object *value,
+          const config_item_t *item, const char *field, GPtrArray *problems)
+{
+    struct json_object *member = NULL;
+    if (!json_object_object_get_ex(value, field, &member) ||
+        !json_object_is_type(member, json_type_string) ||
+        json_object_get_string_len(member) == 0 ||
+        g_strlcpy(text, json_object_get_string(member), size) >= size)
+    {
+        add_problem(problems, item, field, "a name of 1 to 63 bytes");
+        return false;
+    }
+    return true;
+}
+
+static bool
+read_port(uint16_t *port, struct json_object *value, const config_item_t *item,
+          const char *field, GPtrArray *problems)
+{
+    struct json_object *member = NULL;
+    if (!json_object_object_get_ex(value, field, &member) ||
+        !json_object_is_type(member, json_type_int) ||
+        json_object_get_int64(member) < 1 ||
+        json_object_get_int64(member) > UINT16_MAX)
+    {
+        add_problem(problems, item, field, "a port from 1 to 65535");
+        return false;
+    }
+    *port = (uint16_t)json_object_get_int64(member);
+    return true;
+}
+
+static bool
+read_address(vm_info_t *info, struct json_object *value,
+             const config_item_t *item, GPtrArray *problems)
+{
+    struct in_addr parsed;
+    char text[VM_NAME_MAX + 1];
+    if (!read_text(text, sizeof(text), value, item, "address", problems)) {
+        return false;
+    }
+    if (inet_pton(AF_INET, text, &parsed) != 1) {
+        add_problem(problems, item, "address", "an IPv4 address");
+        return false;
+    }
+    g_strlcpy(info->address, text, sizeof(info->address));
+    return true;
+}
+
+static bool
+read_state(vm_info_t *info, struct json_object *value,
+           const config_item_t *item, GPtrArray *problems)
+{
+    char text[VM_NAME_MAX + 1];
+    if (!read_text(text, sizeof(text), value, item, "state", problems)) {
+        return false;
+    }
+    info->leaving = strcmp(text, "leaving") == 0;
+    if (!info->leaving && strcmp(text, "live") != 0) {
+        add_problem(problems, item, "state", "live or leaving");
+        return false;
+    }
+    return true;
+}
+
+static bool
+read_fields(vm_info_t *info, struct json_object *value,
+            const config_item_t *item, GPtrArray *problems)
+{
+    bool ok = read_text(info->data_centre, sizeof(info->data_centre), value,
+                        item, "data_centre", problems);
+    ok &= read_text(info->service, sizeof(info->service), value, item,
+                    "service", problems);
+    ok &= read_address(info, value, item, problems);
+    ok &= read_port(&info->caller_port, value, item, "caller_port", problems);
+    ok &= read_port(&info->peer_port, value, item, "peer_port", problems);
+    ok &=
+        read_port(&info->control_port, value, item, "control_port", problems);
+    ok &= read_state(info, value, item, problems);
+    return ok;
+}
+
+/// Parses the value of a "vm/<vm>" item that is not removed. Appends every
+/// problem (char *) and returns false if there is any.
+bool
+vm_info_parse(vm_info_t *info, const config_item_t *item, GPtrArray *problems)
+{
+    *info = (vm_info_t){0};
+    const char *vm = item->name + strlen(VM_ITEM_PREFIX);
+    if (!item_is_vm(item->name) || *vm == '\0' ||
+        g_strlcpy(info->vm, vm, sizeof(info->vm)) >= sizeof(info->vm))
+    {
+        add_problem(problems, item, "name", "vm/ and 1 to 63 bytes");
+        return false;
+    }
+    struct json_tokener *tokener = json_tokener_new();
+    struct json_object *value =
+        json_tokener_parse_ex(tokener, item->value.data, (int)item->value.len);
+    bool ok = false;
+    if (json_object_is_type(value, json_type_object)) {
+        ok = read_fields(info, value, item, problems);
+    }
+    else {
+        add_problem(problems, item, "value", "a JSON object");
+    }
+    json_object_put(value);
+    json_tokener_free(tokener);
+    return ok;
+}
+
+void
+vm_view_init(vm_view_t *view)
+{
+    view->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    view->change_count = 0;
+}
+
+void
+vm_view_finish(vm_view_t *view)
+{
+    g_hash_table_destroy(view->vms);
+}
+
+/// Takes an item that has come into force. Items that name no VM are ignored.
+/// Returns false, and drops the VM, if the value can't be parsed.
+bool
+vm_view_apply(vm_view_t *view, const config_item_t *item)
+{
+    if (!item_is_vm(item->name)) {
+        return true;
+    }
+    view->change_count++;
+    const char *vm = item->name + strlen(VM_ITEM_PREFIX);
+    if (item->value.len == 0) {
+        g_hash_table_remove(view->vms, vm);
+        return true;
+    }
+    vm_info_t *info = g_new(vm_info_t, 1);
+    GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+    bool ok = vm_info_parse(info, item, problems);
+    g_ptr_array_unref(problems);
+    if (ok) {
+        g_hash_table_replace(view->vms, info->vm, info);
+    }
+    else {
+        g_hash_table_remove(view->vms, vm);
+        g_free(info);
+    }
+    return ok;
+}
+
+/// Returns NULL if the VM is not listed.
+const vm_info_t *
+vm_view_find(const vm_view_t *view, const char *vm)
+{
+    return g_hash_table_lookup(view->vms, vm);
+}
+
+/// Returns whether the VM is listed as leaving. A VM that is not listed is not
+/// leaving: the list lags, and a new VM serves before it is listed.
+bool
+vm_view_is_leaving(const vm_view_t *view, const char *vm)
+{
+    const vm_info_t *info = vm_view_find(view, vm);
+    return info != NULL && info->leaving;
+}
--- /dev/null
+++ b/src/ibisfield/config/vm_view.h
@@ -0,0 +1,41 @@
+#ifndef IBISFIELD_CONFIG_VM_VIEW_H
+#define IBISFIELD_CONFIG_VM_VIEW_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisfield/call/call_defs.h"
+#include "ibisfield/config/item_store.h"
+
+#define VM_ITEM_PREFIX "vm/"
+
+/// One VM of the published list.
+typedef struct {
+    char vm[VM_NAME_MAX + 1];
+    char data_centre[VM_NAME_MAX + 1];
+    char service[VM_NAME_MAX + 1];
+    char address[16]; ///< IPv4, dotted
+    uint16_t caller_port;
+    uint16_t peer_port;
+    uint16_t control_port;
+    bool leaving;
+} vm_info_t;
+
+/// The published list as parsed values.
+typedef struct {
+    GHashTable *vms; ///< name to vm_info_t
+    uint64_t change_count;
+} vm_view_t;
+
+bool vm_info_parse(vm_info_t *info, const config_item_t *item,
+                   GPtrArray *problems);
+bool item_is_vm(const char *name);
+
+void vm_view_init(vm_view_t *view);
+void vm_view_finish(vm_view_t *view);
+bool vm_view_apply(vm_view_t *view, const config_item_t *item);
+const vm_info_t *vm_view_find(const vm_view_t *view, const char *vm);
+bool vm_view_is_leaving(const vm_view_t *view, const char *vm);
+
+#endif
