--- a/src/ibisfield/contract/contract.c
+++ b/src/ibisfield/contract/contract.c
@@ -359,6 +359,22 @@
     return false;
 }
 
+/// Returns the fields of a contract, for the check of the pages.
+const json_field_t *
+contract_field_list(size_t *count)
+{
+    *count = G_N_ELEMENTS(contract_fields);
+    return contract_fields;
+}
+
+/// Returns the fields of a kind, for the check of the pages.
+const json_field_t *
+kind_field_list(size_t *count)
+{
+    *count = G_N_ELEMENTS(kind_fields);
+    return kind_fields;
+}
+
 /// Derives the limits of a kind; explain_contract() prints the reasons.
 kind_limits_t
 kind_limits(const contract_t *contract, const kind_t *kind)
--- a/src/ibisfield/contract/explain.c
+++ b/src/ibisfield/contract/explain.c
@@ -4,12 +4,9 @@
 
 #include "ibisfield/contract/explain.h"
 
-#include <inttypes.h>
-
+#include "ibisfield/call/call_defs.h"
 #include "ibisfield/contract/contract.h"
 
-#define ROW "  %-12s %-14s "
-
 static void
 explain_retries(const contract_t *contract, GString *out)
 {
@@ -17,68 +14,69 @@
         out,
         "retries %d: each caller request has %d units for retries and hedged "
         "requests.\n"
-        "  Units are split between the calls of a chain and never copied, so "
-        "at any service\n"
-        "  of the chain at most 1 + %d = %d attempts arrive for one caller "
-        "request.\n",
+        "  Each costs a unit. Units are split between the calls of a chain "
+        "and "
+        "never copied,\n"
+        "  so at any service of the chain at most 1 + %d = %d attempts arrive "
+        "for one caller\n"
+        "  request.\n",
         contract->retries, contract->retries, contract->retries,
         1 + contract->retries);
     g_string_append_printf(
         out,
-        "client_retry_percent %d: each first request adds %d.%02d tokens to "
-        "the customer's bucket;\n"
-        "  a repetition before its Retry-After has passed takes one, and is "
-        "refused with\n"
-        "  429 customer-retry-budget when the bucket is empty.\n",
+        "client_retry_percent %d: at each node, a first request adds %d.%02d "
+        "tokens to the customer's\n"
+        "  bucket. A repetition before its Retry-After has passed takes one, "
+        "and is refused with\n"
+        "  429 customer-retry-budget when there is none.\n",
         contract->client_retry_percent, contract->client_retry_percent / 100,
         contract->client_retry_percent % 100);
 }
 
+/// Appends one line: what is limited, the figure and its reason.
 static void
-explain_key(const kind_t *kind, const kind_limits_t *limits, GString *out)
+append_row(GString *out, const char *what, const char *reason,
+           const char *figure_format, ...)
 {
-    if (kind->run == RUN_REPEATABLE) {
-        g_string_append_printf(out,
-                               ROW "run is \"repeatable\": running it "
-                                   "twice does no harm\n",
-                               "key", "none");
-        return;
-    }
-    char *life = g_strdup_printf("%" PRId32 " ms", limits->key_life_ms);
-    g_string_append_printf(out,
-                           ROW "resend_s %d x 1000: so long the caller may "
-                               "send again and learn the outcome\n",
-                           "key life", life, kind->resend_s);
-    g_free(life);
+    va_list arguments;
+    va_start(arguments, figure_format);
+    char *figure = g_strdup_vprintf(figure_format, arguments);
+    va_end(arguments);
+    g_string_append_printf(out, "  %-12s %-16s %s\n", what, figure, reason);
+    g_free(figure);
 }
 
 static void
-explain_hedge(const contract_t *contract, const kind_t *kind,
-              const kind_limits_t *limits, GString *out)
+explain_once(const kind_t *kind, const kind_limits_t *limits, GString *out)
 {
-    const char *reason =
-        limits->hedge ? "repeatable and retries above 0: a late answer may "
-                        "start a second attempt for one unit"
-        : kind->run == RUN_ONCE
-            ? "run is \"once\": two attempts could both run"
-            : "retries is 0: there is no unit for a second attempt";
-    (void)contract;
-    g_string_append_printf(out, ROW "%s\n", "hedging",
-                           limits->hedge ? "yes" : "no", reason);
+    char *reason =
+        g_strdup_printf("resend_s %d x 1000, from the issue of the key: so "
+                        "long the caller can learn the outcome",
+                        kind->resend_s);
+    append_row(out, "key life", reason, "%d ms", limits->key_life_ms);
+    g_free(reason);
+    append_row(out, "late answer",
+               "wait after the deadline for the outcome of the key; the "
+               "caller has its 504 by then",
+               "%d ms", (int)(LATE_ANSWER_WAIT_US / 1000));
+    append_row(out, "hedging",
+               "run is \"once\": two attempts at the same time could both run",
+               "no");
 }
 
 static void
-explain_attempts(const contract_t *contract, const kind_t *kind,
-                 const kind_limits_t *limits, GString *out)
+explain_repeatable(const kind_limits_t *limits, GString *out)
 {
-    char *bound = g_strdup_printf("at most %d", limits->attempts_max);
-    g_string_append_printf(
-        out, ROW "1 + retries %d, at any service of the chain%s\n", "attempts",
-        bound, contract->retries,
-        kind->run == RUN_ONCE
-            ? "; another one only after one that is known not to have run"
-            : "");
-    g_free(bound);
+    append_row(out, "key",
+               "run is \"repeatable\": running it twice does no "
+               "harm",
+               "none");
+    append_row(out, "hedging",
+               limits->hedge
+                   ? "repeatable, and retries is above 0: a late answer "
+                     "starts a second attempt for one unit"
+                   : "retries is 0: there is no unit for a second attempt",
+               "%s", limits->hedge ? "yes" : "no");
 }
 
 static void
@@ -87,27 +85,33 @@
     kind_limits_t limits = kind_limits(contract, kind);
     g_string_append_printf(out, "\nkind %s: %s %s -> %s\n", kind->name,
                            kind->method, kind->path, kind->service);
-    explain_attempts(contract, kind, &limits, out);
-    char *text = g_strdup_printf("%d ms", kind->deadline_ms);
-    g_string_append_printf(out,
-                           ROW "deadline_ms, from the arrival at the entry; "
-                               "after it the caller gets 504\n",
-                           "deadline", text);
-    g_free(text);
-    text = g_strdup_printf("below %d ms", limits.queue_wait_ms);
-    g_string_append_printf(out,
-                           ROW "deadline_ms less the service time the guard "
-                               "has learned: dropped when it can't finish\n",
-                           "queue wait", text);
-    g_free(text);
-    explain_key(kind, &limits, out);
-    explain_hedge(contract, kind, &limits, out);
-    text = g_strdup_printf("worth >= %d", kind->worth);
-    g_string_append_printf(out,
-                           ROW "the larger of the own kind's worth and this; "
-                               "deadline: the rest of this one at most\n",
-                           "child calls", text);
-    g_free(text);
+    append_row(out, "attempts",
+               kind->run == RUN_ONCE
+                   ? "1 + retries; another one only while each before is "
+                     "known not to have run"
+                   : "1 + retries, at any service of the chain",
+               "at most %d", limits.attempts_max);
+    append_row(out, "deadline",
+               "deadline_ms, from the arrival at the entry; then the caller "
+               "gets 504",
+               "%d ms", kind->deadline_ms);
+    append_row(out, "queue wait",
+               "deadline_ms less the service time that the guard has learned: "
+               "what can't finish is dropped",
+               "below %d ms", limits.queue_wait_ms);
+    if (kind->run == RUN_ONCE) {
+        explain_once(kind, &limits, out);
+    }
+    else {
+        explain_repeatable(&limits, out);
+    }
+    append_row(out, "child calls",
+               "worth: the larger of this and the child kind's", "worth >= %d",
+               kind->worth);
+    append_row(out, "",
+               "deadline: the smaller of the child kind's and the "
+               "rest of this one",
+               "<= %d ms", kind->deadline_ms);
 }
 
 static void
--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -286,6 +286,14 @@
     return valid;
 }
 
+/// Returns the fields of the settings, for the check of the pages.
+const json_field_t *
+settings_field_list(size_t *count)
+{
+    *count = G_N_ELEMENTS(settings_fields);
+    return settings_fields;
+}
+
 /// Releases the memory of parsed settings; they own none at present.
 void
 settings_finish(settings_t *settings)
--- /dev/null
+++ b/test/functional/test_docs.c
@@ -0,0 +1,343 @@
+/// @file
+/// The tables of the pages against the code, in both directions: settings,
+/// contract fields, log events, metrics and refusals.
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ibisfield/base/metrics.h"
+#include "ibisfield/call/call_defs.h"
+#include "ibisfield/contract/contract.h"
+#include "ibisfield/contract/json_reader.h"
+#include "ibisfield/contract/settings.h"
+
+#include "common/suite.h"
+
+#define CELLS_MAX 8
+
+/// Names with what is stated about them; both sides of a comparison.
+typedef GHashTable facts_t;
+
+static facts_t *
+facts_new(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+facts_add(facts_t *facts, const char *name, const char *text)
+{
+    g_hash_table_replace(facts, g_strdup(name), g_strdup(text));
+}
+
+static char *
+load(const char *path)
+{
+    char *full = g_strconcat(IBISFIELD_SOURCE_DIR "/", path, NULL);
+    char *text = NULL;
+    CU_ASSERT_TRUE_FATAL(g_file_get_contents(full, &text, NULL, NULL));
+    g_free(full);
+    return text;
+}
+
+/// Returns the text in the first pair of backticks of a table cell.
+static char *
+backtick_name(const char *cell)
+{
+    const char *start = strchr(cell, '`');
+    const char *end = start == NULL ? NULL : strchr(start + 1, '`');
+    return end == NULL ? NULL : g_strndup(start + 1, (gsize)(end - start - 1));
+}
+
+/// Adds one table row: the name of its first cell, and the cells listed in
+/// @p columns joined by " | ".
+static void
+add_row(facts_t *facts, const char *line, const int *columns, int count)
+{
+    char **cells = g_strsplit(line, "|", CELLS_MAX);
+    guint cell_count = g_strv_length(cells);
+    char *name = cell_count > 1 ? backtick_name(cells[1]) : NULL;
+    GString *text = g_string_new(NULL);
+    for (int i = 0; i < count && columns[i] < (int)cell_count; i++) {
+        g_string_append_printf(text, "%s%s", i == 0 ? "" : " | ",
+                               g_strstrip(cells[columns[i]]));
+    }
+    if (name != NULL) {
+        if (g_hash_table_contains(facts, name)) {
+            printf("\n%s is listed twice\n", name);
+            CU_FAIL("row listed twice");
+        }
+        facts_add(facts, name, text->str);
+    }
+    g_free(name);
+    g_string_free(text, TRUE);
+    g_strfreev(cells);
+}
+
+/// Reads the tables below a heading of a page, up to the next "## " heading.
+static facts_t *
+read_section(const char *page, const char *heading, const int *columns,
+             int count)
+{
+    facts_t *facts = facts_new();
+    char *text = load(page);
+    char **lines = g_strsplit(text, "\n", -1);
+    bool inside = false;
+    for (char **line = lines; *line != NULL; line++) {
+        if (g_str_has_prefix(*line, "## ")) {
+            inside = strcmp(*line + 3, heading) == 0;
+        }
+        else if (inside && g_str_has_prefix(*line, "| `")) {
+            add_row(facts, *line, columns, count);
+        }
+    }
+    g_strfreev(lines);
+    g_free(text);
+    return facts;
+}
+
+/// Compares both directions, prints every difference and fails once.
+static void
+assert_same(facts_t *code, facts_t *docs, const char *page)
+{
+    bool same = true;
+    GHashTableIter iter;
+    void *name = NULL;
+    void *text = NULL;
+    g_hash_table_iter_init(&iter, code);
+    while (g_hash_table_iter_next(&iter, &name, &text)) {
+        const char *stated = g_hash_table_lookup(docs, name);
+        if (stated == NULL || strcmp(stated, text) != 0) {
+            printf("\n%s: `%s`: found \"%s\", expected \"%s\"", page,
+                   (const char *)name, stated == NULL ? "no row" : stated,
+                   (const char *)text);
+            same = false;
+        }
+    }
+    g_hash_table_iter_init(&iter, docs);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        if (!g_hash_table_contains(code, name)) {
+            printf("\n%s: `%s` is not in the code", page, (const char *)name);
+            same = false;
+        }
+    }
+    CU_ASSERT_TRUE(same);
+    CU_ASSERT_TRUE(g_hash_table_size(code) > 0);
+    g_hash_table_destroy(code);
+    g_hash_table_destroy(docs);
+}
+
+/// Lists fields with range and default: "1 to 10 | required".
+static void
+add_fields(facts_t *facts, const json_field_t *fields, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        const json_field_t *field = &fields[i];
+        char *range = field->read == json_read_int
+                          ? g_strdup_printf("%d to %d", field->min, field->max)
+                          : g_strdup("text");
+        char *fallback = field->required ? g_strdup("required")
+                         : field->read == json_read_int
+                             ? g_strdup_printf("%d", field->fallback)
+                             : g_strdup("optional");
+        char *text = g_strconcat(range, " | ", fallback, NULL);
+        facts_add(facts, field->name, text);
+        g_free(text);
+        g_free(fallback);
+        g_free(range);
+    }
+}
+
+static const int range_and_default[] = {2, 3};
+static const int second_column[] = {2};
+
+/// Guards against settings that operators can't look up, and other ranges or
+/// defaults than stated.
+static void
+test_settings_are_documented(void)
+{
+    size_t count = 0;
+    const json_field_t *fields = settings_field_list(&count);
+    facts_t *code = facts_new();
+    add_fields(code, fields, count);
+    assert_same(
+        code,
+        read_section("docs/operations.md", "Settings", range_and_default, 2),
+        "docs/operations.md");
+}
+
+/// The same for the fields of a contract and of its kinds.
+static void
+test_contract_fields_are_documented(void)
+{
+    size_t count = 0;
+    const json_field_t *fields = contract_field_list(&count);
+    facts_t *code = facts_new();
+    add_fields(code, fields, count);
+    assert_same(code,
+                read_section("docs/contracts.md", "Fields of a contract",
+                             range_and_default, 2),
+                "docs/contracts.md");
+    fields = kind_field_list(&count);
+    code = facts_new();
+    add_fields(code, fields, count);
+    assert_same(code,
+                read_section("docs/contracts.md", "Fields of a kind",
+                             range_and_default, 2),
+                "docs/contracts.md");
+}
+
+typedef void (*source_visitor_t)(facts_t *facts, const char *path,
+                                 const char *text);
+
+static void
+visit_sources(const char *directory, source_visitor_t visit, facts_t *facts)
+{
+    char *full = g_strconcat(IBISFIELD_SOURCE_DIR "/", directory, NULL);
+    GDir *dir = g_dir_open(full, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(dir);
+    const char *entry = NULL;
+    while ((entry = g_dir_read_name(dir)) != NULL) {
+        char *path = g_strconcat(directory, "/", entry, NULL);
+        char *file = g_strconcat(IBISFIELD_SOURCE_DIR "/", path, NULL);
+        if (g_file_test(file, G_FILE_TEST_IS_DIR)) {
+            visit_sources(path, visit, facts);
+        }
+        else if (g_str_has_suffix(path, ".c") || g_str_has_suffix(path, ".h"))
+        {
+            char *text = load(path);
+            visit(facts, path, text);
+            g_free(text);
+        }
+        g_free(file);
+        g_free(path);
+    }
+    g_dir_close(dir);
+    g_free(full);
+}
+
+/// Calls @p add for every match of @p pattern in @p text.
+static void
+each_match(const char *pattern, facts_t *facts, const char *path,
+           const char *text,
+           void (*add)(facts_t *facts, const char *path, GMatchInfo *match))
+{
+    GRegex *regex = g_regex_new(pattern, G_REGEX_MULTILINE, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(regex);
+    GMatchInfo *match = NULL;
+    g_regex_match(regex, text, 0, &match);
+    while (g_match_info_matches(match)) {
+        add(facts, path, match);
+        g_match_info_next(match, NULL);
+    }
+    g_match_info_free(match);
+    g_regex_unref(regex);
+}
+
+/// Adds the event of a log call. One event may be logged at several levels.
+static void
+add_event(facts_t *facts, const char *path, GMatchInfo *match)
+{
+    char *level = g_match_info_fetch(match, 1);
+    char *event = g_match_info_fetch(match, 2);
+    if (event == NULL || event[0] == '\0') {
+        printf("\n%s: log_%s without a literal event\n", path, level);
+        CU_FAIL("log event is not a literal");
+    }
+    else {
+        const char *known = g_hash_table_lookup(facts, event);
+        if (known == NULL) {
+            facts_add(facts, event, level);
+        }
+        else if (strstr(known, level) == NULL) {
+            char *both = strcmp(known, level) < 0
+                             ? g_strconcat(known, ", ", level, NULL)
+                             : g_strconcat(level, ", ", known, NULL);
+            facts_add(facts, event, both);
+            g_free(both);
+        }
+    }
+    g_free(event);
+    g_free(level);
+}
+
+static void
+find_events(facts_t *facts, const char *path, const char *text)
+{
+    if (strcmp(path, "src/ibisfield/base/log.h") != 0) {
+        each_match("\\blog_(info|warning|debug)\\s*\\(\\s*"
+                   "(?:\"([a-z0-9_]+)\")?",
+                   facts, path, text, add_event);
+    }
+}
+
+/// Guards against log events that operators can't look up.
+static void
+test_log_events_are_documented(void)
+{
+    facts_t *code = facts_new();
+    visit_sources("src", find_events, code);
+    assert_same(
+        code,
+        read_section("docs/operations.md", "Log events", second_column, 1),
+        "docs/operations.md");
+}
+
+/// Guards against metrics that operators can't look up.
+static void
+test_metrics_are_documented(void)
+{
+    GString *text = g_string_new(NULL);
+    metrics_write_text(text);
+    facts_t *code = facts_new();
+    for (int i = 0; i < METRIC_COUNT; i++) {
+        char *line = g_strdup_printf("# TYPE %s counter\n", metric_name(i));
+        facts_add(code, metric_name(i),
+                  strstr(text->str, line) != NULL ? "counter" : "gauge");
+        g_free(line);
+    }
+    g_string_free(text, TRUE);
+    assert_same(
+        code, read_section("docs/operations.md", "Metrics", second_column, 1),
+        "docs/operations.md");
+}
+
+/// Guards against refusals that callers can't look up, and other statuses.
+static void
+test_refusals_are_documented(void)
+{
+    static const struct {
+        const char *token;
+        int status;
+    } reasons[] = {
+#define REASON_ROW(id, token, status) {token, status},
+        REASON_LIST(REASON_ROW)
+#undef REASON_ROW
+    };
+    facts_t *code = facts_new();
+    for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++) {
+        char *status = g_strdup_printf("%d", reasons[i].status);
+        if (reasons[i].token[0] != '\0') {
+            facts_add(code, reasons[i].token, status);
+        }
+        g_free(status);
+    }
+    assert_same(code,
+                read_section("docs/callers.md", "Refusals", second_column, 1),
+                "docs/callers.md");
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"settings", test_settings_are_documented},
+        {"contract fields", test_contract_fields_are_documented},
+        {"log events", test_log_events_are_documented},
+        {"metrics", test_metrics_are_documented},
+        {"refusals", test_refusals_are_documented},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("docs", tests);
+}
