--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -1,6 +1,22 @@
 #ifndef IBISFIELD_BASE_METRICS_DEFS_H
 #define IBISFIELD_BASE_METRICS_DEFS_H
 
+/// The four counters of a group of control messages, in the order that
+/// control_codec.c relies on.
+#define CONTROL_METRIC_LIST(X, ID, name)                                      \
+    X(CONTROL_##ID##_SENT_MESSAGES,                                           \
+      "ibisfield_control_" name "_sent_messages_total", "counter",            \
+      "Control messages sent: " name ".")                                     \
+    X(CONTROL_##ID##_SENT_BYTES,                                              \
+      "ibisfield_control_" name "_sent_bytes_total", "counter",               \
+      "Bytes of control messages sent: " name ".")                            \
+    X(CONTROL_##ID##_RECEIVED_MESSAGES,                                       \
+      "ibisfield_control_" name "_received_messages_total", "counter",        \
+      "Control messages received: " name ".")                                 \
+    X(CONTROL_##ID##_RECEIVED_BYTES,                                          \
+      "ibisfield_control_" name "_received_bytes_total", "counter",           \
+      "Bytes of control messages received: " name ".")
+
 /// Every metric: X(identifier, name, type, help). Keep the groups sorted.
 /// docs/operations.md lists the same names; a test compares the two.
 #define METRIC_LIST(X)                                                        \
@@ -22,10 +38,24 @@
       "Items whose newest known version failed its checks.")                  \
     X(CONFIG_REFUSALS_TOTAL, "ibisfield_config_refusals_total", "counter",    \
       "Item versions that failed their checks.")                              \
+    CONTROL_METRIC_LIST(X, COMPARE, "compare")                                \
+    CONTROL_METRIC_LIST(X, FETCH, "fetch")                                    \
+    CONTROL_METRIC_LIST(X, HEARTBEAT, "heartbeat")                            \
+    CONTROL_METRIC_LIST(X, LIST, "list")                                      \
+    CONTROL_METRIC_LIST(X, OTHER, "other")                                    \
+    CONTROL_METRIC_LIST(X, PUSH, "push")                                      \
+    X(CONTROL_EXCHANGES_FAILED, "ibisfield_control_exchanges_failed_total",   \
+      "counter", "Control exchanges without a valid reply in time.")          \
+    X(CONTROL_MESSAGES_INVALID, "ibisfield_control_messages_invalid_total",   \
+      "counter", "Control messages that could not be decoded.")               \
+    X(CONTROL_VERSION_REFUSED, "ibisfield_control_version_refused_total",     \
+      "counter", "Control messages of an unknown protocol version.")          \
     X(PLATFORM_READS_TOTAL, "ibisfield_platform_reads_total", "counter",      \
       "Reads and watches sent to the platform.")                              \
     X(PLATFORM_READ_FAILURES_TOTAL, "ibisfield_platform_read_failures_total", \
-      "counter", "Reads and watches that failed or were invalid.")
+      "counter", "Reads and watches that failed or were invalid.")            \
+    X(PLATFORM_WENT_BACK_TOTAL, "ibisfield_platform_went_back_total",         \
+      "counter", "Answers with a revision below one seen before.")
 
 typedef enum {
 #define METRIC_ENUM(id, name, type, help) METRIC_##id,
--- /dev/null
+++ b/src/ibisfield/config/control_codec.c
@@ -0,0 +1,511 @@
+/// @file
+/// Control messages as CBOR: an array of protocol version, type, sender and
+/// the fields of the type. The decoder uses libcbor's stateless decoder, which
+/// allocates nothing: a length in a message never decides an allocation.
+
+#include "ibisfield/config/control_codec.h"
+
+#include <cbor.h>
+
+#include "ibisfield/base/metrics.h"
+
+typedef struct {
+    const char *name;
+    unsigned int fields;
+    metric_id_t sent_messages; ///< the other three counters follow it
+} type_info_t;
+
+static const type_info_t type_infos[CONTROL_TYPE_COUNT] = {
+#define CONTROL_INFO(id, name, group, fields)                                 \
+    {name, (fields), METRIC_CONTROL_##group##_SENT_MESSAGES},
+    CONTROL_TYPE_LIST(CONTROL_INFO)
+#undef CONTROL_INFO
+};
+
+enum { COUNT_SENT_BYTES = 1, COUNT_RECEIVED_MESSAGES, COUNT_RECEIVED_BYTES };
+
+/// Returns the name of a type for logs.
+const char *
+control_type_name(control_type_t type)
+{
+    return type_infos[type].name;
+}
+
+/// Counts an encoded message of the type that was sent.
+void
+control_count_sent(control_type_t type, size_t bytes)
+{
+    metric_id_t first = type_infos[type].sent_messages;
+    metric_increment(first);
+    metric_add(first + COUNT_SENT_BYTES, (int64_t)bytes);
+}
+
+/// Counts an encoded message of the type that was received.
+void
+control_count_received(control_type_t type, size_t bytes)
+{
+    metric_id_t first = type_infos[type].sent_messages;
+    metric_increment(first + COUNT_RECEIVED_MESSAGES);
+    metric_add(first + COUNT_RECEIVED_BYTES, (int64_t)bytes);
+}
+
+/// Initialises a message without fields. control_message_clear() frees its
+/// arrays.
+void
+control_message_init(control_message_t *message, control_type_t type,
+                     const char *sender)
+{
+    *message = (control_message_t){.type = type};
+    g_strlcpy(message->sender, sender, sizeof(message->sender));
+    unsigned int fields = type_infos[type].fields;
+    if (fields & FIELD_DIGESTS) {
+        message->digests = g_array_new(FALSE, FALSE, sizeof(group_digest_t));
+    }
+    if (fields & FIELD_VERSIONS) {
+        message->versions = g_array_new(FALSE, FALSE, sizeof(item_version_t));
+    }
+    if (fields & FIELD_ITEMS) {
+        message->items = g_array_new(FALSE, FALSE, sizeof(config_item_t));
+    }
+}
+
+static void
+free_array(GArray *array)
+{
+    if (array != NULL) {
+        g_array_free(array, TRUE);
+    }
+}
+
+void
+control_message_clear(control_message_t *message)
+{
+    free_array(message->digests);
+    free_array(message->versions);
+    free_array(message->items);
+    if (message->arena != NULL) {
+        g_string_chunk_free(message->arena);
+    }
+    *message = (control_message_t){0};
+}
+
+/* Encoding. No header of a CBOR item is longer than 9 bytes. */
+
+#define HEADER_MAX_BYTES 9
+
+typedef size_t (*encode_header_t)(size_t value, unsigned char *out,
+                                  size_t size);
+
+static void
+put_header(GByteArray *out, encode_header_t encode, size_t value)
+{
+    unsigned char header[HEADER_MAX_BYTES];
+    size_t len = encode(value, header, sizeof(header));
+    g_byte_array_append(out, header, (guint)len);
+}
+
+static void
+put_uint(GByteArray *out, uint64_t value)
+{
+    unsigned char header[HEADER_MAX_BYTES];
+    size_t len = cbor_encode_uint(value, header, sizeof(header));
+    g_byte_array_append(out, header, (guint)len);
+}
+
+static void
+put_array(GByteArray *out, size_t count)
+{
+    put_header(out, cbor_encode_array_start, count);
+}
+
+static void
+put_text(GByteArray *out, const char *text)
+{
+    size_t len = strlen(text);
+    put_header(out, cbor_encode_string_start, len);
+    g_byte_array_append(out, (const guint8 *)text, (guint)len);
+}
+
+static void
+put_state(GByteArray *out, const config_state_t *state)
+{
+    put_array(out, 2 + LIST_COUNT);
+    put_uint(out, state->digest);
+    put_uint(out, state->ready);
+    for (int i = 0; i < LIST_COUNT; i++) {
+        put_uint(out, state->revisions[i]);
+    }
+}
+
+static void
+put_digests(GByteArray *out, const GArray *digests)
+{
+    put_array(out, (size_t)digests->len * 2);
+    for (guint i = 0; i < digests->len; i++) {
+        const group_digest_t *entry =
+            &g_array_index(digests, group_digest_t, i);
+        put_uint(out, entry->group);
+        put_uint(out, entry->digest);
+    }
+}
+
+static void
+put_buckets(GByteArray *out, const uint64_t *buckets)
+{
+    put_array(out, ITEM_BUCKETS);
+    for (int i = 0; i < ITEM_BUCKETS; i++) {
+        put_uint(out, buckets[i]);
+    }
+}
+
+static void
+put_versions(GByteArray *out, const GArray *versions)
+{
+    put_array(out, (size_t)versions->len * 2);
+    for (guint i = 0; i < versions->len; i++) {
+        const item_version_t *entry =
+            &g_array_index(versions, item_version_t, i);
+        put_text(out, entry->name);
+        put_uint(out, entry->version);
+    }
+}
+
+static void
+put_items(GByteArray *out, const GArray *items)
+{
+    put_array(out, (size_t)items->len * 3);
+    for (guint i = 0; i < items->len; i++) {
+        const config_item_t *item = &g_array_index(items, config_item_t, i);
+        put_text(out, item->name);
+        put_uint(out, item->version);
+        put_header(out, cbor_encode_bytestring_start, item->value.len);
+        g_byte_array_append(out, (const guint8 *)item->value.data,
+                            (guint)item->value.len);
+    }
+}
+
+/// Appends the encoded message to @p out.
+void
+control_encode(const control_message_t *message, GByteArray *out)
+{
+    unsigned int fields = type_infos[message->type].fields;
+    put_array(out, 3 + (size_t)__builtin_popcount(fields));
+    put_uint(out, CONTROL_VERSION);
+    put_uint(out, message->type);
+    put_text(out, message->sender);
+    if (fields & FIELD_TEXT) {
+        put_text(out, message->text);
+    }
+    if (fields & FIELD_ROOT) {
+        put_text(out, message->root);
+    }
+    if (fields & FIELD_STATE) {
+        put_state(out, &message->state);
+    }
+    if (fields & FIELD_MUTUAL) {
+        put_uint(out, message->mutual);
+    }
+    if (fields & FIELD_GROUP) {
+        put_uint(out, message->group);
+    }
+    if (fields & FIELD_DIGESTS) {
+        put_digests(out, message->digests);
+    }
+    if (fields & FIELD_BUCKETS) {
+        put_buckets(out, message->buckets);
+    }
+    if (fields & FIELD_VERSIONS) {
+        put_versions(out, message->versions);
+    }
+    if (fields & FIELD_ITEMS) {
+        put_items(out, message->items);
+    }
+}
+
+/* Decoding, one CBOR item at a time. */
+
+typedef enum { TOKEN_OTHER, TOKEN_UINT, TOKEN_BYTES, TOKEN_ARRAY } token_t;
+
+typedef struct {
+    const unsigned char *bytes;
+    size_t len;
+    size_t position;
+    token_t token;
+    uint64_t number;
+    slice_t data;
+} reader_t;
+
+static void
+take_number(reader_t *reader, uint64_t value)
+{
+    reader->token = TOKEN_UINT;
+    reader->number = value;
+}
+
+static void
+take_uint8(void *context, uint8_t value)
+{
+    take_number(context, value);
+}
+
+static void
+take_uint16(void *context, uint16_t value)
+{
+    take_number(context, value);
+}
+
+static void
+take_uint32(void *context, uint32_t value)
+{
+    take_number(context, value);
+}
+
+static void
+take_uint64(void *context, uint64_t value)
+{
+    take_number(context, value);
+}
+
+/// Receives text and byte strings.
+static void
+take_data(void *context, cbor_data data, size_t len)
+{
+    reader_t *reader = context;
+    reader->token = TOKEN_BYTES;
+    reader->data = (slice_t){(const char *)data, len};
+}
+
+static void
+take_array(void *context, size_t count)
+{
+    reader_t *reader = context;
+    reader->token = TOKEN_ARRAY;
+    reader->number = count;
+}
+
+static bool
+read_token(reader_t *reader, token_t expected)
+{
+    struct cbor_callbacks callbacks = cbor_empty_callbacks;
+    callbacks.uint8 = take_uint8;
+    callbacks.uint16 = take_uint16;
+    callbacks.uint32 = take_uint32;
+    callbacks.uint64 = take_uint64;
+    callbacks.string = take_data;
+    callbacks.byte_string = take_data;
+    callbacks.array_start = take_array;
+    reader->token = TOKEN_OTHER;
+    struct cbor_decoder_result result =
+        cbor_stream_decode(reader->bytes + reader->position,
+                           reader->len - reader->position, &callbacks, reader);
+    if (result.status != CBOR_DECODER_FINISHED || reader->token != expected) {
+        return false;
+    }
+    reader->position += result.read;
+    return true;
+}
+
+static bool
+read_uint(reader_t *reader, uint64_t *value)
+{
+    bool ok = read_token(reader, TOKEN_UINT);
+    *value = reader->number;
+    return ok;
+}
+
+static bool
+read_bool(reader_t *reader, bool *value)
+{
+    bool ok = read_token(reader, TOKEN_UINT) && reader->number <= 1;
+    *value = reader->number == 1;
+    return ok;
+}
+
+/// Reads the start of an array of @p per_entry items for each entry.
+static bool
+read_array(reader_t *reader, size_t per_entry, size_t max, size_t *entries)
+{
+    if (!read_token(reader, TOKEN_ARRAY) || reader->number % per_entry != 0) {
+        return false;
+    }
+    *entries = reader->number / per_entry;
+    return *entries <= max;
+}
+
+/// Reads a text of up to VM_NAME_MAX bytes; empty is allowed.
+static bool
+read_vm(reader_t *reader, char vm[VM_NAME_MAX + 1])
+{
+    if (!read_token(reader, TOKEN_BYTES) || reader->data.len > VM_NAME_MAX ||
+        memchr(reader->data.data, 0, reader->data.len) != NULL)
+    {
+        return false;
+    }
+    memcpy(vm, reader->data.data, reader->data.len);
+    vm[reader->data.len] = '\0';
+    return true;
+}
+
+/// Reads a text without zero bytes into the arena of the message.
+static bool
+read_text(reader_t *reader, control_message_t *message, size_t max_len,
+          const char **text)
+{
+    if (!read_token(reader, TOKEN_BYTES) || reader->data.len > max_len ||
+        memchr(reader->data.data, 0, reader->data.len) != NULL)
+    {
+        return false;
+    }
+    if (message->arena == NULL) {
+        message->arena = g_string_chunk_new(256);
+    }
+    *text = g_string_chunk_insert_len(message->arena, reader->data.data,
+                                      (gssize)reader->data.len);
+    return true;
+}
+
+static bool
+read_state(reader_t *reader, config_state_t *state)
+{
+    size_t entries = 0;
+    if (!read_array(reader, 2 + LIST_COUNT, 1, &entries) || entries != 1 ||
+        !read_uint(reader, &state->digest) ||
+        !read_bool(reader, &state->ready))
+    {
+        return false;
+    }
+    for (int i = 0; i < LIST_COUNT; i++) {
+        if (!read_uint(reader, &state->revisions[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_digests(reader_t *reader, control_message_t *message)
+{
+    size_t entries = 0;
+    if (!read_array(reader, 2, CONTROL_DIGESTS_MAX, &entries)) {
+        return false;
+    }
+    for (size_t i = 0; i < entries; i++) {
+        group_digest_t entry;
+        if (!read_uint(reader, &entry.group) ||
+            !read_uint(reader, &entry.digest)) {
+            return false;
+        }
+        g_array_append_val(message->digests, entry);
+    }
+    return true;
+}
+
+static bool
+read_buckets(reader_t *reader, control_message_t *message)
+{
+    size_t entries = 0;
+    if (!read_array(reader, 1, ITEM_BUCKETS, &entries) ||
+        entries != ITEM_BUCKETS) {
+        return false;
+    }
+    for (int i = 0; i < ITEM_BUCKETS; i++) {
+        if (!read_uint(reader, &message->buckets[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+read_versions(reader_t *reader, control_message_t *message)
+{
+    size_t entries = 0;
+    if (!read_array(reader, 2, CONTROL_VERSIONS_MAX, &entries)) {
+        return false;
+    }
+    for (size_t i = 0; i < entries; i++) {
+        item_version_t entry;
+        if (!read_text(reader, message, ITEM_NAME_MAX, &entry.name) ||
+            !read_uint(reader, &entry.version))
+        {
+            return false;
+        }
+        g_array_append_val(message->versions, entry);
+    }
+    return true;
+}
+
+/// The values of the items point into the encoded bytes.
+static bool
+read_items(reader_t *reader, control_message_t *message)
+{
+    size_t entries = 0;
+    if (!read_array(reader, 3, CONTROL_ITEMS_MAX, &entries)) {
+        return false;
+    }
+    for (size_t i = 0; i < entries; i++) {
+        config_item_t item;
+        if (!read_text(reader, message, ITEM_NAME_MAX, &item.name) ||
+            !read_uint(reader, &item.version) ||
+            !read_token(reader, TOKEN_BYTES))
+        {
+            return false;
+        }
+        item.value = reader->data;
+        g_array_append_val(message->items, item);
+    }
+    return true;
+}
+
+static bool
+read_fields(reader_t *reader, control_message_t *message, unsigned int fields)
+{
+    return (!(fields & FIELD_TEXT) ||
+            read_text(reader, message, reader->len, &message->text)) &&
+           (!(fields & FIELD_ROOT) || read_vm(reader, message->root)) &&
+           (!(fields & FIELD_STATE) || read_state(reader, &message->state)) &&
+           (!(fields & FIELD_MUTUAL) || read_bool(reader, &message->mutual)) &&
+           (!(fields & FIELD_GROUP) || read_uint(reader, &message->group)) &&
+           (!(fields & FIELD_DIGESTS) || read_digests(reader, message)) &&
+           (!(fields & FIELD_BUCKETS) || read_buckets(reader, message)) &&
+           (!(fields & FIELD_VERSIONS) || read_versions(reader, message)) &&
+           (!(fields & FIELD_ITEMS) || read_items(reader, message));
+}
+
+/// Decodes a message. Item values point into @p bytes, which must outlive
+/// @p message. Unless the result is DECODE_OK, the message needs no
+/// control_message_clear(). @p version gets the first field, 0 if unreadable.
+decode_t
+control_decode(control_message_t *message, slice_t bytes, uint64_t *version)
+{
+    reader_t reader = {.bytes = (const unsigned char *)bytes.data,
+                       .len = bytes.len};
+    *version = 0;
+    uint64_t type = 0;
+    char sender[VM_NAME_MAX + 1];
+    if (!read_token(&reader, TOKEN_ARRAY)) {
+        return DECODE_INVALID;
+    }
+    uint64_t field_count = reader.number;
+    if (!read_uint(&reader, version)) {
+        return DECODE_INVALID;
+    }
+    if (*version != CONTROL_VERSION) {
+        return DECODE_UNKNOWN_VERSION;
+    }
+    if (!read_uint(&reader, &type) || type >= CONTROL_TYPE_COUNT ||
+        !read_vm(&reader, sender))
+    {
+        return DECODE_INVALID;
+    }
+    unsigned int fields = type_infos[type].fields;
+    control_message_init(message, (control_type_t)type, sender);
+    if (field_count != 3 + (uint64_t)__builtin_popcount(fields) ||
+        !read_fields(&reader, message, fields) ||
+        reader.position != reader.len)
+    {
+        control_message_clear(message);
+        return DECODE_INVALID;
+    }
+    return DECODE_OK;
+}
--- /dev/null
+++ b/src/ibisfield/config/control_defs.h
@@ -0,0 +1,98 @@
+#ifndef IBISFIELD_CONFIG_CONTROL_DEFS_H
+#define IBISFIELD_CONFIG_CONTROL_DEFS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisfield/call/call_defs.h"
+#include "ibisfield/config/item_store.h"
+#include "ibisfield/contract/settings_defs.h"
+
+#define CONTROL_VERSION 1
+#define CONTROL_DIGESTS_MAX 1024
+#define CONTROL_VERSIONS_MAX 65536
+#define CONTROL_ITEMS_MAX 4096
+/// Bound of one message; a value may have ITEM_VALUE_MAX_BYTES.
+#define CONTROL_MESSAGE_MAX_BYTES (4 << 20)
+
+/// The two lists of the platform.
+typedef enum { LIST_CONTRACTS, LIST_VMS, LIST_COUNT } config_list_t;
+
+/// Message types: X(identifier, name in logs, metric group, fields).
+/// A request and its reply are counted in the same metric group.
+#define CONTROL_TYPE_LIST(X)                                                  \
+    X(ACK, "ack", OTHER, 0)                                                   \
+    X(REFUSED, "refused", OTHER, FIELD_TEXT)                                  \
+    X(HEARTBEAT, "heartbeat", HEARTBEAT, FIELD_ROOT | FIELD_STATE)            \
+    X(PUSH, "push", PUSH, FIELD_ITEMS)                                        \
+    X(COMPARE, "compare", COMPARE, FIELD_STATE | FIELD_MUTUAL)                \
+    X(DIGESTS, "digests", COMPARE, FIELD_STATE | FIELD_DIGESTS)               \
+    X(LIST, "list", LIST, FIELD_GROUP | FIELD_BUCKETS)                        \
+    X(VERSIONS, "versions", LIST, FIELD_GROUP | FIELD_VERSIONS)               \
+    X(FETCH, "fetch", FETCH, FIELD_VERSIONS)                                  \
+    X(ITEMS, "items", FETCH, FIELD_ITEMS)
+
+typedef enum {
+#define CONTROL_ENUM(id, name, group, fields) CONTROL_##id,
+    CONTROL_TYPE_LIST(CONTROL_ENUM)
+#undef CONTROL_ENUM
+        CONTROL_TYPE_COUNT
+} control_type_t;
+
+/// Fields that a message type carries, in the order of encoding.
+typedef enum {
+    FIELD_TEXT = 1 << 0,
+    FIELD_ROOT = 1 << 1,
+    FIELD_STATE = 1 << 2,
+    FIELD_MUTUAL = 1 << 3,
+    FIELD_GROUP = 1 << 4,
+    FIELD_DIGESTS = 1 << 5,
+    FIELD_BUCKETS = 1 << 6,
+    FIELD_VERSIONS = 1 << 7,
+    FIELD_ITEMS = 1 << 8,
+} control_field_t;
+
+typedef struct {
+    uint64_t group;
+    uint64_t digest;
+} group_digest_t;
+
+typedef struct {
+    const char *name;
+    uint64_t version;
+} item_version_t;
+
+/// What a node says of its contents.
+typedef struct {
+    uint64_t digest; ///< over all groups
+    bool ready;      ///< its start-up round is over
+    /// All items that the platform changed up to this revision are held; 0 if
+    /// that is not known.
+    uint64_t revisions[LIST_COUNT];
+} config_state_t;
+
+/// One control message. Which fields count depends on the type. Texts and
+/// arrays belong to the sender of the struct, or to @p arena when decoded.
+typedef struct {
+    control_type_t type;
+    char sender[VM_NAME_MAX + 1];
+    char root[VM_NAME_MAX + 1]; ///< reader at which a heartbeat started
+    config_state_t state;
+    bool mutual; ///< the receiver may compare back
+    uint64_t group;
+    uint64_t buckets[ITEM_BUCKETS];
+    const char *text; ///< why a message was refused
+    GArray *digests;  ///< group_digest_t
+    GArray *versions; ///< item_version_t
+    GArray *items;    ///< config_item_t
+    GStringChunk *arena;
+} control_message_t;
+
+/// Where a node takes control messages. vm is "" for a seed.
+typedef struct {
+    char vm[VM_NAME_MAX + 1];
+    endpoint_t endpoint;
+} config_peer_t;
+
+#endif
--- a/src/ibisfield/config/item_store.c
+++ b/src/ibisfield/config/item_store.c
@@ -47,6 +47,7 @@
 void
 item_store_finish(item_store_t *store)
 {
+    g_hash_table_destroy(store->refused);
     g_hash_table_destroy(store->groups);
     g_hash_table_destroy(store->items);
 }
@@ -115,15 +116,19 @@
 }
 
 static void
-clear_refusal(item_store_t *store, stored_item_t *stored)
-{
-    if (stored->refused_version != 0) {
-        store->refused_count--;
-        stored->refused_version = 0;
-        g_free(stored->refused_why);
-        stored->refused_why = NULL;
-        metric_set(METRIC_CONFIG_ITEMS_REFUSED, store->refused_count);
+set_refusal(item_store_t *store, stored_item_t *stored, uint64_t version,
+            char *why)
+{
+    g_free(stored->refused_why);
+    stored->refused_version = version;
+    stored->refused_why = why;
+    if (version == 0) {
+        g_hash_table_remove(store->refused, stored);
+    }
+    else {
+        g_hash_table_add(store->refused, stored);
     }
+    metric_set(METRIC_CONFIG_ITEMS_REFUSED, g_hash_table_size(store->refused));
 }
 
 static adopt_t
@@ -134,12 +139,9 @@
     if (stored->refused_version > item->version) {
         return ADOPT_REFUSED;
     }
-    clear_refusal(store, stored);
     g_ptr_array_add(problems, NULL);
-    stored->refused_version = item->version;
-    stored->refused_why = g_strjoinv("; ", (char **)problems->pdata);
-    store->refused_count++;
-    metric_set(METRIC_CONFIG_ITEMS_REFUSED, store->refused_count);
+    set_refusal(store, stored, item->version,
+                g_strjoinv("; ", (char **)problems->pdata));
     metric_increment(METRIC_CONFIG_REFUSALS_TOTAL);
     log_warning(
         "config_item_refused",
@@ -156,8 +158,9 @@
         unindex_item(store, stored);
         store->in_force_count -= stored->value_len != 0;
     }
-    if (stored->refused_version <= item->version) {
-        clear_refusal(store, stored);
+    if (stored->refused_version != 0 &&
+        stored->refused_version <= item->version) {
+        set_refusal(store, stored, 0, NULL);
     }
     g_free(stored->value);
     stored->value = item->value.len == 0
--- a/src/ibisfield/config/item_store.h
+++ b/src/ibisfield/config/item_store.h
@@ -61,10 +61,10 @@
 } item_digests_t;
 
 typedef struct {
-    GHashTable *items;  ///< name to stored_item_t
-    GHashTable *groups; ///< id to item_digests_t
-    uint64_t digest;    ///< over all groups
-    uint32_t refused_count;
+    GHashTable *items;       ///< name to stored_item_t
+    GHashTable *groups;      ///< id to item_digests_t
+    GHashTable *refused;     ///< stored_item_t with a refused version
+    uint64_t digest;         ///< over all groups
     uint32_t in_force_count; ///< without removed items
     item_hooks_t hooks;
     void *context;
--- /dev/null
+++ b/src/ibisfield/config/replicator.h
@@ -0,0 +1,164 @@
+#ifndef IBISFIELD_CONFIG_REPLICATOR_H
+#define IBISFIELD_CONFIG_REPLICATOR_H
+
+#include "ibisfield/base/clock.h"
+#include "ibisfield/config/control_defs.h"
+#include "ibisfield/config/relay_plan.h"
+
+/// How often replicator_tick() is to be called.
+#define REPLICATOR_TICK_US (100 * US_PER_MS)
+/// Length of a watch. A platform that went back in time or hangs is noticed
+/// after this time.
+#define WATCH_WAIT_MS 2000
+#define HEARTBEAT_INTERVAL_US US_PER_S
+/// A reader without a heartbeat for this time is taken for dead.
+#define HEARTBEAT_TIMEOUT_US (3 * US_PER_S)
+#define ANTI_ENTROPY_INTERVAL_US (5 * US_PER_S)
+#define PULLS_MAX 3
+#define FRUITLESS_MAX 16
+
+typedef struct replicator_io replicator_io_t;
+
+/// Calls from the replicator to its adapter. They must not call back into the
+/// replicator before they return, except for the check.
+typedef struct {
+    /// Sends a message to each peer. If @p exchange is not 0, there is one
+    /// peer, and replicator_reply() is to be called for it exactly once, with
+    /// NULL if no valid reply came in time.
+    void (*send)(replicator_io_t *io, const config_peer_t *peers,
+                 uint32_t count, const control_message_t *message,
+                 uint64_t exchange);
+    /// Reads a list of the platform; replicator_list_read() is to be called
+    /// once, unless the read is cancelled.
+    void (*read_list)(replicator_io_t *io, config_list_t list, uint64_t since,
+                      int64_t wait_ms);
+    void (*cancel_read)(replicator_io_t *io, config_list_t list);
+    /// Checks a contract; appends problems (char *).
+    bool (*check)(replicator_io_t *io, const config_item_t *item,
+                  GPtrArray *problems);
+    /// An item has come into force.
+    void (*changed)(replicator_io_t *io, const config_item_t *item);
+    /// The start-up round is over.
+    void (*ready)(replicator_io_t *io);
+} replicator_io_vtable_t;
+
+struct replicator_io {
+    const replicator_io_vtable_t *vtable;
+};
+
+typedef struct {
+    const char *vm;
+    const char *data_centre;
+    endpoint_t own; ///< own control address
+    const endpoint_t *seeds;
+    uint32_t seed_count;
+    uint32_t random_seed;
+} replicator_options_t;
+
+/// Answer of the platform to a read; ok is false if it failed.
+typedef struct {
+    bool ok;
+    uint64_t revision;
+    const config_item_t *items;
+    size_t item_count;
+} list_answer_t;
+
+typedef enum {
+    PHASE_WAITING,  ///< the last start-up round found no source
+    PHASE_PEERS,    ///< asks seeds and readers
+    PHASE_PLATFORM, ///< reads both lists
+    PHASE_RUNNING,
+} replicator_phase_t;
+
+/// State of one list of the platform.
+typedef struct {
+    uint64_t revision; ///< all changes up to it are held; 0: unknown
+    bool reading;
+    bool answered; ///< in this start-up round
+    bool failing;
+    int64_t started_us;
+    int64_t next_us; ///< earliest start of the next read
+    int64_t retry_delay_us;
+} replicator_list_t;
+
+/// A comparison with one peer and the items fetched from it.
+typedef struct {
+    bool active;
+    config_peer_t peer;
+    uint64_t exchange;
+    bool mutual;
+    config_state_t remote;
+    GArray *groups;    ///< uint64_t, groups still to list
+    GPtrArray *wanted; ///< wanted_item_t, items still to fetch
+    uint64_t own_digest;
+    uint32_t adopted;
+} pull_t;
+
+typedef struct {
+    config_peer_t peer;
+    int64_t heard_us;
+    int64_t forwarded_us;
+} rank_state_t;
+
+typedef struct {
+    uint64_t own;
+    uint64_t remote;
+} digest_pair_t;
+
+typedef struct {
+    const clock_source_t *clock;
+    replicator_io_t *io;
+    char vm[VM_NAME_MAX + 1];
+    char data_centre[VM_NAME_MAX + 1];
+    endpoint_t own;
+    endpoint_t seeds[SETTINGS_SEEDS_MAX];
+    uint32_t seed_count;
+    GRand *random;
+
+    item_store_t store;
+    vm_view_t view;
+    vm_info_t parsed; ///< value of the item that is being adopted
+    relay_plan_t plan;
+    bool plan_stale;
+    rank_state_t ranks[READER_RANKS];
+
+    replicator_phase_t phase;
+    int64_t round_at_us; ///< next start-up round while waiting
+    int64_t round_delay_us;
+    GHashTable *asked; ///< endpoints (char *) asked in this round
+    uint32_t probes;   ///< first comparisons without a reply yet
+    bool found_ready_peer;
+    bool platform_asked;
+
+    replicator_list_t lists[LIST_COUNT];
+    pull_t pulls[PULLS_MAX];
+    GQueue pull_queue;     ///< pull_t, not yet active
+    GHashTable *exchanges; ///< id to exchange_t
+    uint64_t last_exchange;
+    digest_pair_t fruitless[FRUITLESS_MAX];
+    uint32_t fruitless_next;
+
+    GPtrArray *outbox;            ///< names (char *) of items to push
+    char source[VM_NAME_MAX + 1]; ///< who sent what is being handled
+    control_message_t reply;      ///< of the last request
+    int64_t heartbeat_at_us;
+    int64_t anti_entropy_at_us;
+    int64_t silent_compare_at_us;
+} replicator_t;
+
+void replicator_init(replicator_t *replicator, const clock_source_t *clock,
+                     replicator_io_t *io, const replicator_options_t *options);
+void replicator_finish(replicator_t *replicator);
+void replicator_start(replicator_t *replicator);
+void replicator_tick(replicator_t *replicator);
+const control_message_t *replicator_request(replicator_t *replicator,
+                                            const control_message_t *request);
+void replicator_reply(replicator_t *replicator, uint64_t exchange,
+                      const control_message_t *reply);
+void replicator_list_read(replicator_t *replicator, config_list_t list,
+                          const list_answer_t *answer);
+bool replicator_is_ready(const replicator_t *replicator);
+bool replicator_is_reader(replicator_t *replicator);
+config_state_t replicator_state(const replicator_t *replicator);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/config/replicator_parts.h
@@ -0,0 +1,46 @@
+#ifndef IBISFIELD_CONFIG_REPLICATOR_PARTS_H
+#define IBISFIELD_CONFIG_REPLICATOR_PARTS_H
+
+#include "ibisfield/config/replicator.h"
+
+/* Functions that the files of the replicator share. */
+
+void replicator_take(replicator_t *replicator, const config_item_t *item);
+const relay_plan_t *replicator_plan(replicator_t *replicator);
+int64_t replicator_jitter(replicator_t *replicator, int64_t delay_us);
+bool replicator_find_peer(const replicator_t *replicator, const char *vm,
+                          config_peer_t *peer);
+
+/* replicator_pull.c */
+void replicator_pulls_init(replicator_t *replicator);
+void replicator_pulls_finish(replicator_t *replicator);
+void replicator_compare(replicator_t *replicator, const config_peer_t *peer,
+                        bool mutual);
+void replicator_pull_if_differs(replicator_t *replicator,
+                                const config_peer_t *peer,
+                                const config_state_t *remote);
+bool replicator_pulls_idle(const replicator_t *replicator);
+void replicator_probe(replicator_t *replicator, const config_peer_t *peer);
+void replicator_serve_compare(replicator_t *replicator,
+                              const control_message_t *request);
+void replicator_serve_list(replicator_t *replicator,
+                           const control_message_t *request);
+void replicator_serve_fetch(replicator_t *replicator,
+                            const control_message_t *request);
+
+/* replicator_start.c */
+void replicator_start_advance(replicator_t *replicator);
+void replicator_start_tick(replicator_t *replicator);
+void replicator_start_synced(replicator_t *replicator,
+                             const config_state_t *remote);
+
+/* replicator_relay.c */
+void replicator_relay_running(replicator_t *replicator);
+bool replicator_random_remote(replicator_t *replicator, config_peer_t *peer);
+void replicator_relay_tick(replicator_t *replicator);
+void replicator_relay_heartbeat(replicator_t *replicator,
+                                const control_message_t *heartbeat);
+void replicator_relay_flush(replicator_t *replicator);
+void replicator_relay_ranks_changed(replicator_t *replicator);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/config/replicator_pull.c
@@ -0,0 +1,478 @@
+/// @file
+/// Comparison with a peer, and the fetch of what it holds in higher versions:
+/// digests of the groups, then names and versions in the buckets that differ,
+/// then items. Only differences move.
+
+#include <inttypes.h>
+
+#include "ibisfield/base/log.h"
+#include "ibisfield/base/metrics.h"
+#include "ibisfield/config/control_codec.h"
+#include "ibisfield/config/replicator_parts.h"
+
+#define FETCH_NAMES_MAX 512
+/// Bound of the items in one reply; the first item may be larger.
+#define FETCH_REPLY_MAX_BYTES (256 << 10)
+#define PULL_QUEUE_MAX 32
+
+typedef struct {
+    char *name;
+    uint64_t version;
+} wanted_item_t;
+
+/// What an exchange belongs to.
+typedef struct {
+    config_peer_t peer;
+    pull_t *pull; ///< NULL for the first comparison of a start-up round
+} exchange_t;
+
+static void
+free_wanted(void *pointer)
+{
+    wanted_item_t *wanted = pointer;
+    g_free(wanted->name);
+    g_free(wanted);
+}
+
+void
+replicator_pulls_init(replicator_t *replicator)
+{
+    g_queue_init(&replicator->pull_queue);
+    replicator->exchanges =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    for (int i = 0; i < PULLS_MAX; i++) {
+        pull_t *pull = &replicator->pulls[i];
+        pull->groups = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+        pull->wanted = g_ptr_array_new_with_free_func(free_wanted);
+    }
+}
+
+void
+replicator_pulls_finish(replicator_t *replicator)
+{
+    for (int i = 0; i < PULLS_MAX; i++) {
+        g_array_free(replicator->pulls[i].groups, TRUE);
+        g_ptr_array_unref(replicator->pulls[i].wanted);
+    }
+    g_hash_table_destroy(replicator->exchanges);
+    g_queue_clear_full(&replicator->pull_queue, g_free);
+}
+
+static void
+send_request(replicator_t *replicator, const config_peer_t *peer, pull_t *pull,
+             const control_message_t *message)
+{
+    uint64_t id = ++replicator->last_exchange;
+    exchange_t *exchange = g_new(exchange_t, 1);
+    *exchange = (exchange_t){*peer, pull};
+    g_hash_table_insert(replicator->exchanges, g_memdup2(&id, sizeof(id)),
+                        exchange);
+    if (pull != NULL) {
+        pull->exchange = id;
+    }
+    replicator->io->vtable->send(replicator->io, peer, 1, message, id);
+}
+
+static void
+send_compare(replicator_t *replicator, const config_peer_t *peer, pull_t *pull,
+             bool mutual)
+{
+    control_message_t message;
+    control_message_init(&message, CONTROL_COMPARE, replicator->vm);
+    message.state = replicator_state(replicator);
+    message.mutual = mutual;
+    send_request(replicator, peer, pull, &message);
+    control_message_clear(&message);
+}
+
+/// Asks a peer for its state in a start-up round.
+void
+replicator_probe(replicator_t *replicator, const config_peer_t *peer)
+{
+    replicator->probes++;
+    send_compare(replicator, peer, NULL, false);
+}
+
+static bool
+same_endpoint(const config_peer_t *a, const config_peer_t *b)
+{
+    return a->endpoint.port == b->endpoint.port &&
+           strcmp(a->endpoint.address, b->endpoint.address) == 0;
+}
+
+static bool
+is_pulling_from(const replicator_t *replicator, const config_peer_t *peer)
+{
+    for (int i = 0; i < PULLS_MAX; i++) {
+        const pull_t *pull = &replicator->pulls[i];
+        if (pull->active && same_endpoint(&pull->peer, peer)) {
+            return true;
+        }
+    }
+    for (const GList *node = replicator->pull_queue.head; node != NULL;
+         node = node->next)
+    {
+        if (same_endpoint(&((const pull_t *)node->data)->peer, peer)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// One pull at a time during the start, so that each item is fetched once.
+static void
+start_pulls(replicator_t *replicator)
+{
+    int limit = replicator->phase == PHASE_RUNNING ? PULLS_MAX : 1;
+    for (int i = 0; i < limit; i++) {
+        pull_t *pull = &replicator->pulls[i];
+        pull_t *queued = NULL;
+        if (!pull->active) {
+            queued = g_queue_pop_head(&replicator->pull_queue);
+        }
+        if (queued == NULL) {
+            continue;
+        }
+        pull->active = true;
+        pull->peer = queued->peer;
+        pull->mutual = queued->mutual;
+        pull->adopted = 0;
+        g_free(queued);
+        send_compare(replicator, &pull->peer, pull, pull->mutual);
+    }
+}
+
+/// Compares with a peer and fetches what it holds in higher versions.
+void
+replicator_compare(replicator_t *replicator, const config_peer_t *peer,
+                   bool mutual)
+{
+    if (is_pulling_from(replicator, peer) ||
+        g_queue_get_length(&replicator->pull_queue) >= PULL_QUEUE_MAX)
+    {
+        return;
+    }
+    pull_t *pull = g_new0(pull_t, 1);
+    pull->peer = *peer;
+    pull->mutual = mutual;
+    g_queue_push_tail(&replicator->pull_queue, pull);
+    start_pulls(replicator);
+}
+
+/// A node whose release accepts a version that this one refuses has another
+/// digest for as long as that version is the newest. It isn't asked again
+/// while neither digest changes.
+static bool
+was_fruitless(const replicator_t *replicator, uint64_t remote)
+{
+    for (int i = 0; i < FRUITLESS_MAX; i++) {
+        if (replicator->fruitless[i].own == replicator->store.digest &&
+            replicator->fruitless[i].remote == remote)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Fetches from a peer that reported @p remote, unless it is known to hold
+/// nothing new.
+void
+replicator_pull_if_differs(replicator_t *replicator, const config_peer_t *peer,
+                           const config_state_t *remote)
+{
+    if (remote->digest != replicator->store.digest &&
+        !was_fruitless(replicator, remote->digest))
+    {
+        replicator_compare(replicator, peer, false);
+    }
+}
+
+/// Returns whether no pull is active or queued.
+bool
+replicator_pulls_idle(const replicator_t *replicator)
+{
+    bool idle = g_queue_is_empty((GQueue *)&replicator->pull_queue);
+    for (int i = 0; i < PULLS_MAX; i++) {
+        idle &= !replicator->pulls[i].active;
+    }
+    return idle;
+}
+
+static void
+end_pull(replicator_t *replicator, pull_t *pull, bool complete)
+{
+    pull->active = false;
+    g_array_set_size(pull->groups, 0);
+    g_ptr_array_set_size(pull->wanted, 0);
+    if (complete && pull->adopted == 0 &&
+        pull->remote.digest != replicator->store.digest)
+    {
+        uint32_t slot = replicator->fruitless_next++ % FRUITLESS_MAX;
+        replicator->fruitless[slot] =
+            (digest_pair_t){replicator->store.digest, pull->remote.digest};
+    }
+    if (complete) {
+        replicator_start_synced(replicator, &pull->remote);
+    }
+    start_pulls(replicator);
+}
+
+static void
+send_fetch(replicator_t *replicator, pull_t *pull)
+{
+    control_message_t message;
+    control_message_init(&message, CONTROL_FETCH, replicator->vm);
+    guint count = MIN(pull->wanted->len, FETCH_NAMES_MAX);
+    for (guint i = 0; i < count; i++) {
+        const wanted_item_t *wanted = g_ptr_array_index(pull->wanted, i);
+        item_version_t entry = {wanted->name, wanted->version};
+        g_array_append_val(message.versions, entry);
+    }
+    send_request(replicator, &pull->peer, pull, &message);
+    control_message_clear(&message);
+}
+
+static void
+send_list(replicator_t *replicator, pull_t *pull)
+{
+    control_message_t message;
+    control_message_init(&message, CONTROL_LIST, replicator->vm);
+    guint last = pull->groups->len - 1;
+    message.group = g_array_index(pull->groups, uint64_t, last);
+    g_array_set_size(pull->groups, last);
+    const item_digests_t *own =
+        item_store_group(&replicator->store, message.group);
+    if (own != NULL) {
+        memcpy(message.buckets, own->bucket_digests, sizeof(message.buckets));
+    }
+    send_request(replicator, &pull->peer, pull, &message);
+    control_message_clear(&message);
+}
+
+static void
+continue_pull(replicator_t *replicator, pull_t *pull)
+{
+    if (pull->wanted->len > 0) {
+        send_fetch(replicator, pull);
+    }
+    else if (pull->groups->len > 0) {
+        send_list(replicator, pull);
+    }
+    else {
+        end_pull(replicator, pull, true);
+    }
+}
+
+static void
+take_digests(replicator_t *replicator, pull_t *pull,
+             const control_message_t *reply)
+{
+    pull->remote = reply->state;
+    for (guint i = 0; i < reply->digests->len; i++) {
+        const group_digest_t *entry =
+            &g_array_index(reply->digests, group_digest_t, i);
+        const item_digests_t *own =
+            item_store_group(&replicator->store, entry->group);
+        if (own == NULL || own->digest != entry->digest) {
+            g_array_append_val(pull->groups, entry->group);
+        }
+    }
+}
+
+static void
+take_versions(replicator_t *replicator, pull_t *pull,
+              const control_message_t *reply)
+{
+    for (guint i = 0; i < reply->versions->len; i++) {
+        const item_version_t *entry =
+            &g_array_index(reply->versions, item_version_t, i);
+        if (item_store_wants(&replicator->store, entry->name, entry->version))
+        {
+            wanted_item_t *wanted = g_new(wanted_item_t, 1);
+            *wanted = (wanted_item_t){g_strdup(entry->name), entry->version};
+            g_ptr_array_add(pull->wanted, wanted);
+        }
+    }
+}
+
+/// Drops wanted items that are settled now. If the reply settled none, the
+/// whole request is given up, so that a pull always ends.
+static void
+drop_settled(replicator_t *replicator, pull_t *pull)
+{
+    guint asked = MIN(pull->wanted->len, FETCH_NAMES_MAX);
+    guint kept = 0;
+    for (guint i = 0; i < asked; i++) {
+        wanted_item_t *wanted = g_ptr_array_index(pull->wanted, i);
+        if (item_store_wants(&replicator->store, wanted->name,
+                             wanted->version)) {
+            pull->wanted->pdata[i] = pull->wanted->pdata[kept];
+            pull->wanted->pdata[kept++] = wanted;
+        }
+    }
+    guint first = kept == asked ? 0 : kept;
+    if (asked > first) {
+        g_ptr_array_remove_range(pull->wanted, first, asked - first);
+    }
+}
+
+static void
+take_fetched(replicator_t *replicator, pull_t *pull,
+             const control_message_t *reply)
+{
+    for (guint i = 0; i < reply->items->len; i++) {
+        const config_item_t *item =
+            &g_array_index(reply->items, config_item_t, i);
+        pull->adopted +=
+            item_store_adopt(&replicator->store, item) == ADOPT_NEW;
+    }
+    drop_settled(replicator, pull);
+}
+
+static void
+handle_probe_reply(replicator_t *replicator, const config_peer_t *peer,
+                   const control_message_t *reply)
+{
+    replicator->probes--;
+    if (reply != NULL && reply->type == CONTROL_DIGESTS) {
+        if (reply->state.digest == replicator->store.digest) {
+            replicator_start_synced(replicator, &reply->state);
+        }
+        else {
+            replicator_compare(replicator, peer, false);
+        }
+    }
+}
+
+static void
+handle_pull_reply(replicator_t *replicator, pull_t *pull,
+                  const control_message_t *reply)
+{
+    if (reply != NULL && reply->type == CONTROL_DIGESTS) {
+        take_digests(replicator, pull, reply);
+    }
+    else if (reply != NULL && reply->type == CONTROL_VERSIONS) {
+        take_versions(replicator, pull, reply);
+    }
+    else if (reply != NULL && reply->type == CONTROL_ITEMS) {
+        take_fetched(replicator, pull, reply);
+    }
+    else {
+        end_pull(replicator, pull, false);
+        return;
+    }
+    continue_pull(replicator, pull);
+}
+
+/// Takes the reply to a request that the vtable sent with @p exchange, NULL if
+/// none came in time.
+void
+replicator_reply(replicator_t *replicator, uint64_t exchange,
+                 const control_message_t *reply)
+{
+    const exchange_t *found =
+        g_hash_table_lookup(replicator->exchanges, &exchange);
+    if (found == NULL) {
+        return;
+    }
+    exchange_t entry = *found;
+    g_hash_table_remove(replicator->exchanges, &exchange);
+    g_strlcpy(replicator->source, reply == NULL ? "" : reply->sender,
+              sizeof(replicator->source));
+    if (entry.pull == NULL) {
+        handle_probe_reply(replicator, &entry.peer, reply);
+    }
+    else {
+        handle_pull_reply(replicator, entry.pull, reply);
+    }
+    replicator_start_advance(replicator);
+    replicator_relay_flush(replicator);
+}
+
+/* Requests of other nodes. */
+
+/// Replies with the own state, and with the digest of each group if the
+/// contents differ.
+void
+replicator_serve_compare(replicator_t *replicator,
+                         const control_message_t *request)
+{
+    control_message_t *reply = &replicator->reply;
+    control_message_init(reply, CONTROL_DIGESTS, replicator->vm);
+    reply->state = replicator_state(replicator);
+    config_peer_t peer;
+    if (request->state.digest == reply->state.digest) {
+        return;
+    }
+    GHashTableIter iter;
+    void *value = NULL;
+    g_hash_table_iter_init(&iter, replicator->store.groups);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const item_digests_t *group = value;
+        group_digest_t entry = {group->id, group->digest};
+        if (reply->digests->len < CONTROL_DIGESTS_MAX) {
+            g_array_append_val(reply->digests, entry);
+        }
+    }
+    if (request->mutual && replicator->phase == PHASE_RUNNING &&
+        replicator_find_peer(replicator, request->sender, &peer))
+    {
+        replicator_pull_if_differs(replicator, &peer, &request->state);
+    }
+}
+
+/// Replies with names and versions in the buckets whose digests differ.
+void
+replicator_serve_list(replicator_t *replicator,
+                      const control_message_t *request)
+{
+    control_message_t *reply = &replicator->reply;
+    control_message_init(reply, CONTROL_VERSIONS, replicator->vm);
+    reply->group = request->group;
+    const item_digests_t *group =
+        item_store_group(&replicator->store, request->group);
+    for (int i = 0; group != NULL && i < ITEM_BUCKETS; i++) {
+        const GPtrArray *bucket = group->buckets[i];
+        if (bucket == NULL || group->bucket_digests[i] == request->buckets[i])
+        {
+            continue;
+        }
+        for (guint j = 0;
+             j < bucket->len && reply->versions->len < CONTROL_VERSIONS_MAX;
+             j++)
+        {
+            const stored_item_t *item = g_ptr_array_index(bucket, j);
+            item_version_t entry = {item->name, item->version};
+            g_array_append_val(reply->versions, entry);
+        }
+    }
+}
+
+/// Replies with the items asked for that are at least as new, as many as fit.
+void
+replicator_serve_fetch(replicator_t *replicator,
+                       const control_message_t *request)
+{
+    control_message_t *reply = &replicator->reply;
+    control_message_init(reply, CONTROL_ITEMS, replicator->vm);
+    size_t bytes = 0;
+    for (guint i = 0; i < request->versions->len; i++) {
+        const item_version_t *wanted =
+            &g_array_index(request->versions, item_version_t, i);
+        const stored_item_t *stored =
+            item_store_find(&replicator->store, wanted->name);
+        if (stored == NULL || stored->version < wanted->version) {
+            continue;
+        }
+        bytes += stored->value_len;
+        if (reply->items->len > 0 && (bytes > FETCH_REPLY_MAX_BYTES ||
+                                      reply->items->len >= CONTROL_ITEMS_MAX))
+        {
+            return;
+        }
+        config_item_t item = {
+            stored->name, stored->version, {stored->value, stored->value_len}};
+        g_array_append_val(reply->items, item);
+    }
+}
--- /dev/null
+++ b/src/ibisfield/config/replicator_relay.c
@@ -0,0 +1,293 @@
+/// @file
+/// Relay of new items and heartbeats over the trees of the own data centre,
+/// take-over of silent readers and anti-entropy.
+
+#include "ibisfield/config/control_codec.h"
+#include "ibisfield/config/replicator_parts.h"
+
+/// Bound of the item values in one push; the first item may be larger.
+#define PUSH_MAX_BYTES (256 << 10)
+/// A heartbeat of one root is forwarded at most once in this time, so that
+/// nodes with different lists can't pass it around in a circle.
+#define FORWARD_SPACING_US (HEARTBEAT_INTERVAL_US / 2)
+#define PUSH_PEERS_MAX (READER_RANKS * RELAY_FAN_OUT)
+
+typedef struct {
+    config_peer_t peers[PUSH_PEERS_MAX];
+    uint32_t count;
+} peer_set_t;
+
+/// Carries what was heard of each rank over to a new plan. A reader that was
+/// not ranked before counts as heard now.
+void
+replicator_relay_ranks_changed(replicator_t *replicator)
+{
+    rank_state_t before[READER_RANKS];
+    memcpy(before, replicator->ranks, sizeof(before));
+    int64_t now_us = clock_now_us(replicator->clock);
+    for (uint32_t rank = 0; rank < READER_RANKS; rank++) {
+        rank_state_t *state = &replicator->ranks[rank];
+        *state = (rank_state_t){.heard_us = now_us};
+        if (rank >= replicator->plan.rank_count) {
+            continue;
+        }
+        state->peer = replicator->plan.ranks[rank];
+        for (int i = 0; i < READER_RANKS; i++) {
+            if (strcmp(before[i].peer.vm, state->peer.vm) == 0) {
+                state->heard_us = before[i].heard_us;
+                state->forwarded_us = before[i].forwarded_us;
+            }
+        }
+    }
+}
+
+/// Called when the node begins to serve.
+void
+replicator_relay_running(replicator_t *replicator)
+{
+    int64_t now_us = clock_now_us(replicator->clock);
+    replicator_plan(replicator);
+    for (int rank = 0; rank < READER_RANKS; rank++) {
+        replicator->ranks[rank].heard_us = now_us;
+    }
+    replicator->heartbeat_at_us = now_us;
+    replicator->anti_entropy_at_us =
+        now_us + g_rand_int_range(replicator->random, 0,
+                                  (gint32)ANTI_ENTROPY_INTERVAL_US);
+    replicator->silent_compare_at_us = now_us + HEARTBEAT_TIMEOUT_US;
+}
+
+static bool
+is_silent(const replicator_t *replicator, uint32_t rank)
+{
+    return clock_now_us(replicator->clock) - replicator->ranks[rank].heard_us >
+           HEARTBEAT_TIMEOUT_US;
+}
+
+/// Returns whether the node is to read the platform: it is in one of the first
+/// ranks, takes over for one that is silent, or knows no reader at all.
+bool
+replicator_is_reader(replicator_t *replicator)
+{
+    const relay_plan_t *plan = replicator_plan(replicator);
+    if (replicator->phase != PHASE_RUNNING) {
+        return false;
+    }
+    if (plan->rank_count == 0 || plan->own_rank < READERS) {
+        return true;
+    }
+    uint32_t silent = 0;
+    for (uint32_t rank = 0; rank < READERS && rank < plan->rank_count; rank++)
+    {
+        silent += is_silent(replicator, rank);
+    }
+    return plan->own_rank != RANK_NONE && plan->own_rank < READERS + silent;
+}
+
+static void
+add_peers(peer_set_t *set, const config_peer_t *peers, uint32_t count,
+          const char *without)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        bool known = strcmp(peers[i].vm, without) == 0;
+        for (uint32_t j = 0; j < set->count && !known; j++) {
+            known = strcmp(set->peers[j].vm, peers[i].vm) == 0;
+        }
+        if (!known) {
+            set->peers[set->count++] = peers[i];
+        }
+    }
+}
+
+/// Collects the own children in the trees of all current readers. An item that
+/// is new here goes to all of them, whichever way it came, so a node misses it
+/// only if its parents in all trees do.
+static void
+collect_children(replicator_t *replicator, peer_set_t *set)
+{
+    const relay_plan_t *plan = replicator_plan(replicator);
+    set->count = 0;
+    for (uint32_t rank = 0; rank < plan->rank_count; rank++) {
+        if (rank < READERS || rank == plan->own_rank ||
+            !is_silent(replicator, rank)) {
+            add_peers(set, plan->children[rank], plan->child_count[rank],
+                      replicator->source);
+        }
+    }
+}
+
+static void
+push_items(replicator_t *replicator, const peer_set_t *set, guint *next)
+{
+    control_message_t message;
+    control_message_init(&message, CONTROL_PUSH, replicator->vm);
+    size_t bytes = 0;
+    for (; *next < replicator->outbox->len; (*next)++) {
+        const stored_item_t *stored = item_store_find(
+            &replicator->store, g_ptr_array_index(replicator->outbox, *next));
+        bytes += stored->value_len;
+        if (message.items->len > 0 &&
+            (bytes > PUSH_MAX_BYTES ||
+             message.items->len >= CONTROL_ITEMS_MAX))
+        {
+            break;
+        }
+        config_item_t item = {
+            stored->name, stored->version, {stored->value, stored->value_len}};
+        g_array_append_val(message.items, item);
+    }
+    replicator->io->vtable->send(replicator->io, set->peers, set->count,
+                                 &message, 0);
+    control_message_clear(&message);
+}
+
+/// Pushes what has come into force since the last call.
+void
+replicator_relay_flush(replicator_t *replicator)
+{
+    if (replicator->outbox->len == 0) {
+        return;
+    }
+    peer_set_t set;
+    collect_children(replicator, &set);
+    guint next = 0;
+    while (set.count > 0 && next < replicator->outbox->len) {
+        push_items(replicator, &set, &next);
+    }
+    g_ptr_array_set_size(replicator->outbox, 0);
+}
+
+static void
+send_heartbeat(replicator_t *replicator, uint32_t rank)
+{
+    const relay_plan_t *plan = replicator_plan(replicator);
+    if (plan->child_count[rank] == 0) {
+        return;
+    }
+    control_message_t message;
+    control_message_init(&message, CONTROL_HEARTBEAT, replicator->vm);
+    g_strlcpy(message.root, plan->ranks[rank].vm, sizeof(message.root));
+    message.state = replicator_state(replicator);
+    replicator->io->vtable->send(replicator->io, plan->children[rank],
+                                 plan->child_count[rank], &message, 0);
+    control_message_clear(&message);
+}
+
+static void
+forward_heartbeat(replicator_t *replicator, const char *root)
+{
+    const relay_plan_t *plan = replicator_plan(replicator);
+    uint32_t rank = relay_plan_rank(plan, root);
+    int64_t now_us = clock_now_us(replicator->clock);
+    if (rank == RANK_NONE) {
+        return;
+    }
+    rank_state_t *state = &replicator->ranks[rank];
+    state->heard_us = now_us;
+    if (now_us - state->forwarded_us >= FORWARD_SPACING_US &&
+        rank != plan->own_rank && replicator->phase == PHASE_RUNNING)
+    {
+        state->forwarded_us = now_us;
+        send_heartbeat(replicator, rank);
+    }
+}
+
+/// Takes a heartbeat: notes that its root lives, fetches what the sender has
+/// and this node lacks, and passes it on with the own state.
+void
+replicator_relay_heartbeat(replicator_t *replicator,
+                           const control_message_t *heartbeat)
+{
+    config_peer_t peer;
+    forward_heartbeat(replicator, heartbeat->root);
+    if (replicator->phase != PHASE_RUNNING) {
+        return;
+    }
+    if (heartbeat->state.digest == replicator->store.digest) {
+        replicator_start_synced(replicator, &heartbeat->state);
+    }
+    else if (replicator_find_peer(replicator, heartbeat->sender, &peer)) {
+        replicator_pull_if_differs(replicator, &peer, &heartbeat->state);
+    }
+}
+
+/// Chooses a random VM of another data centre.
+bool
+replicator_random_remote(replicator_t *replicator, config_peer_t *peer)
+{
+    GHashTableIter iter;
+    void *value = NULL;
+    gint32 seen = 0;
+    g_hash_table_iter_init(&iter, replicator->view.vms);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const vm_info_t *info = value;
+        if (strcmp(info->data_centre, replicator->data_centre) == 0) {
+            continue;
+        }
+        seen++;
+        if (g_rand_int_range(replicator->random, 0, seen) == 0) {
+            *peer = vm_info_peer(info);
+        }
+    }
+    return seen > 0;
+}
+
+static void
+run_anti_entropy(replicator_t *replicator)
+{
+    const GArray *members = replicator_plan(replicator)->members;
+    config_peer_t peer;
+    if (members->len > 0) {
+        gint32 index =
+            g_rand_int_range(replicator->random, 0, (gint32)members->len);
+        replicator_compare(
+            replicator, &g_array_index(members, config_peer_t, index), true);
+    }
+    if (replicator_is_reader(replicator) &&
+        replicator_random_remote(replicator, &peer))
+    {
+        replicator_compare(replicator, &peer, true);
+    }
+}
+
+/// A node that hears no reader at all, because it isn't listed yet or its
+/// parents are gone, compares with one of the readers instead.
+static void
+compare_when_silent(replicator_t *replicator)
+{
+    const relay_plan_t *plan = replicator_plan(replicator);
+    uint32_t count = MIN(plan->rank_count, READERS);
+    for (uint32_t rank = 0; rank < count; rank++) {
+        if (rank == plan->own_rank || !is_silent(replicator, rank)) {
+            return;
+        }
+    }
+    if (count > 0) {
+        gint32 rank = g_rand_int_range(replicator->random, 0, (gint32)count);
+        replicator_compare(replicator, &plan->ranks[rank], true);
+    }
+}
+
+/// Sends heartbeats if the node is a reader, and compares with peers.
+void
+replicator_relay_tick(replicator_t *replicator)
+{
+    int64_t now_us = clock_now_us(replicator->clock);
+    uint32_t own_rank = replicator_plan(replicator)->own_rank;
+    if (now_us >= replicator->heartbeat_at_us) {
+        replicator->heartbeat_at_us = now_us + HEARTBEAT_INTERVAL_US;
+        if (own_rank != RANK_NONE && replicator_is_reader(replicator)) {
+            send_heartbeat(replicator, own_rank);
+        }
+    }
+    if (now_us >= replicator->anti_entropy_at_us) {
+        replicator->anti_entropy_at_us =
+            now_us + replicator_jitter(replicator, ANTI_ENTROPY_INTERVAL_US);
+        run_anti_entropy(replicator);
+    }
+    if (now_us >= replicator->silent_compare_at_us) {
+        replicator->silent_compare_at_us =
+            now_us + replicator_jitter(replicator, US_PER_S);
+        compare_when_silent(replicator);
+    }
+}
--- /dev/null
+++ b/src/ibisfield/config/replicator_start.c
@@ -0,0 +1,165 @@
+/// @file
+/// The start-up round: before a node serves, it asks its seeds, every reader
+/// of its data centre that it can find, and the platform, and holds the
+/// highest version of each item. A former incarnation got its items through a
+/// reader, so the node does not start below what it held.
+
+#include "ibisfield/base/log.h"
+#include "ibisfield/config/replicator_parts.h"
+
+/// Delay after a round that found no source. Twice the delay after each
+/// further one, so that the whole fleet does not overload a platform that has
+/// come back.
+#define ROUND_DELAY_MIN_US US_PER_S
+#define ROUND_DELAY_MAX_US (16 * US_PER_S)
+/// VMs of other data centres to ask when the own one has no ready reader.
+#define REMOTE_CANDIDATES 3
+
+static bool
+ask_peer(replicator_t *replicator, const config_peer_t *peer)
+{
+    const endpoint_t *own = &replicator->own;
+    if (strcmp(peer->vm, replicator->vm) == 0 ||
+        (peer->endpoint.port == own->port &&
+         strcmp(peer->endpoint.address, own->address) == 0))
+    {
+        return false;
+    }
+    char *key =
+        g_strdup_printf("%s:%u", peer->endpoint.address, peer->endpoint.port);
+    if (!g_hash_table_add(replicator->asked, key)) {
+        return false;
+    }
+    replicator_probe(replicator, peer);
+    return true;
+}
+
+static bool
+ask_remote_vms(replicator_t *replicator)
+{
+    bool asked = false;
+    config_peer_t peer;
+    for (int i = 0; i < REMOTE_CANDIDATES; i++) {
+        if (replicator_random_remote(replicator, &peer)) {
+            asked |= ask_peer(replicator, &peer);
+        }
+    }
+    return asked;
+}
+
+/// Asks every seed and reader known that was not asked in this round.
+static bool
+ask_candidates(replicator_t *replicator)
+{
+    bool asked = false;
+    for (uint32_t i = 0; i < replicator->seed_count; i++) {
+        config_peer_t peer = {.endpoint = replicator->seeds[i]};
+        asked |= ask_peer(replicator, &peer);
+    }
+    const relay_plan_t *plan = replicator_plan(replicator);
+    for (uint32_t rank = 0; rank < plan->rank_count; rank++) {
+        asked |= ask_peer(replicator, &plan->ranks[rank]);
+    }
+    return asked;
+}
+
+static void
+start_round(replicator_t *replicator)
+{
+    g_hash_table_remove_all(replicator->asked);
+    replicator->found_ready_peer = false;
+    replicator->platform_asked = false;
+    replicator->phase = PHASE_PEERS;
+    ask_candidates(replicator);
+    replicator_start_advance(replicator);
+}
+
+static void
+ask_platform(replicator_t *replicator)
+{
+    replicator->phase = PHASE_PLATFORM;
+    replicator->platform_asked = true;
+    for (int i = 0; i < LIST_COUNT; i++) {
+        replicator_list_t *list = &replicator->lists[i];
+        list->answered = false;
+        list->reading = true;
+        list->started_us = clock_now_us(replicator->clock);
+        replicator->io->vtable->read_list(replicator->io, (config_list_t)i,
+                                          list->revision, 0);
+    }
+}
+
+static void
+finish_round(replicator_t *replicator)
+{
+    int64_t now_us = clock_now_us(replicator->clock);
+    bool platform = replicator->lists[LIST_CONTRACTS].answered &&
+                    replicator->lists[LIST_VMS].answered;
+    if (platform || replicator->found_ready_peer) {
+        replicator->phase = PHASE_RUNNING;
+        replicator_relay_running(replicator);
+        log_info("configuration_ready", "platform=%d peers=%d items=%u",
+                 platform, replicator->found_ready_peer,
+                 replicator->store.in_force_count);
+        replicator->io->vtable->ready(replicator->io);
+        return;
+    }
+    replicator->phase = PHASE_WAITING;
+    replicator->round_delay_us = CLAMP(replicator->round_delay_us * 2,
+                                       ROUND_DELAY_MIN_US, ROUND_DELAY_MAX_US);
+    replicator->round_at_us =
+        now_us + replicator_jitter(replicator, replicator->round_delay_us);
+    log_warning("configuration_without_source", "retry_ms=%d",
+                (int)((replicator->round_at_us - now_us) / US_PER_MS));
+}
+
+/// Moves the round on when nothing is outstanding.
+void
+replicator_start_advance(replicator_t *replicator)
+{
+    if (replicator->phase == PHASE_RUNNING ||
+        replicator->phase == PHASE_WAITING || replicator->probes > 0 ||
+        !replicator_pulls_idle(replicator) ||
+        replicator->lists[LIST_CONTRACTS].reading ||
+        replicator->lists[LIST_VMS].reading)
+    {
+        return;
+    }
+    replicator->phase = PHASE_PEERS;
+    if (ask_candidates(replicator)) {
+        return;
+    }
+    if (!replicator->found_ready_peer && ask_remote_vms(replicator)) {
+        return;
+    }
+    if (!replicator->platform_asked) {
+        ask_platform(replicator);
+        return;
+    }
+    finish_round(replicator);
+}
+
+/// Starts the next round when it is due.
+void
+replicator_start_tick(replicator_t *replicator)
+{
+    if (replicator->phase == PHASE_WAITING &&
+        clock_now_us(replicator->clock) >= replicator->round_at_us)
+    {
+        start_round(replicator);
+    }
+}
+
+/// All that a peer held when it reported @p remote is held now, as far as it
+/// passed the checks. So the revisions that it knew hold here too.
+void
+replicator_start_synced(replicator_t *replicator, const config_state_t *remote)
+{
+    replicator->found_ready_peer |= remote->ready;
+    for (int i = 0; i < LIST_COUNT; i++) {
+        replicator_list_t *list = &replicator->lists[i];
+        if (!list->reading && remote->revisions[i] > list->revision) {
+            list->revision = remote->revisions[i];
+        }
+    }
+}
--- a/src/ibisfield/config/vm_view.c
+++ b/src/ibisfield/config/vm_view.c
@@ -137,7 +137,6 @@
 vm_view_init(vm_view_t *view)
 {
     view->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-    view->change_count = 0;
 }
 
 void
@@ -146,6 +145,20 @@
     g_hash_table_destroy(view->vms);
 }
 
+/// Adds or replaces a VM.
+void
+vm_view_put(vm_view_t *view, const vm_info_t *info)
+{
+    vm_info_t *copy = g_memdup2(info, sizeof(*info));
+    g_hash_table_replace(view->vms, copy->vm, copy);
+}
+
+void
+vm_view_remove(vm_view_t *view, const char *vm)
+{
+    g_hash_table_remove(view->vms, vm);
+}
+
 /// Takes an item that has come into force. Items that name no VM are ignored.
 /// Returns false, and drops the VM, if the value can't be parsed.
 bool
@@ -154,22 +167,17 @@
     if (!item_is_vm(item->name)) {
         return true;
     }
-    view->change_count++;
     const char *vm = item->name + strlen(VM_ITEM_PREFIX);
-    if (item->value.len == 0) {
-        g_hash_table_remove(view->vms, vm);
-        return true;
-    }
-    vm_info_t *info = g_new(vm_info_t, 1);
+    vm_info_t info;
     GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
-    bool ok = vm_info_parse(info, item, problems);
+    bool removed = item->value.len == 0;
+    bool ok = removed || vm_info_parse(&info, item, problems);
     g_ptr_array_unref(problems);
-    if (ok) {
-        g_hash_table_replace(view->vms, info->vm, info);
+    if (ok && !removed) {
+        vm_view_put(view, &info);
     }
     else {
-        g_hash_table_remove(view->vms, vm);
-        g_free(info);
+        vm_view_remove(view, vm);
     }
     return ok;
 }
--- a/src/ibisfield/config/vm_view.h
+++ b/src/ibisfield/config/vm_view.h
@@ -25,7 +25,6 @@
 /// The published list as parsed values.
 typedef struct {
     GHashTable *vms; ///< name to vm_info_t
-    uint64_t change_count;
 } vm_view_t;
 
 bool vm_info_parse(vm_info_t *info, const config_item_t *item,
@@ -34,6 +33,8 @@
 
 void vm_view_init(vm_view_t *view);
 void vm_view_finish(vm_view_t *view);
+void vm_view_put(vm_view_t *view, const vm_info_t *info);
+void vm_view_remove(vm_view_t *view, const char *vm);
 bool vm_view_apply(vm_view_t *view, const config_item_t *item);
 const vm_info_t *vm_view_find(const vm_view_t *view, const char *vm);
 bool vm_view_is_leaving(const vm_view_t *view, const char *vm);
