--- a/src/ibisfield/config/item_store.c
+++ b/src/ibisfield/config/item_store.c
@@ -40,6 +40,7 @@
     *store = (item_store_t){.hooks = *hooks, .context = context};
     store->items =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_stored_item);
+    store->refused = g_hash_table_new(NULL, NULL);
     store->groups =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_digests);
 }
--- /dev/null
+++ b/test/common/config_cluster.c
@@ -0,0 +1,463 @@
+/// @file
+/// Several replicators in one process. Messages go through the codec into a
+/// queue; the user decides which is delivered next. No time passes by itself.
+
+#include "common/config_cluster.h"
+
+#include <stdlib.h>
+
+#include "ibisfield/config/control_codec.h"
+
+#define BASE_PORT 1000
+#define HANG_LIMIT_US US_PER_S
+
+static cluster_node_t *
+node_of(replicator_io_t *io)
+{
+    return (cluster_node_t *)io;
+}
+
+static bool
+is_cut(const config_cluster_t *cluster, uint32_t a, uint32_t b)
+{
+    return cluster->cuts[a * cluster->node_count + b];
+}
+
+/// Cuts or restores both directions between two nodes.
+void
+cluster_cut(config_cluster_t *cluster, uint32_t a, uint32_t b, bool cut)
+{
+    cluster->cuts[a * cluster->node_count + b] = cut;
+    cluster->cuts[b * cluster->node_count + a] = cut;
+}
+
+static void
+enqueue(cluster_node_t *from, uint32_t to, uint64_t exchange, bool is_reply,
+        uint32_t incarnation, GBytes *bytes)
+{
+    envelope_t envelope = {.from = from->index,
+                           .to = to,
+                           .from_incarnation = incarnation,
+                           .exchange = exchange,
+                           .is_reply = is_reply,
+                           .bytes = g_bytes_ref(bytes)};
+    from->messages_sent++;
+    from->bytes_sent += g_bytes_get_size(bytes);
+    g_array_append_val(from->cluster->queue, envelope);
+}
+
+static GBytes *
+encode(const control_message_t *message)
+{
+    GByteArray *out = g_byte_array_new();
+    control_encode(message, out);
+    control_count_sent(message->type, out->len);
+    return g_byte_array_free_to_bytes(out);
+}
+
+static void
+io_send(replicator_io_t *io, const config_peer_t *peers, uint32_t count,
+        const control_message_t *message, uint64_t exchange)
+{
+    cluster_node_t *node = node_of(io);
+    GBytes *bytes = encode(message);
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t to = (uint32_t)peers[i].endpoint.port - BASE_PORT;
+        enqueue(node, to, exchange, false, node->incarnation, bytes);
+    }
+    g_bytes_unref(bytes);
+}
+
+static void
+io_read_list(replicator_io_t *io, config_list_t list, uint64_t since,
+             int64_t wait_ms)
+{
+    cluster_node_t *node = node_of(io);
+    node->cluster->platform_reads++;
+    node->watches[list] = (watch_t){
+        true, since, node->cluster->clock.now_us + wait_ms * US_PER_MS};
+}
+
+static void
+io_cancel_read(replicator_io_t *io, config_list_t list)
+{
+    node_of(io)->watches[list].active = false;
+}
+
+static bool
+io_check(replicator_io_t *io, const config_item_t *item, GPtrArray *problems)
+{
+    (void)io;
+    if (slice_starts_with(item->value, SLICE_LITERAL("{\"bad\""))) {
+        g_ptr_array_add(problems, g_strdup("kinds: found none, expected one"));
+        return false;
+    }
+    return true;
+}
+
+static void
+io_changed(replicator_io_t *io, const config_item_t *item)
+{
+    cluster_node_t *node = node_of(io);
+    if (node->cluster->changed != NULL) {
+        node->cluster->changed(node, item);
+    }
+}
+
+static void
+io_ready(replicator_io_t *io)
+{
+    (void)io;
+}
+
+static const replicator_io_vtable_t io_vtable = {
+    io_send, io_read_list, io_cancel_read, io_check, io_changed, io_ready,
+};
+
+/// Initialises nodes, none of them up, spread over the data centres in turn.
+void
+cluster_init(config_cluster_t *cluster, uint32_t node_count,
+             uint32_t data_centre_count)
+{
+    *cluster = (config_cluster_t){.node_count = node_count,
+                                  .data_centre_count = data_centre_count,
+                                  .seed_count = 1};
+    manual_clock_init(&cluster->clock, US_PER_S);
+    cluster->nodes = g_new0(cluster_node_t, node_count);
+    cluster->cuts = g_new0(bool, (gsize)node_count *node_count);
+    cluster->queue = g_array_new(FALSE, FALSE, sizeof(envelope_t));
+    cluster->published = g_array_new(FALSE, FALSE, sizeof(published_t));
+    cluster->visible_revision = UINT64_MAX;
+    for (uint32_t i = 0; i < node_count; i++) {
+        cluster_node_t *node = &cluster->nodes[i];
+        node->io.vtable = &io_vtable;
+        node->cluster = cluster;
+        node->index = i;
+        node->data_centre = i % data_centre_count;
+    }
+}
+
+void
+cluster_finish(config_cluster_t *cluster)
+{
+    for (uint32_t i = 0; i < cluster->node_count; i++) {
+        if (cluster->nodes[i].up) {
+            cluster_stop_node(cluster, i);
+        }
+    }
+    for (guint i = 0; i < cluster->queue->len; i++) {
+        g_bytes_unref(g_array_index(cluster->queue, envelope_t, i).bytes);
+    }
+    for (guint i = 0; i < cluster->published->len; i++) {
+        published_t *entry =
+            &g_array_index(cluster->published, published_t, i);
+        g_free(entry->name);
+        g_free(entry->value);
+    }
+    g_array_free(cluster->queue, TRUE);
+    g_array_free(cluster->published, TRUE);
+    g_free(cluster->cuts);
+    g_free(cluster->nodes);
+}
+
+static endpoint_t
+node_endpoint(uint32_t index)
+{
+    endpoint_t endpoint = {"127.0.0.1", (uint16_t)(BASE_PORT + index)};
+    return endpoint;
+}
+
+/// Starts a new incarnation of a node. Its seeds are the first nodes of its
+/// data centre.
+void
+cluster_start_node(config_cluster_t *cluster, uint32_t index)
+{
+    cluster_node_t *node = &cluster->nodes[index];
+    endpoint_t seeds[SETTINGS_SEEDS_MAX];
+    char vm[32];
+    char data_centre[32];
+    uint32_t count = MIN(cluster->seed_count, SETTINGS_SEEDS_MAX);
+    for (uint32_t i = 0; i < count; i++) {
+        seeds[i] =
+            node_endpoint(node->data_centre + i * cluster->data_centre_count);
+    }
+    g_snprintf(vm, sizeof(vm), "vm%u", index);
+    g_snprintf(data_centre, sizeof(data_centre), "dc%u", node->data_centre);
+    replicator_options_t options = {
+        .vm = vm,
+        .data_centre = data_centre,
+        .own = node_endpoint(index),
+        .seeds = seeds,
+        .seed_count = count,
+        .random_seed = index + 1000 * node->incarnation,
+    };
+    node->incarnation++;
+    node->up = true;
+    replicator_init(&node->replicator, &cluster->clock.base, &node->io,
+                    &options);
+    replicator_start(&node->replicator);
+}
+
+/// Kills a node; it forgets everything.
+void
+cluster_stop_node(config_cluster_t *cluster, uint32_t index)
+{
+    cluster_node_t *node = &cluster->nodes[index];
+    node->up = false;
+    memset(node->watches, 0, sizeof(node->watches));
+    replicator_finish(&node->replicator);
+}
+
+/// Publishes the list item of a node; an empty @p state removes it.
+void
+cluster_list_node(config_cluster_t *cluster, uint32_t index,
+                  const char *service, const char *state)
+{
+    char name[32];
+    char value[256];
+    g_snprintf(name, sizeof(name), "vm/vm%u", index);
+    g_snprintf(value, sizeof(value),
+               "{\"data_centre\":\"dc%u\",\"service\":\"%s\","
+               "\"address\":\"127.0.0.1\",\"caller_port\":8080,"
+               "\"peer_port\":8081,\"control_port\":%u,\"state\":\"%s\"}",
+               cluster->nodes[index].data_centre, service, BASE_PORT + index,
+               state);
+    cluster_publish(cluster, name, state[0] == '\0' ? "" : value);
+}
+
+static published_t *
+find_published(const config_cluster_t *cluster, const char *name)
+{
+    published_t *newest = NULL;
+    for (guint i = 0; i < cluster->published->len; i++) {
+        published_t *entry =
+            &g_array_index(cluster->published, published_t, i);
+        if (strcmp(entry->name, name) == 0) {
+            newest = entry;
+        }
+    }
+    return newest;
+}
+
+/// Publishes the next version of an item; an empty value removes it.
+void
+cluster_publish(config_cluster_t *cluster, const char *name, const char *value)
+{
+    published_t entry = {g_strdup(name),
+                         cluster_published_version(cluster, name) + 1,
+                         ++cluster->revision, g_strdup(value)};
+    g_array_append_val(cluster->published, entry);
+}
+
+/// Returns the newest version of an item, 0 if it was never published.
+uint64_t
+cluster_published_version(const config_cluster_t *cluster, const char *name)
+{
+    const published_t *entry = find_published(cluster, name);
+    return entry == NULL ? 0 : entry->version;
+}
+
+static void
+answer_watch(cluster_node_t *node, config_list_t list, uint64_t revision)
+{
+    config_cluster_t *cluster = node->cluster;
+    const char *prefix = list == LIST_VMS ? "vm/" : "contract/";
+    uint64_t since = node->watches[list].since;
+    GArray *items = g_array_new(FALSE, FALSE, sizeof(config_item_t));
+    for (guint i = 0; i < cluster->published->len; i++) {
+        const published_t *entry =
+            &g_array_index(cluster->published, published_t, i);
+        if (entry->revision > since && entry->revision <= revision &&
+            g_str_has_prefix(entry->name, prefix))
+        {
+            config_item_t item = {entry->name, entry->version,
+                                  slice_from_string(entry->value)};
+            cluster->platform_bytes += item.value.len + strlen(item.name);
+            g_array_append_val(items, item);
+        }
+    }
+    list_answer_t answer = {true, revision,
+                            (const config_item_t *)(void *)items->data,
+                            items->len};
+    node->watches[list].active = false;
+    replicator_list_read(&node->replicator, list, &answer);
+    g_array_free(items, TRUE);
+}
+
+static void
+tick_watch(cluster_node_t *node, config_list_t list)
+{
+    const config_cluster_t *cluster = node->cluster;
+    const watch_t *watch = &node->watches[list];
+    uint64_t revision = MIN(cluster->visible_revision, cluster->revision);
+    platform_mode_t mode = node->platform_cut ? PLATFORM_DOWN : cluster->mode;
+    int64_t now_us = cluster->clock.now_us;
+    if (!watch->active) {
+        return;
+    }
+    if (mode == PLATFORM_UP &&
+        (revision > watch->since || now_us >= watch->due_us))
+    {
+        answer_watch(node, list, revision);
+    }
+    else if (mode == PLATFORM_DOWN || now_us >= watch->due_us + HANG_LIMIT_US)
+    {
+        node->watches[list].active = false;
+        replicator_list_read(&node->replicator, list,
+                             &(list_answer_t){.ok = false});
+    }
+}
+
+static envelope_t
+dequeue(config_cluster_t *cluster, guint position)
+{
+    envelope_t envelope = g_array_index(cluster->queue, envelope_t, position);
+    g_array_remove_index(cluster->queue, position);
+    return envelope;
+}
+
+static void
+fail_exchange(config_cluster_t *cluster, const envelope_t *envelope)
+{
+    uint32_t requester = envelope->is_reply ? envelope->to : envelope->from;
+    cluster_node_t *node = &cluster->nodes[requester];
+    if (envelope->exchange != 0 && node->up &&
+        node->incarnation == envelope->from_incarnation)
+    {
+        replicator_reply(&node->replicator, envelope->exchange, NULL);
+    }
+}
+
+/// Loses the message at @p position of the queue. The requester is told.
+void
+cluster_drop(config_cluster_t *cluster, guint position)
+{
+    envelope_t envelope = dequeue(cluster, position);
+    fail_exchange(cluster, &envelope);
+    g_bytes_unref(envelope.bytes);
+}
+
+static void
+deliver_request(cluster_node_t *node, const envelope_t *envelope,
+                const control_message_t *message)
+{
+    const control_message_t *reply =
+        replicator_request(&node->replicator, message);
+    GBytes *bytes = encode(reply);
+    if (envelope->exchange != 0) {
+        enqueue(node, envelope->from, envelope->exchange, true,
+                envelope->from_incarnation, bytes);
+    }
+    else {
+        node->bytes_sent += g_bytes_get_size(bytes);
+        node->cluster->nodes[envelope->from].bytes_received +=
+            g_bytes_get_size(bytes);
+    }
+    g_bytes_unref(bytes);
+}
+
+static void
+deliver_decoded(cluster_node_t *node, const envelope_t *envelope,
+                const control_message_t *message)
+{
+    if (!envelope->is_reply) {
+        deliver_request(node, envelope, message);
+    }
+    else if (node->incarnation == envelope->from_incarnation) {
+        replicator_reply(&node->replicator, envelope->exchange, message);
+    }
+}
+
+/// Delivers the message at @p position of the queue, or loses it if its path
+/// is cut or its receiver is down.
+void
+cluster_deliver(config_cluster_t *cluster, guint position)
+{
+    envelope_t envelope = dequeue(cluster, position);
+    cluster_node_t *node = &cluster->nodes[envelope.to];
+    if (!node->up || is_cut(cluster, envelope.from, envelope.to)) {
+        fail_exchange(cluster, &envelope);
+        g_bytes_unref(envelope.bytes);
+        return;
+    }
+    gsize len = 0;
+    const char *data = g_bytes_get_data(envelope.bytes, &len);
+    control_message_t message;
+    uint64_t version = 0;
+    node->bytes_received += len;
+    if (control_decode(&message, (slice_t){data, len}, &version) != DECODE_OK)
+    {
+        abort();
+    }
+    control_count_received(message.type, len);
+    deliver_decoded(node, &envelope, &message);
+    control_message_clear(&message);
+    g_bytes_unref(envelope.bytes);
+}
+
+/// Delivers messages in their order until the queue is empty.
+void
+cluster_deliver_all(config_cluster_t *cluster)
+{
+    while (cluster->queue->len > 0) {
+        GArray *batch = cluster->queue;
+        cluster->queue = g_array_new(FALSE, FALSE, sizeof(envelope_t));
+        GArray *fresh = cluster->queue;
+        for (guint i = 0; i < batch->len; i++) {
+            envelope_t envelope = g_array_index(batch, envelope_t, i);
+            g_array_prepend_val(cluster->queue, envelope);
+            cluster_deliver(cluster, 0);
+        }
+        cluster->queue = fresh;
+        g_array_free(batch, TRUE);
+    }
+}
+
+/// Lets each node and the platform do what is due now.
+void
+cluster_tick(config_cluster_t *cluster)
+{
+    for (uint32_t i = 0; i < cluster->node_count; i++) {
+        cluster_node_t *node = &cluster->nodes[i];
+        if (!node->up) {
+            continue;
+        }
+        replicator_tick(&node->replicator);
+        tick_watch(node, LIST_CONTRACTS);
+        tick_watch(node, LIST_VMS);
+    }
+}
+
+/// Delivers all messages at once and lets time pass in steps of a tick.
+void
+cluster_run(config_cluster_t *cluster, int64_t duration_us)
+{
+    int64_t end_us = cluster->clock.now_us + duration_us;
+    cluster_deliver_all(cluster);
+    while (cluster->clock.now_us < end_us) {
+        manual_clock_advance(&cluster->clock, REPLICATOR_TICK_US);
+        cluster_tick(cluster);
+        cluster_deliver_all(cluster);
+    }
+}
+
+/// Returns the version in force at a node, 0 if it is down.
+uint64_t
+cluster_version(const config_cluster_t *cluster, uint32_t index,
+                const char *name)
+{
+    const cluster_node_t *node = &cluster->nodes[index];
+    return node->up ? item_store_version(&node->replicator.store, name) : 0;
+}
+
+/// Returns how many nodes have exactly this version in force.
+uint32_t
+cluster_count_at(const config_cluster_t *cluster, const char *name,
+                 uint64_t version)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < cluster->node_count; i++) {
+        count += cluster_version(cluster, i, name) == version;
+    }
+    return count;
+}
--- /dev/null
+++ b/test/unit/test_replicator.c
@@ -0,0 +1,308 @@
+/// @file
+/// Several replicators with a fake clock and an in-process message exchange.
+
+#include "common/config_cluster.h"
+#include "common/suite.h"
+
+#define CONTRACT "contract/stadtwerke"
+#define SETTLE_US (10 * US_PER_S)
+
+/// Starts @p nodes listed nodes in @p data_centres and lets them settle.
+static void
+start_cluster(config_cluster_t *cluster, uint32_t nodes, uint32_t data_centres)
+{
+    cluster_init(cluster, nodes, data_centres);
+    cluster->seed_count = 2;
+    for (uint32_t i = 0; i < nodes; i++) {
+        cluster_list_node(cluster, i, "order-tracking", "live");
+    }
+    cluster_publish(cluster, CONTRACT, "{\"n\":1}");
+    for (uint32_t i = 0; i < nodes; i++) {
+        cluster_start_node(cluster, i);
+    }
+    cluster_run(cluster, SETTLE_US);
+}
+
+static uint32_t
+count_readers(config_cluster_t *cluster, uint32_t data_centre)
+{
+    uint32_t count = 0;
+    for (uint32_t i = data_centre; i < cluster->node_count;
+         i += cluster->data_centre_count)
+    {
+        cluster_node_t *node = &cluster->nodes[i];
+        count += node->up && replicator_is_reader(&node->replicator);
+    }
+    return count;
+}
+
+/// Guards against a change that does not reach every node within 3 seconds,
+/// and against more than three watching nodes in a data centre.
+static void
+test_change_is_in_force_everywhere(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 60, 3);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 1), 60);
+    cluster_publish(&cluster, CONTRACT, "{\"n\":2}");
+    cluster_run(&cluster, 3 * US_PER_S);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 2), 60);
+    for (uint32_t i = 0; i < 3; i++) {
+        CU_ASSERT_EQUAL(count_readers(&cluster, i), READERS);
+    }
+    cluster_finish(&cluster);
+}
+
+/// Guards against a refused contract that replaces the one in force, or that
+/// blocks the next good one.
+static void
+test_refused_version_keeps_the_one_before(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 12, 2);
+    cluster_publish(&cluster, CONTRACT, "{\"bad\":1}");
+    cluster_run(&cluster, SETTLE_US);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 1), 12);
+    uint32_t refusing = 0;
+    for (uint32_t i = 0; i < 12; i++) {
+        const stored_item_t *item =
+            item_store_find(&cluster.nodes[i].replicator.store, CONTRACT);
+        refusing += item->refused_version == 2;
+    }
+    CU_ASSERT_EQUAL(refusing, 2 * READERS);
+    cluster_publish(&cluster, CONTRACT, "{\"n\":3}");
+    cluster_run(&cluster, 3 * US_PER_S);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 3), 12);
+    cluster_finish(&cluster);
+}
+
+/// Guards against a restarted node that takes an old version from a platform
+/// that went back in time, while its readers hold the newer one.
+static void
+test_restart_while_platform_is_stale(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 12, 2);
+    uint64_t old_revision = cluster.revision;
+    cluster_publish(&cluster, CONTRACT, "{\"n\":2}");
+    cluster_run(&cluster, SETTLE_US);
+    cluster.visible_revision = old_revision;
+    for (uint32_t i = 0; i < 12; i++) {
+        cluster_stop_node(&cluster, i);
+        cluster_start_node(&cluster, i);
+        cluster_run(&cluster, SETTLE_US);
+        CU_ASSERT_TRUE(replicator_is_ready(&cluster.nodes[i].replicator));
+        CU_ASSERT_EQUAL(cluster_version(&cluster, i, CONTRACT), 2);
+    }
+    cluster_publish(&cluster, CONTRACT, "{\"n\":3}");
+    cluster.visible_revision = UINT64_MAX;
+    cluster_run(&cluster, SETTLE_US);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 3), 12);
+    cluster_finish(&cluster);
+}
+
+/// Guards against changes that are lost when the platform returns to an older
+/// revision and goes on from there.
+static void
+test_changes_after_the_platform_went_back(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 6, 1);
+    for (int i = 0; i < 5; i++) {
+        cluster_publish(&cluster, "contract/other", "{}");
+    }
+    cluster_run(&cluster, SETTLE_US);
+    uint64_t before = cluster.revision;
+    g_array_set_size(cluster.published, cluster.published->len - 4);
+    cluster.revision -= 4;
+    cluster_run(&cluster, SETTLE_US);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, "contract/other", 5), 6);
+    cluster_publish(&cluster, CONTRACT, "{\"n\":2}");
+    CU_ASSERT_TRUE(cluster.revision < before);
+    cluster_run(&cluster, 3 * US_PER_S);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 2), 6);
+    cluster_finish(&cluster);
+}
+
+/// Guards against a data centre that learns nothing while only its path to the
+/// platform is cut.
+static void
+test_cut_off_data_centre_learns_from_another(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 40, 2);
+    for (uint32_t i = 1; i < 40; i += 2) {
+        cluster.nodes[i].platform_cut = true;
+    }
+    cluster_run(&cluster, SETTLE_US);
+    cluster_publish(&cluster, CONTRACT, "{\"n\":2}");
+    cluster_run(&cluster, SETTLE_US);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 2), 40);
+    cluster_finish(&cluster);
+}
+
+/// Guards against a data centre without readers after its three are gone, and
+/// against ranks that keep reading once the first ones are back.
+static void
+test_ranks_take_over_for_silent_readers(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 30, 1);
+    uint32_t stopped[READERS];
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < 30; i++) {
+        if (replicator_is_reader(&cluster.nodes[i].replicator)) {
+            stopped[count++] = i;
+        }
+    }
+    for (uint32_t i = 0; i < READERS; i++) {
+        cluster_stop_node(&cluster, stopped[i]);
+    }
+    cluster_run(&cluster, SETTLE_US);
+    CU_ASSERT_EQUAL(count_readers(&cluster, 0), READERS);
+    cluster_publish(&cluster, CONTRACT, "{\"n\":2}");
+    cluster_run(&cluster, 3 * US_PER_S);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 2), 27);
+    for (uint32_t i = 0; i < READERS; i++) {
+        cluster_start_node(&cluster, stopped[i]);
+    }
+    cluster_run(&cluster, SETTLE_US);
+    CU_ASSERT_EQUAL(count_readers(&cluster, 0), READERS);
+    CU_ASSERT_EQUAL(cluster_count_at(&cluster, CONTRACT, 2), 30);
+    cluster_finish(&cluster);
+}
+
+/// Guards against a node that serves without any source of configuration, and
+/// against one that waits for a platform although a peer is ready.
+static void
+test_ready_needs_a_source(void)
+{
+    config_cluster_t cluster;
+    cluster_init(&cluster, 2, 1);
+    cluster.seed_count = 2;
+    cluster_list_node(&cluster, 0, "booking", "live");
+    cluster_list_node(&cluster, 1, "booking", "live");
+    cluster.mode = PLATFORM_DOWN;
+    cluster_start_node(&cluster, 0);
+    cluster_start_node(&cluster, 1);
+    cluster_run(&cluster, 60 * US_PER_S);
+    CU_ASSERT_FALSE(replicator_is_ready(&cluster.nodes[0].replicator));
+    CU_ASSERT_FALSE(replicator_is_ready(&cluster.nodes[1].replicator));
+    cluster.nodes[1].platform_cut = true;
+    cluster.mode = PLATFORM_UP;
+    cluster_run(&cluster, 60 * US_PER_S);
+    CU_ASSERT_TRUE(replicator_is_ready(&cluster.nodes[0].replicator));
+    CU_ASSERT_TRUE(replicator_is_ready(&cluster.nodes[1].replicator));
+    cluster_finish(&cluster);
+}
+
+/// Guards against start-up reads of the whole list from the platform when a
+/// peer has it already, which would overload the platform after a restart of a
+/// data centre.
+static void
+test_restart_reads_only_changes(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 30, 1);
+    uint64_t bytes = cluster.platform_bytes;
+    cluster_stop_node(&cluster, 7);
+    cluster_start_node(&cluster, 7);
+    cluster_run(&cluster, US_PER_S);
+    CU_ASSERT_TRUE(replicator_is_ready(&cluster.nodes[7].replicator));
+    CU_ASSERT_EQUAL(cluster.nodes[7].replicator.store.in_force_count, 31);
+    CU_ASSERT_EQUAL(cluster.platform_bytes, bytes);
+    cluster_finish(&cluster);
+}
+
+/// Guards against nodes that compare again and again when nothing changes.
+static void
+test_quiet_cluster_moves_no_items(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 30, 2);
+    uint64_t before = 0;
+    uint64_t after = 0;
+    for (uint32_t i = 0; i < 30; i++) {
+        before += cluster.nodes[i].bytes_received;
+    }
+    cluster_run(&cluster, 60 * US_PER_S);
+    for (uint32_t i = 0; i < 30; i++) {
+        after += cluster.nodes[i].bytes_received;
+    }
+    CU_ASSERT_TRUE((after - before) / 30 / 60 < 15000);
+    cluster_finish(&cluster);
+}
+
+/// Guards against a new VM that gets no changes until the list names it.
+static void
+test_unlisted_node_learns_changes(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 10, 1);
+    cluster_list_node(&cluster, 9, "", "");
+    cluster_run(&cluster, SETTLE_US);
+    cluster_stop_node(&cluster, 9);
+    cluster_start_node(&cluster, 9);
+    cluster_run(&cluster, SETTLE_US);
+    cluster_publish(&cluster, CONTRACT, "{\"n\":2}");
+    cluster_run(&cluster, 3 * US_PER_S);
+    CU_ASSERT_EQUAL(cluster_version(&cluster, 9, CONTRACT), 2);
+    cluster_finish(&cluster);
+}
+
+/// Guards against two histories of the list that do not merge after a
+/// partition: per item the higher version wins.
+static void
+test_two_histories_merge(void)
+{
+    config_cluster_t cluster;
+    start_cluster(&cluster, 20, 2);
+    for (uint32_t i = 0; i < 20; i++) {
+        for (uint32_t j = 0; j < 20; j++) {
+            if (i % 2 != j % 2) {
+                cluster_cut(&cluster, i, j, true);
+            }
+        }
+    }
+    for (uint32_t i = 1; i < 20; i += 2) {
+        cluster.nodes[i].platform_cut = true;
+    }
+    cluster_run(&cluster, SETTLE_US);
+    for (int i = 0; i < 50; i++) {
+        cluster_list_node(&cluster, (uint32_t)i % 20, "booking", "live");
+    }
+    cluster_run(&cluster, SETTLE_US);
+    CU_ASSERT_EQUAL(cluster_version(&cluster, 1, "vm/vm3"), 1);
+    for (uint32_t i = 0; i < 20; i++) {
+        for (uint32_t j = 0; j < 20; j++) {
+            cluster_cut(&cluster, i, j, false);
+        }
+    }
+    cluster_run(&cluster, SETTLE_US);
+    for (uint32_t i = 0; i < 20; i++) {
+        CU_ASSERT_EQUAL(cluster_version(&cluster, i, "vm/vm3"), 4);
+        CU_ASSERT_EQUAL(cluster.nodes[i].replicator.store.digest,
+                        cluster.nodes[0].replicator.store.digest);
+    }
+    cluster_finish(&cluster);
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"change everywhere", test_change_is_in_force_everywhere},
+        {"refused version", test_refused_version_keeps_the_one_before},
+        {"restart, stale platform", test_restart_while_platform_is_stale},
+        {"platform went back", test_changes_after_the_platform_went_back},
+        {"cut-off data centre", test_cut_off_data_centre_learns_from_another},
+        {"take-over", test_ranks_take_over_for_silent_readers},
+        {"ready", test_ready_needs_a_source},
+        {"restart reads changes", test_restart_reads_only_changes},
+        {"quiet", test_quiet_cluster_moves_no_items},
+        {"unlisted node", test_unlisted_node_learns_changes},
+        {"two histories", test_two_histories_merge},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("replicator", tests);
+}
