--- a/src/ibisfield/io/config_agent.c
+++ b/src/ibisfield/io/config_agent.c
@@ -1,176 +1,235 @@
 /// @file
-/// Connects the configuration core to the platform and reports what comes into
-/// force.
+/// Connects the replicator to the platform, to the control link and to the
+/// clock, and reports what comes into force.
 
 #include "ibisfield/io/config_agent.h"
 
 #include <inttypes.h>
 
 #include "ibisfield/base/log.h"
-#include "ibisfield/config/vm_view.h"
+#include "ibisfield/config/replicator.h"
+#include "ibisfield/io/control_link.h"
 #include "ibisfield/io/platform_client.h"
 
-#define WATCH_WAIT_MS 10000
-#define RETRY_DELAY_US (500 * US_PER_MS)
-
-typedef enum { LIST_CONTRACTS, LIST_VMS, LIST_COUNT } list_t;
-
 static const char *const list_prefixes[LIST_COUNT] = {"contract/", "vm/"};
 
 typedef struct {
     config_agent_t *agent;
+    config_list_t which;
     platform_client_t client;
-    loop_timer_t retry_timer;
-    uint64_t revision;
-    bool answered;
-    bool failing;
+    bool valid;
+    loop_timer_t fail_timer; ///< reports a read that can't be started
 } platform_list_t;
 
 struct config_agent {
+    replicator_io_t io; ///< must be first
     loop_t *loop;
     config_agent_callbacks_t callbacks;
     void *context;
-    item_store_t store;
+    replicator_t replicator;
+    control_link_t *link;
     platform_list_t lists[LIST_COUNT];
-    bool ready;
+    loop_timer_t tick_timer;
 };
 
-static bool
-check_item(void *context, const config_item_t *item, void *problems)
+static config_agent_t *
+agent_of(replicator_io_t *io)
 {
-    config_agent_t *agent = context;
-    vm_info_t info;
-    if (item_is_vm(item->name)) {
-        return vm_info_parse(&info, item, problems);
-    }
-    return agent->callbacks.check(agent->context, item, problems);
+    return (config_agent_t *)io;
 }
 
 static void
-item_changed(void *context, const config_item_t *item)
+io_send(replicator_io_t *io, const config_peer_t *peers, uint32_t count,
+        const control_message_t *message, uint64_t exchange)
 {
-    config_agent_t *agent = context;
-    log_info("config_item_in_force", "name=%s version=%" PRIu64 " removed=%d",
-             item->name, item->version, item->value.len == 0);
-    agent->callbacks.changed(agent->context, item);
+    control_link_send(agent_of(io)->link, peers, count, message, exchange);
 }
 
-static uint64_t
-item_group(void *context, const config_item_t *item)
+static void
+report_invalid_url(void *context)
 {
-    (void)context;
-    return item_is_vm(item->name);
+    platform_list_t *list = context;
+    replicator_list_read(&list->agent->replicator, list->which,
+                         &(list_answer_t){.ok = false});
 }
 
 static void
-watch_list(void *context)
+io_read_list(replicator_io_t *io, config_list_t which, uint64_t since,
+             int64_t wait_ms)
 {
-    platform_list_t *list = context;
-    platform_client_read(&list->client, list->revision,
-                         list->answered ? WATCH_WAIT_MS : 0);
+    platform_list_t *list = &agent_of(io)->lists[which];
+    if (list->valid) {
+        platform_client_read(&list->client, since, wait_ms);
+        return;
+    }
+    loop_timer_start(list->agent->loop, &list->fail_timer, 0,
+                     report_invalid_url, list);
 }
 
 static void
-check_ready(config_agent_t *agent)
+io_cancel_read(replicator_io_t *io, config_list_t which)
 {
-    if (agent->ready || !agent->lists[LIST_CONTRACTS].answered ||
-        !agent->lists[LIST_VMS].answered)
-    {
-        return;
+    platform_list_t *list = &agent_of(io)->lists[which];
+    loop_timer_stop(list->agent->loop, &list->fail_timer);
+    if (list->valid) {
+        platform_client_cancel(&list->client);
     }
-    agent->ready = true;
-    agent->callbacks.ready(agent->context);
+}
+
+static bool
+io_check(replicator_io_t *io, const config_item_t *item, GPtrArray *problems)
+{
+    config_agent_t *agent = agent_of(io);
+    return agent->callbacks.check(agent->context, item, problems);
 }
 
 static void
-list_failed(platform_list_t *list, const char *error)
+io_changed(replicator_io_t *io, const config_item_t *item)
 {
-    if (!list->failing) {
-        log_warning("platform_read_failed", "prefix=%s error=\"%s\"",
-                    list->client.prefix, error);
+    config_agent_t *agent = agent_of(io);
+    if (item_is_vm(item->name)) {
+        log_debug("config_item_in_force", "name=%s version=%" PRIu64,
+                  item->name, item->version);
     }
-    list->failing = true;
-    loop_timer_start(list->agent->loop, &list->retry_timer, RETRY_DELAY_US,
-                     watch_list, list);
+    else {
+        log_info("config_item_in_force",
+                 "name=%s version=%" PRIu64 " removed=%d", item->name,
+                 item->version, item->value.len == 0);
+    }
+    agent->callbacks.changed(agent->context, item);
+}
+
+static void
+io_ready(replicator_io_t *io)
+{
+    config_agent_t *agent = agent_of(io);
+    agent->callbacks.ready(agent->context);
+}
+
+static const replicator_io_vtable_t io_vtable = {
+    io_send, io_read_list, io_cancel_read, io_check, io_changed, io_ready,
+};
+
+static const control_message_t *
+handle_request(void *context, const control_message_t *request)
+{
+    config_agent_t *agent = context;
+    return replicator_request(&agent->replicator, request);
+}
+
+static void
+handle_reply(void *context, uint64_t exchange, const control_message_t *reply)
+{
+    config_agent_t *agent = context;
+    replicator_reply(&agent->replicator, exchange, reply);
 }
 
 static void
 list_read(void *context, const platform_answer_t *answer)
 {
     platform_list_t *list = context;
-    config_agent_t *agent = list->agent;
+    list_answer_t result = {answer->error == NULL, answer->revision,
+                            answer->items, answer->item_count};
     if (answer->error != NULL) {
-        list_failed(list, answer->error);
-        return;
-    }
-    if (list->failing) {
-        log_info("platform_read_recovered", "prefix=%s", list->client.prefix);
+        log_debug("platform_read_error", "prefix=%s error=\"%s\"",
+                  list_prefixes[list->which], answer->error);
     }
-    list->failing = false;
-    for (size_t i = 0; i < answer->item_count; i++) {
-        item_store_adopt(&agent->store, &answer->items[i]);
-    }
-    list->revision = answer->revision;
-    list->answered = true;
-    check_ready(agent);
-    loop_timer_start(agent->loop, &list->retry_timer, 0, watch_list, list);
+    replicator_list_read(&list->agent->replicator, list->which, &result);
+}
+
+static void
+tick(void *context)
+{
+    config_agent_t *agent = context;
+    replicator_tick(&agent->replicator);
+    loop_timer_start(agent->loop, &agent->tick_timer, REPLICATOR_TICK_US, tick,
+                     agent);
 }
 
 static void
-start_list(config_agent_t *agent, list_t which, const char *url)
+init_list(config_agent_t *agent, config_list_t which, const char *url)
 {
     platform_list_t *list = &agent->lists[which];
     list->agent = agent;
-    if (!platform_client_init(&list->client, agent->loop, url,
-                              list_prefixes[which], list_read, list))
-    {
+    list->which = which;
+    list->valid = platform_client_init(&list->client, agent->loop, url,
+                                       list_prefixes[which], list_read, list);
+    if (!list->valid) {
         log_warning("platform_url_invalid", "prefix=%s url=\"%s\"",
                     list_prefixes[which], url);
-        return;
     }
-    watch_list(list);
 }
 
-/// Starts to read configuration. @p settings is copied where needed.
+static void
+init_replicator(config_agent_t *agent, const settings_t *settings)
+{
+    replicator_options_t options = {
+        .vm = settings->vm,
+        .data_centre = settings->data_centre,
+        .own = settings->control_listen,
+        .seeds = settings->seeds,
+        .seed_count = settings->seed_count,
+        .random_seed = g_random_int(),
+    };
+    agent->io.vtable = &io_vtable;
+    replicator_init(&agent->replicator, agent->loop->clock, &agent->io,
+                    &options);
+}
+
+/// Starts the start-up round. @p settings is copied where needed. Returns NULL
+/// if the control address can't be used; the reason is logged.
 config_agent_t *
 config_agent_new(loop_t *loop, const settings_t *settings,
                  const config_agent_callbacks_t *callbacks, void *context)
 {
+    GError *error = NULL;
     config_agent_t *agent = g_new0(config_agent_t, 1);
     agent->loop = loop;
     agent->callbacks = *callbacks;
     agent->context = context;
-    item_store_init(&agent->store,
-                    &(item_hooks_t){check_item, item_changed, item_group},
-                    agent);
-    start_list(agent, LIST_CONTRACTS, settings->config_url);
-    start_list(agent, LIST_VMS, settings->list_url);
+    agent->link = control_link_new(
+        loop, &settings->control_listen, settings->vm,
+        &(control_link_callbacks_t){handle_request, handle_reply}, agent,
+        &error);
+    if (agent->link == NULL) {
+        log_warning("control_listen_failed", "error=\"%s\"", error->message);
+        g_error_free(error);
+        g_free(agent);
+        return NULL;
+    }
+    init_replicator(agent, settings);
+    init_list(agent, LIST_CONTRACTS, settings->config_url);
+    init_list(agent, LIST_VMS, settings->list_url);
+    replicator_start(&agent->replicator);
+    loop_timer_start(loop, &agent->tick_timer, REPLICATOR_TICK_US, tick,
+                     agent);
     return agent;
 }
 
 void
 config_agent_free(config_agent_t *agent)
 {
+    loop_timer_stop(agent->loop, &agent->tick_timer);
+    control_link_free(agent->link);
     for (int i = 0; i < LIST_COUNT; i++) {
-        loop_timer_stop(agent->loop, &agent->lists[i].retry_timer);
-        platform_client_finish(&agent->lists[i].client);
+        loop_timer_stop(agent->loop, &agent->lists[i].fail_timer);
+        if (agent->lists[i].valid) {
+            platform_client_finish(&agent->lists[i].client);
+        }
     }
-    item_store_finish(&agent->store);
+    replicator_finish(&agent->replicator);
     g_free(agent);
 }
 
-static void
-write_refused(const item_store_t *store, struct json_object *status)
+static struct json_object *
+refused_items(const item_store_t *store)
 {
     struct json_object *refused = json_object_new_array();
     GHashTableIter iter;
-    void *pointer = NULL;
-    g_hash_table_iter_init(&iter, store->items);
-    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
-        const stored_item_t *item = pointer;
-        if (item->refused_version == 0) {
-            continue;
-        }
+    void *key = NULL;
+    g_hash_table_iter_init(&iter, store->refused);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const stored_item_t *item = key;
         struct json_object *entry = json_object_new_object();
         json_object_object_add(entry, "name",
                                json_object_new_string(item->name));
@@ -182,38 +241,58 @@
                                json_object_new_string(item->refused_why));
         json_object_array_add(refused, entry);
     }
-    json_object_object_add(status, "refused", refused);
+    return refused;
 }
 
-static void
-write_contracts(const item_store_t *store, struct json_object *status)
+static struct json_object *
+contracts_in_force(const item_store_t *store)
 {
     struct json_object *contracts = json_object_new_object();
     GHashTableIter iter;
-    void *pointer = NULL;
+    void *value = NULL;
     g_hash_table_iter_init(&iter, store->items);
-    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
-        const stored_item_t *item = pointer;
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const stored_item_t *item = value;
         if (!item_is_vm(item->name) && item->value_len != 0) {
             json_object_object_add(contracts, item->name,
                                    json_object_new_uint64(item->version));
         }
     }
-    json_object_object_add(status, "contracts", contracts);
+    return contracts;
 }
 
-/// Adds the object "configuration" to @p status: versions of contracts in
-/// force, refused versions with their problems, revisions read.
+/// Adds the object "configuration" to @p status: readiness, role, contracts in
+/// force with their versions, refused versions with their problems, the
+/// revisions known, the readers of the data centre and the number of peers.
 void
 config_agent_write_status(const config_agent_t *agent,
                           struct json_object *status)
 {
+    const replicator_t *replicator = &agent->replicator;
     struct json_object *own = json_object_new_object();
-    json_object_object_add(own, "ready",
-                           json_object_new_boolean(agent->ready));
+    char digest[17];
+    g_snprintf(digest, sizeof(digest), "%016" PRIx64,
+               replicator->store.digest);
+    json_object_object_add(
+        own, "ready",
+        json_object_new_boolean(replicator_is_ready(replicator)));
+    json_object_object_add(own, "reader",
+                           json_object_new_boolean(replicator_is_reader(
+                               (replicator_t *)replicator)));
+    json_object_object_add(own, "digest", json_object_new_string(digest));
     json_object_object_add(
-        own, "items", json_object_new_uint64(agent->store.in_force_count));
-    write_contracts(&agent->store, own);
-    write_refused(&agent->store, own);
+        own, "items",
+        json_object_new_uint64(replicator->store.in_force_count));
+    json_object_object_add(
+        own, "peers",
+        json_object_new_uint64(control_link_peer_count(agent->link)));
+    for (int i = 0; i < LIST_COUNT; i++) {
+        json_object_object_add(
+            own, i == LIST_VMS ? "vm_revision" : "contract_revision",
+            json_object_new_uint64(replicator->lists[i].revision));
+    }
+    json_object_object_add(own, "contracts",
+                           contracts_in_force(&replicator->store));
+    json_object_object_add(own, "refused", refused_items(&replicator->store));
     json_object_object_add(status, "configuration", own);
 }
--- a/src/ibisfield/io/platform_client.c
+++ b/src/ibisfield/io/platform_client.c
@@ -13,7 +13,9 @@
 /// A whole list of 16,000 VMs has 4 to 5 MB.
 #define PLATFORM_ANSWER_MAX_BYTES ((size_t)64 << 20)
 /// Added to the wait of a watch before it counts as failed.
-#define PLATFORM_ANSWER_TIMEOUT_MS 3000
+#define PLATFORM_ANSWER_TIMEOUT_MS 1000
+/// The same for a read of a whole list, which has megabytes.
+#define PLATFORM_LIST_TIMEOUT_MS 5000
 /// One read is in flight, the other may still be closing.
 #define PLATFORM_CONNECTIONS_MAX 2
 #define JSON_DEPTH_MAX 32
@@ -155,13 +157,20 @@
     return true;
 }
 
-/// Cancels a read in flight.
+/// Cancels a read in flight; its callback is not called.
 void
-platform_client_finish(platform_client_t *client)
+platform_client_cancel(platform_client_t *client)
 {
     if (client->exchange != NULL) {
         http_exchange_cancel(client->exchange);
+        client->exchange = NULL;
     }
+}
+
+void
+platform_client_finish(platform_client_t *client)
+{
+    platform_client_cancel(client);
     if (client->target != NULL) {
         http_target_release(client->target);
     }
@@ -178,10 +187,12 @@
     char *path = g_strdup_printf("/v1/items?prefix=%s&since=%" PRIu64
                                  "&wait_ms=%" PRId64,
                                  client->prefix, since, wait_ms);
+    int64_t limit_ms =
+        since == 0 ? PLATFORM_LIST_TIMEOUT_MS : PLATFORM_ANSWER_TIMEOUT_MS;
     metric_increment(METRIC_PLATFORM_READS_TOTAL);
     client->exchange = http_exchange_start(
         client->target, SLICE_LITERAL("GET"), slice_from_string(path), NULL, 0,
-        (slice_t){NULL, 0}, (wait_ms + PLATFORM_ANSWER_TIMEOUT_MS) * US_PER_MS,
-        read_done, client);
+        (slice_t){NULL, 0}, (wait_ms + limit_ms) * US_PER_MS, read_done,
+        client);
     g_free(path);
 }
--- a/src/ibisfield/io/platform_client.h
+++ b/src/ibisfield/io/platform_client.h
@@ -29,6 +29,7 @@
                           const char *url, const char *prefix,
                           platform_done_t done, void *context);
 void platform_client_finish(platform_client_t *client);
+void platform_client_cancel(platform_client_t *client);
 void platform_client_read(platform_client_t *client, uint64_t since,
                           int64_t wait_ms);
 
