Add the deterministic comparison

Attempt, retry and deadline handling are a small model until the entry and the guard exist. Rules that the comparison switches off are bits in the options of the modules; none is implemented yet, so their rows are equal. Long deadlines were ruled out: with 1 s for every kind the bounded connections alone keep pass-through alive, and no row differs from another.

--- /dev/null
+++ b/bench/common/measure.h
@@ -0,0 +1,23 @@
+#ifndef IBISFIELD_BENCH_MEASURE_H
+#define IBISFIELD_BENCH_MEASURE_H
+
+#include "common/world.h"
+
+#define CLASS_COUNT 3 ///< worth from 80, from 40, below
+
+/// Measures of one run.
+typedef struct {
+    double goodput;       ///< useful slot time over capacity
+    double top_served;    ///< bookings or lodgements served of what fits
+    double failed_work;   ///< share of the slot time
+    double attempts;      ///< at upstreams per caller request
+    double most_attempts; ///< at one service for one caller request
+    double recovery_s;    ///< -1: not within the run
+    double p99;           ///< of short kinds, over the time without waiting
+    double crest[CLASS_COUNT]; ///< served share in the first second of a surge
+    double served[KINDS_MAX];  ///< share by kind
+} measures_t;
+
+void measure(const world_t *world, measures_t *measures);
+
+#endif
--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -10,10 +10,20 @@
 #include "ibisfield/base/slice.h"
 #include "ibisfield/call/call_defs.h"
 
+/// Rules that the comparison can switch off, as bits.
+typedef enum {
+    ADMISSION_ADAPT = 1,      ///< the limit follows the service time
+    ADMISSION_WORTH = 2,      ///< order by worth and eviction
+    ADMISSION_HOPELESS = 4,   ///< refusal of what can't finish in time
+    ADMISSION_LONG_SHARE = 8, ///< bounded slots for long kinds
+} admission_rule_t;
+
 typedef struct {
     uint32_t slots;     ///< declared slots of the upstream
     uint32_t queue_max; ///< waiting requests, 0: derived from slots
     uint32_t seed;
+    uint32_t off;       ///< admission_rule_t bits; 0: all rules are in force
+    wait_order_t order; ///< among requests of equal worth
 } admission_options_t;
 
 /// A request as the admission sees it. @p ticket names it in later calls.
--- a/src/ibisfield/routing/picker.h
+++ b/src/ibisfield/routing/picker.h
@@ -20,6 +20,15 @@
     PICK_LEAST_EXECUTION_TIME, ///< baseline of the related paper
 } pick_rule_t;
 
+/// Rules that the comparison can switch off, as bits.
+typedef enum {
+    PICKER_LOAD = 1,        ///< use of the load that guards report
+    PICKER_EJECT = 2,       ///< ejection of slow and failing VMs
+    PICKER_SHED_HINT = 4,   ///< refusal by reported minimum worth
+    PICKER_HEDGE = 8,       ///< second attempts
+    PICKER_SLOW_START = 16, ///< less work for new VMs
+} picker_rule_t;
+
 typedef struct {
     pick_rule_t rule;
     const char *own_vm;
@@ -27,6 +36,7 @@
     int32_t remote_cost_us; ///< added to VMs of other data centres
     uint32_t subset_size;   ///< VMs of a service in use; 0: default
     uint32_t seed;
+    uint32_t off; ///< picker_rule_t bits; 0: all rules are in force
 } picker_options_t;
 
 typedef struct {
