Run the real entry and guard in the comparison

Cause: the comparison had its own small model of attempts and deadlines, which is now in the core. Pass-through and three tries a hop keep a path without decisions. entry_options_t gets lend_all, so that lending half of the units can be compared with lending all.

--- a/bench/common/clients.c
+++ b/bench/common/clients.c
@@ -62,8 +62,7 @@
     }
     double uniform = g_rand_double(world->arrivals[kind]);
     int64_t gap_us = (int64_t)(-log(1 - uniform) * 1e6 / rate);
-    event_queue_add(&world->events, now_us(world) + gap_us, EVENT_ARRIVAL,
-                    kind, 0);
+    world_schedule(world, gap_us, EVENT_ARRIVAL, kind);
 }
 
 /// Own time of a request at the upstream of @p kind; the same in every try.
@@ -75,6 +74,21 @@
     return world->deployment->kinds[kind].own_us * spread;
 }
 
+/// Drops one reference of a client's request; the last one books its work.
+void
+root_release(world_t *world, uint32_t index)
+{
+    root_t *root = world_root(world, index);
+    if (--root->references > 0) {
+        return;
+    }
+    world->sums.work_us += root->work_us;
+    if (!root->succeeded) {
+        world->sums.failed_work_us += root->work_us;
+    }
+    g_array_append_val(world->free_roots, index);
+}
+
 /// Adds the slot time that the request needs at each service of its chain.
 static double
 add_useful_time(world_t *world, const root_t *root, uint32_t kind)
@@ -117,7 +131,7 @@
             taken_us / deployment_hold_us(world->deployment, root->kind);
         g_array_append_val(sums->short_latency, ratio);
     }
-    world_release_root(world, root_index);
+    root_release(world, root_index);
 }
 
 /// A client sends a new request.
@@ -153,18 +167,16 @@
     uint32_t node = (uint32_t)(uniform * world->server_count);
     root->tries++;
     uint32_t call = call_new(world, root_index, root->kind, node, NONE);
-    int64_t delay_us = world->deployment->client_delay_us;
-    world_call(world, call)->events++;
-    event_queue_add(&world->events, now_us(world) + delay_us, EVENT_CALL, call,
-                    0);
+    world_call(world, call)->references++;
+    world_schedule(world, world->deployment->client_delay_us, EVENT_CALL,
+                   call);
 }
 
 /// A try has ended at the entry.
 void
-client_result(world_t *world, uint32_t root_index, const call_t *call, bool ok)
+client_result(world_t *world, uint32_t root_index, bool ok)
 {
     root_t *root = world_root(world, root_index);
-    (void)call;
     if (ok || root->tries >= world->scenario->client_tries) {
         count_end(world, root_index, ok);
         return;
@@ -172,6 +184,5 @@
     double pause = world_draw(world, root->number, 2000 + root->tries);
     int64_t delay_us = world->deployment->client_delay_us +
                        (int64_t)(pause * CLIENT_PAUSE_US);
-    event_queue_add(&world->events, now_us(world) + delay_us, EVENT_RETRY,
-                    root_index, 0);
+    world_schedule(world, delay_us, EVENT_RETRY, root_index);
 }
--- a/bench/common/world.c
+++ b/bench/common/world.c
@@ -9,6 +9,7 @@
 #define TICK_US (5 * US_PER_MS)
 /// Guards are still served this long after the last arrival.
 #define SETTLE_US (10 * US_PER_S)
+#define CLIENT_RETRY_PERCENT 20
 #define NEAR_DELAY_US 100
 #define SAME_VM_DELAY_US 20
 
@@ -67,19 +68,55 @@
                : world->deployment->centre_delay_us;
 }
 
-/// Drops one reference of a client's request; the last one books its work.
+/// Adds an event after @p delay_us.
 void
-world_release_root(world_t *world, uint32_t index)
+world_schedule(world_t *world, int64_t delay_us, event_type_t type,
+               uint32_t subject)
 {
-    root_t *root = world_root(world, index);
-    if (--root->references > 0) {
-        return;
+    event_queue_add(&world->events, world->clock.now_us + delay_us, type,
+                    subject, 0);
+}
+
+/// Whether the run goes without the real entry and guard.
+bool
+world_passes_through(const world_t *world)
+{
+    return world->variant->decide != DECIDE_IBISFIELD;
+}
+
+static void
+start_call(world_t *world, uint32_t call)
+{
+    if (world_passes_through(world)) {
+        pass_start(world, call);
     }
-    world->sums.work_us += root->work_us;
-    if (!root->succeeded) {
-        world->sums.failed_work_us += root->work_us;
+    else {
+        entry_adapter_start(world, call);
+    }
+    call_release(world, call);
+}
+
+static void
+tick(world_t *world, uint32_t index)
+{
+    server_t *server = &world->servers[index];
+    entry_tick(&server->entry);
+    guard_tick(&server->guard);
+    key_table_tick(&server->keys);
+    if (world->clock.now_us < world->scenario->end_us + SETTLE_US) {
+        world_schedule(world, TICK_US, EVENT_TICK, index);
+    }
+}
+
+static void
+arrive(world_t *world, uint32_t attempt)
+{
+    if (world_passes_through(world)) {
+        upstream_accept(world, attempt);
+    }
+    else {
+        guard_adapter_arrival(world, attempt);
     }
-    g_array_append_val(world->free_roots, index);
 }
 
 static void
@@ -93,37 +130,85 @@
         client_try(world, event->a);
         break;
     case EVENT_CALL:
-        world_call(world, event->a)->events--;
-        call_start(world, event->a);
+        start_call(world, event->a);
         break;
     case EVENT_DEADLINE:
-        call_deadline(world, event->a);
-        break;
-    case EVENT_HEDGE:
-        call_hedge(world, event->a);
+        pass_deadline(world, event->a);
         break;
     case EVENT_GUARD:
-        server_arrival(world, event->a);
+        arrive(world, event->a);
         break;
     case EVENT_PHASE:
-        server_phase(world, event->a);
+        upstream_phase(world, event->a);
         break;
     case EVENT_RESULT:
-        call_result(world, event->a);
+        attempt_result(world, event->a);
         break;
     case EVENT_CANCEL:
-        server_cancel(world, event->a);
+        guard_adapter_cancel(world, event->a);
         break;
     case EVENT_TICK:
-        server_tick(world, event->a);
-        if (world->clock.now_us < world->scenario->end_us + SETTLE_US) {
-            event_queue_add(&world->events, world->clock.now_us + TICK_US,
-                            EVENT_TICK, event->a, 0);
-        }
+        tick(world, event->a);
         break;
     }
 }
 
+static void
+setup_server(world_t *world, uint32_t index)
+{
+    server_t *server = &world->servers[index];
+    server->outstanding = g_new0(uint32_t, world->server_count);
+    server->connections = g_new0(uint32_t, world->server_count);
+    g_queue_init(&server->waiting);
+    if (!world_passes_through(world)) {
+        guard_adapter_setup(world, index);
+        entry_adapter_setup(world, index);
+        world_schedule(world, TICK_US, EVENT_TICK, index);
+    }
+}
+
+static void
+teardown_server(world_t *world, server_t *server)
+{
+    if (!world_passes_through(world)) {
+        entry_finish(&server->entry);
+        guard_finish(&server->guard);
+        picker_finish(&server->picker);
+        key_table_finish(&server->keys);
+        retry_accounts_finish(&server->accounts);
+        client_retry_budget_finish(&server->client_retries);
+    }
+    g_free(server->outstanding);
+    g_free(server->connections);
+    g_queue_clear(&server->waiting);
+}
+
+static void
+setup_contract(world_t *world)
+{
+    const deployment_t *deployment = world->deployment;
+    contract_t *contract = &world->contract;
+    g_strlcpy(contract->customer, deployment->name,
+              sizeof(contract->customer));
+    contract->retries = (int32_t)deployment->retries;
+    contract->client_retry_percent = CLIENT_RETRY_PERCENT;
+    contract->kinds = world->kinds;
+    contract->kind_count = deployment->kind_count;
+    for (uint32_t i = 0; i < deployment->kind_count; i++) {
+        const kind_spec_t *spec = &deployment->kinds[i];
+        kind_t *kind = &world->kinds[i];
+        *kind = (kind_t){.method = "GET",
+                         .worth = spec->worth,
+                         .deadline_ms = spec->deadline_ms,
+                         .resend_s = 60,
+                         .run = spec->once ? RUN_ONCE : RUN_REPEATABLE};
+        g_strlcpy(kind->name, spec->name, sizeof(kind->name));
+        g_strlcpy(kind->service, deployment->services[spec->service].name,
+                  sizeof(kind->service));
+        snprintf(kind->path, sizeof(kind->path), "/%s", spec->name);
+    }
+}
+
 static void
 setup_servers(world_t *world)
 {
@@ -137,6 +222,7 @@
     for (uint32_t i = 0; i < deployment->service_count; i++) {
         for (uint32_t j = 0; j < deployment->services[i].servers; j++) {
             server_t *server = &world->servers[next++];
+            server->world = world;
             server->service = i;
             server->index = j;
             server->centre = j % DATA_CENTRES;
@@ -145,10 +231,7 @@
         }
     }
     for (uint32_t i = 0; i < world->server_count; i++) {
-        server_setup(world, i);
-        if (!world->variant->pass_through) {
-            event_queue_add(&world->events, TICK_US, EVENT_TICK, i, 0);
-        }
+        setup_server(world, i);
     }
 }
 
@@ -171,11 +254,13 @@
     world->free_attempts = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     world->sums.short_latency = g_array_new(FALSE, FALSE, sizeof(double));
     deployment_rates(deployment, world->rates);
+    world->random = g_rand_new_with_seed(seed);
+    setup_contract(world);
     setup_servers(world);
     for (uint32_t i = 0; i < deployment->kind_count; i++) {
         world->arrivals[i] = g_rand_new_with_seed(seed * 1000 + i);
         if (deployment->kinds[i].share > 0) {
-            event_queue_add(&world->events, 0, EVENT_ARRIVAL, i, 0);
+            world_schedule(world, 0, EVENT_ARRIVAL, i);
         }
     }
     event_t event;
@@ -190,11 +275,12 @@
 world_finish(world_t *world)
 {
     for (uint32_t i = 0; i < world->server_count; i++) {
-        server_teardown(&world->servers[i]);
+        teardown_server(world, &world->servers[i]);
     }
     for (uint32_t i = 0; i < world->deployment->kind_count; i++) {
         g_rand_free(world->arrivals[i]);
     }
+    g_rand_free(world->random);
     g_free(world->servers);
     event_queue_finish(&world->events);
     g_array_free(world->roots, TRUE);
--- a/bench/common/world.h
+++ b/bench/common/world.h
@@ -5,8 +5,8 @@
 
 #include "common/deployment.h"
 #include "common/event_queue.h"
-#include "ibisfield/admission/admission.h"
-#include "ibisfield/routing/picker.h"
+#include "ibisfield/call/entry.h"
+#include "ibisfield/call/guard.h"
 
 #define NONE UINT32_MAX
 #define ATTEMPTS_MAX 8
@@ -15,10 +15,10 @@
 
 /// What decides in a run.
 typedef enum {
-    LEND_HALF,
-    LEND_ALL,
-    RETRY_EACH_HOP, ///< every hop tries three times, with no common budget
-} retry_rule_t;
+    DECIDE_IBISFIELD,    ///< the real entry and guard
+    DECIDE_PASS_THROUGH, ///< random choice; FIFO at the upstream
+    DECIDE_HOP_RETRIES,  ///< pass-through with three tries at every hop
+} decide_t;
 
 /// How load reports reach the picker.
 typedef enum {
@@ -30,11 +30,11 @@
 
 typedef struct {
     const char *name;
-    bool pass_through; ///< no admission; FIFO at the upstream
+    decide_t decide;
     pick_rule_t pick;
-    retry_rule_t retry;
     report_mode_t reports;
     wait_order_t order;
+    bool lend_all;
     uint32_t admission_off; ///< admission_rule_t bits
     uint32_t picker_off;    ///< picker_rule_t bits
 } variant_t;
@@ -57,6 +57,7 @@
     double long_factor; ///< load of long kinds
 } scenario_t;
 
+/// A client's request.
 typedef struct {
     uint32_t kind;
     uint32_t references;
@@ -70,66 +71,68 @@
 
 typedef enum {
     ATTEMPT_SENT,
-    ATTEMPT_WAITING, ///< in the guard's or the upstream's queue
+    ATTEMPT_WAITING, ///< in the guard's queue
+    ATTEMPT_QUEUED,  ///< in the upstream's own queue
     ATTEMPT_RUNNING,
     ATTEMPT_ENDED,
 } attempt_state_t;
 
-typedef enum {
-    RESULT_OK,
-    RESULT_FAILED,  ///< the upstream answered with a failure
-    RESULT_REFUSED, ///< not run
-    RESULT_LOST,
-} attempt_result_t;
-
 /// A request at an entry or egress.
 typedef struct {
     uint32_t root;
     uint32_t kind;
     uint32_t node;
-    uint32_t parent; ///< attempt whose upstream makes the call, NONE: client
-    int32_t worth;
-    uint32_t units;
-    int64_t start_us;
-    int64_t deadline_us;
-    uint32_t attempt_count;
-    uint32_t live;
-    uint32_t events; ///< events that name the call
+    uint32_t parent;     ///< attempt whose upstream makes the call, NONE
+    uint32_t references; ///< events, attempts, and one until it is answered
     bool ended;
-    bool hedged;
-    uint32_t attempts[ATTEMPTS_MAX];
-    vm_handle_t tried[ATTEMPTS_MAX];
+    uint32_t served; ///< attempt whose work succeeded, 0: none
+    uint32_t attempt_count;
+    uint32_t attempts[ATTEMPTS_MAX]; ///< NONE once its result has come
+    call_handle_t handle;            ///< of the real entry
+    char key[KEY_TEXT_MAX + 1];
 } call_t;
 
+/// A request on its way to an upstream and back.
 typedef struct {
     uint32_t call;
+    uint32_t number; ///< of the attempt in its call
     uint32_t root;
     uint32_t kind;
-    uint32_t node; ///< server
+    uint32_t sender; ///< server
+    uint32_t node;   ///< server
     uint32_t references;
     attempt_state_t state;
-    attempt_result_t result;
-    bool detached; ///< the call no longer waits for it
     bool cancelled;
-    uint32_t phase;
-    uint32_t units;
-    uint32_t child;
+    bool ok;        ///< the upstream's work succeeded
+    uint32_t phase; ///< of the upstream's work
+    uint32_t child; ///< call
+    int64_t run_us;
     int32_t worth;
     int64_t deadline_us;
-    int64_t sent_us;
-    int64_t run_us;
-    uint32_t admission_kind;
-    guard_load_t load;
+    uint32_t retries;
+    bool once;
+    uint64_t request_id;
+    call_handle_t handle; ///< of the real guard
+    guard_answer_t answer;
 } attempt_t;
 
+typedef struct world world_t;
+
 /// One VM: its node and its upstream.
 typedef struct {
+    world_t *world;
     uint32_t service;
     uint32_t index; ///< in its service
     uint32_t centre;
     char name[32];
-    admission_t admission;
+    entry_io_t entry_io;
+    guard_io_t guard_io;
+    entry_t entry;
+    guard_t guard;
     picker_t picker;
+    key_table_t keys;
+    retry_accounts_t accounts;
+    client_retry_budget_t client_retries;
     uint32_t running;
     GQueue waiting;        ///< attempts in the upstream's own queue
     uint32_t *outstanding; ///< by server: connections in use
@@ -143,8 +146,8 @@
     double work_us;
     double failed_work_us;
     uint64_t roots;
-    uint64_t attempts;
-    uint64_t most_attempts; ///< at one service for one root
+    uint64_t attempts;      ///< that ran at an upstream
+    uint64_t most_attempts; ///< sent to one service for one root
     uint64_t offered[KINDS_MAX];
     uint64_t served[KINDS_MAX];
     uint64_t bucket_offered[BUCKETS_MAX];
@@ -154,14 +157,17 @@
     GArray *short_latency; ///< double: over the time without waiting
 } sums_t;
 
-typedef struct {
+struct world {
     const deployment_t *deployment;
     const scenario_t *scenario;
     const variant_t *variant;
     uint32_t seed;
     manual_clock_t clock;
     event_queue_t events;
+    contract_t contract;
+    kind_t kinds[KINDS_MAX];
     GRand *arrivals[KINDS_MAX];
+    GRand *random; ///< of pass-through
     double rates[KINDS_MAX];
     server_t *servers;
     uint32_t server_count;
@@ -173,14 +179,13 @@
     GArray *free_attempts;
     uint64_t next_number;
     sums_t sums;
-} world_t;
+};
 
 typedef enum {
     EVENT_ARRIVAL,  ///< a: kind
     EVENT_RETRY,    ///< a: root
     EVENT_CALL,     ///< a: call reaches its node
-    EVENT_DEADLINE, ///< a: call
-    EVENT_HEDGE,    ///< a: call
+    EVENT_DEADLINE, ///< a: call of pass-through
     EVENT_GUARD,    ///< a: attempt reaches its server
     EVENT_PHASE,    ///< a: attempt; own work of a phase is over
     EVENT_RESULT,   ///< a: attempt; its result reaches the caller's node
@@ -188,12 +193,16 @@
     EVENT_TICK,     ///< a: server
 } event_type_t;
 
+/// world.c
 root_t *world_root(world_t *world, uint32_t root);
 call_t *world_call(world_t *world, uint32_t call);
 attempt_t *world_attempt(world_t *world, uint32_t attempt);
 uint32_t world_take(GArray *pool, GArray *free_list);
+void world_schedule(world_t *world, int64_t delay_us, event_type_t type,
+                    uint32_t subject);
 double world_draw(const world_t *world, uint64_t a, uint64_t b);
-void world_release_root(world_t *world, uint32_t root);
+int64_t world_delay_us(const world_t *world, uint32_t from, uint32_t to);
+bool world_passes_through(const world_t *world);
 void world_run(world_t *world, const deployment_t *deployment,
                const scenario_t *scenario, const variant_t *variant,
                uint32_t seed);
@@ -202,27 +211,40 @@
 /// clients.c
 void client_arrival(world_t *world, uint32_t kind);
 void client_try(world_t *world, uint32_t root);
-void client_result(world_t *world, uint32_t root, const call_t *call, bool ok);
+void client_result(world_t *world, uint32_t root, bool ok);
+double root_own_us(const world_t *world, const root_t *root, uint32_t kind);
+void root_release(world_t *world, uint32_t root);
 
 /// calls.c
 uint32_t call_new(world_t *world, uint32_t root, uint32_t kind, uint32_t node,
                   uint32_t parent);
-void call_start(world_t *world, uint32_t call);
-void call_deadline(world_t *world, uint32_t call);
-void call_hedge(world_t *world, uint32_t call);
-void call_result(world_t *world, uint32_t attempt);
-
-/// servers.c
-void server_arrival(world_t *world, uint32_t attempt);
-void server_phase(world_t *world, uint32_t attempt);
-void server_child_done(world_t *world, uint32_t attempt, bool ok);
-void server_cancel(world_t *world, uint32_t attempt);
-void server_tick(world_t *world, uint32_t server);
-void server_setup(world_t *world, uint32_t server);
-void server_teardown(server_t *server);
+void call_release(world_t *world, uint32_t call);
+void call_ended(world_t *world, uint32_t call, bool ok);
+uint32_t attempt_new(world_t *world, uint32_t call, uint32_t node);
+void attempt_result(world_t *world, uint32_t attempt);
 void attempt_release(world_t *world, uint32_t attempt);
-int64_t world_delay_us(const world_t *world, uint32_t from, uint32_t to);
-double root_own_us(const world_t *world, const root_t *root, uint32_t kind);
-void call_abort(world_t *world, uint32_t call);
+
+/// entry_adapter.c: the real entry
+void entry_adapter_setup(world_t *world, uint32_t server);
+void entry_adapter_start(world_t *world, uint32_t call);
+void entry_adapter_abort(world_t *world, uint32_t call);
+void entry_adapter_result(world_t *world, uint32_t attempt);
+
+/// pass_through.c: no decisions
+void pass_start(world_t *world, uint32_t call);
+void pass_deadline(world_t *world, uint32_t call);
+void pass_result(world_t *world, uint32_t attempt);
+
+/// upstream.c: the fake upstream
+void upstream_accept(world_t *world, uint32_t attempt);
+void upstream_phase(world_t *world, uint32_t attempt);
+void upstream_child_done(world_t *world, uint32_t attempt, bool ok);
+void upstream_cancel(world_t *world, uint32_t attempt);
+
+/// guard_adapter.c: the real guard
+void guard_adapter_setup(world_t *world, uint32_t server);
+void guard_adapter_arrival(world_t *world, uint32_t attempt);
+void guard_adapter_cancel(world_t *world, uint32_t attempt);
+void guard_adapter_done(world_t *world, uint32_t attempt);
 
 #endif
--- a/bench/compare.c
+++ b/bench/compare.c
@@ -46,7 +46,8 @@
 };
 
 static const variant_t rules[] = {
-    {"pass-through", true, PICK_RANDOM},
+    {"pass-through", DECIDE_PASS_THROUGH},
+    {"three tries a hop", DECIDE_HOP_RETRIES},
     {"ibisfield"},
     {"fixed limit", .admission_off = ADMISSION_ADAPT},
     {"no worth order", .admission_off = ADMISSION_WORTH},
@@ -57,8 +58,7 @@
     {"no ejection", .picker_off = PICKER_EJECT},
     {"no shed hints", .picker_off = PICKER_SHED_HINT},
     {"no hedging", .picker_off = PICKER_HEDGE},
-    {"lend all units", .retry = LEND_ALL},
-    {"three tries a hop", .retry = RETRY_EACH_HOP},
+    {"lend all units", .lend_all = true},
 };
 
 static const variant_t choices[] = {
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -117,6 +117,7 @@
     client_retry_budget_t *client_retries;
     uint32_t max_calls;
     uint32_t seed; ///< of the jitter
+    bool lend_all; ///< lend all units instead of half; for the comparison
 } entry_options_t;
 
 typedef struct {
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -108,7 +108,9 @@
 uint32_t
 entry_lend_units(entry_t *entry, entry_call_t *call)
 {
-    return take_units(entry, call, (units_left(entry, call) + 1) / 2);
+    uint32_t left = units_left(entry, call);
+    return take_units(entry, call,
+                      entry->options.lend_all ? left : (left + 1) / 2);
 }
 
 static bool
