--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -14,6 +14,52 @@
       "Calls whose outcome is unknown.")                                      \
     X(CALLS_IN_FLIGHT, "ibisfield_calls_in_flight", "gauge",                  \
       "Calls that wait for their answer.")                                    \
+    X(CONNECTIONS, "ibisfield_connections", "gauge",                          \
+      "Accepted connections that are open.")                                  \
+    X(CONNECTIONS_HALF_OPEN_TOTAL, "ibisfield_connections_half_open_total",   \
+      "counter",                                                              \
+      "Connections closed because no whole request arrived in time.")         \
+    X(CONNECTIONS_REFUSED_TOTAL, "ibisfield_connections_refused_total",       \
+      "counter", "Connections refused because the table was full.")           \
+    X(CALLS_CUT_TOTAL, "ibisfield_calls_cut_total", "counter",                \
+      "Calls cut off by the hard limit of the shutdown.")                     \
+    X(GUARD_IN_FLIGHT, "ibisfield_guard_in_flight", "gauge",                  \
+      "Requests that wait or run at the guard.")                              \
+    X(GUARD_LIMIT, "ibisfield_guard_limit", "gauge",                          \
+      "Concurrency limit of the guard.")                                      \
+    X(GUARD_QUEUE, "ibisfield_guard_queue", "gauge",                          \
+      "Requests that wait at the guard.")                                     \
+    X(GUARD_REFUSALS_TOTAL, "ibisfield_guard_refusals_total", "counter",      \
+      "Requests that the guard answered without an upstream answer.")         \
+    X(GUARD_REQUESTS_TOTAL, "ibisfield_guard_requests_total", "counter",      \
+      "Requests of nodes for the upstream on this VM.")                       \
+    X(KEYS_FORWARDED_TOTAL, "ibisfield_keys_forwarded_total", "counter",      \
+      "Requests forwarded to the owner of their key.")                        \
+    X(PEER_ANSWERS_LOST_TOTAL, "ibisfield_peer_answers_lost_total",           \
+      "counter", "Requests sent to a node without a whole answer.")           \
+    X(PEER_CONNECT_FAILURES_TOTAL, "ibisfield_peer_connect_failures_total",   \
+      "counter", "Requests that no byte of could be sent to a node.")         \
+    X(PROTOCOL_REFUSALS_TOTAL, "ibisfield_protocol_refusals_total",           \
+      "counter", "Requests of nodes with another protocol version.")          \
+    X(REQUESTS_MALFORMED_TOTAL, "ibisfield_requests_malformed_total",         \
+      "counter", "Requests refused because they were malformed.")             \
+    X(REQUESTS_TOO_LARGE_TOTAL, "ibisfield_requests_too_large_total",         \
+      "counter", "Requests refused because of their size.")                   \
+    X(SENDERS_GONE_TOTAL, "ibisfield_senders_gone_total", "counter",          \
+      "Requests whose sender closed its connection before the answer.")       \
+    X(SPANS_TOTAL, "ibisfield_spans_total", "counter", "Spans logged.")       \
+    X(UPSTREAM_ANSWERS_LOST_TOTAL, "ibisfield_upstream_answers_lost_total",   \
+      "counter", "Requests to the upstream without a whole answer.")          \
+    X(UPSTREAM_ANSWERS_TOO_LARGE_TOTAL,                                       \
+      "ibisfield_upstream_answers_too_large_total", "counter",                \
+      "Answers of the upstream above the bound.")                             \
+    X(UPSTREAM_CANCELS_TOTAL, "ibisfield_upstream_cancels_total", "counter",  \
+      "Requests to the upstream that were cancelled.")                        \
+    X(UPSTREAM_CONNECT_FAILURES_TOTAL,                                        \
+      "ibisfield_upstream_connect_failures_total", "counter",                 \
+      "Requests that no byte of could be sent to the upstream.")              \
+    X(UPSTREAM_SHED_TOTAL, "ibisfield_upstream_shed_total", "counter",        \
+      "Requests that the upstream shed.")                                     \
     X(CONFIG_ADOPTIONS_TOTAL, "ibisfield_config_adoptions_total", "counter",  \
       "Configuration items that came into force.")                            \
     X(CONFIG_ITEMS, "ibisfield_config_items", "gauge",                        \
--- /dev/null
+++ b/src/ibisfield/io/caller_server.c
@@ -0,0 +1,468 @@
+/// @file
+/// Adapter between the entry and HTTP. The entry decides; this module reads
+/// requests, sends attempts to guards and writes answers.
+
+#include "ibisfield/io/caller_server.h"
+
+#include <xxhash.h>
+
+#include "ibisfield/base/log.h"
+#include "ibisfield/base/metrics.h"
+#include "ibisfield/io/message.h"
+
+#define ATTEMPTS_MAX (1 + CONTRACT_RETRIES_MAX)
+
+/// Where a request comes from.
+typedef enum { FROM_CALLER, FROM_EGRESS, FROM_PEER } origin_t;
+
+/// A request at the entry. It lives until it is answered or its caller has
+/// gone, and no attempt of it runs.
+typedef struct {
+    caller_server_t *server;
+    http_request_t *request; ///< NULL when answered or gone
+    call_handle_t handle;
+    span_t span;
+    char kind[CONTRACT_NAME_MAX + 1];
+    uint32_t references;
+    caller_attempt_t *attempts[ATTEMPTS_MAX + 1]; ///< 0: the forward
+} caller_call_t;
+
+struct caller_attempt {
+    caller_call_t *call;
+    uint32_t number; ///< 0: forwarded to the owner of the key
+    bool once;
+    http_exchange_t *exchange;
+    loop_timer_t failure_timer;
+};
+
+static void
+release_call(caller_call_t *call)
+{
+    if (--call->references == 0) {
+        g_free(call);
+    }
+}
+
+static caller_attempt_t *
+new_attempt(caller_call_t *call, uint32_t number, bool once)
+{
+    caller_attempt_t *attempt = g_new0(caller_attempt_t, 1);
+    attempt->call = call;
+    attempt->number = number;
+    attempt->once = once;
+    call->attempts[number] = attempt;
+    call->references++;
+    return attempt;
+}
+
+static void
+free_attempt(caller_attempt_t *attempt)
+{
+    caller_call_t *call = attempt->call;
+    call->attempts[attempt->number] = NULL;
+    loop_timer_stop(call->server->options.loop, &attempt->failure_timer);
+    g_free(attempt);
+    release_call(call);
+}
+
+static http_request_t *
+take_request(caller_call_t *call, const char *outcome)
+{
+    http_request_t *request = call->request;
+    call->request = NULL;
+    span_end(&call->span, call->server->options.spans,
+             slice_from_string(call->kind), outcome);
+    return request;
+}
+
+static void
+send_answer(caller_call_t *call, const message_t *answer, const char *outcome)
+{
+    http_request_t *request = take_request(call, outcome);
+    http_request_answer(request, answer->status, answer->headers,
+                        answer->header_count, message_body(answer));
+}
+
+static void
+pass_on(caller_call_t *call, const http_answer_t *answer)
+{
+    message_t message;
+    message_init(&message, answer->status);
+    message_add_end_to_end(&message, answer->headers, answer->header_count);
+    message_add_string(&message, HEADER_OUTCOME,
+                       outcome_token(OUTCOME_ANSWERED));
+    http_request_t *request =
+        take_request(call, outcome_token(OUTCOME_ANSWERED));
+    http_request_answer(request, message.status, message.headers,
+                        message.header_count, answer->body);
+    message_finish(&message);
+}
+
+static void
+replay(caller_call_t *call, slice_t stored)
+{
+    message_t message;
+    if (!answer_deserialise(&message, stored)) {
+        g_error("event=stored_answer_invalid bytes=%zu", stored.len);
+    }
+    const char *outcome = outcome_token(OUTCOME_ANSWERED);
+    message_add_string(&message, HEADER_OUTCOME, outcome);
+    send_answer(call, &message, outcome);
+    message_finish(&message);
+}
+
+static void
+refuse(caller_call_t *call, const entry_answer_t *answer)
+{
+    log_debug("call_refused", "kind=\"%s\" reason=%s outcome=%s", call->kind,
+              reason_token(answer->reason), outcome_token(answer->outcome));
+    refusal_t refusal = {
+        .reason = answer->reason,
+        .outcome = answer->outcome,
+        .retry_after_ms = answer->retry_after_ms,
+        .fresh_key = answer->fresh_key,
+    };
+    message_t message;
+    message_init_refusal(&message, &refusal);
+    send_answer(call, &message, outcome_token(answer->outcome));
+    message_finish(&message);
+}
+
+static void
+io_answer(entry_io_t *io, call_handle_t handle, void *user,
+          const entry_answer_t *answer)
+{
+    (void)handle;
+    caller_server_t *server = (caller_server_t *)io;
+    caller_call_t *call = user;
+    if (answer->reason != REASON_NONE) {
+        refuse(call, answer);
+    }
+    else if (answer->attempt == 0) {
+        replay(call, answer->stored_answer);
+    }
+    else {
+        pass_on(call, server->current);
+    }
+    release_call(call);
+}
+
+static void
+report_attempt(caller_attempt_t *attempt, const http_answer_t *answer)
+{
+    caller_call_t *call = attempt->call;
+    caller_server_t *server = call->server;
+    attempt_result_t result;
+    peer_client_read_result(&result, answer);
+    GByteArray *stored = NULL;
+    if (attempt->once && result.kind == ATTEMPT_ANSWERED) {
+        stored = g_byte_array_new();
+        answer_serialise(stored, answer);
+        result.answer = (slice_t){(const char *)stored->data, stored->len};
+    }
+    call_handle_t handle = call->handle;
+    uint32_t number = attempt->number;
+    call->references++;
+    free_attempt(attempt);
+    server->current = answer;
+    entry_attempt_done(server->options.entry, handle, number, &result);
+    server->current = NULL;
+    release_call(call);
+    if (stored != NULL) {
+        g_byte_array_unref(stored);
+    }
+}
+
+/// Passes on the answer of the node that owns the key, refusals included.
+static void
+pass_on_forwarded(caller_call_t *call, const http_answer_t *answer)
+{
+    static const char *const passed[] = {HEADER_OUTCOME, HEADER_REASON,
+                                         HEADER_RETRY_AFTER_MS, HEADER_KEY};
+    message_t message;
+    message_init(&message, answer->status);
+    message_add_end_to_end(&message, answer->headers, answer->header_count);
+    for (size_t i = 0; i < G_N_ELEMENTS(passed); i++) {
+        slice_t value =
+            http_header_find(answer->headers, answer->header_count, passed[i]);
+        if (value.data != NULL) {
+            message_add(&message, passed[i], value);
+        }
+    }
+    http_request_t *request = take_request(call, "forwarded");
+    http_request_answer(request, message.status, message.headers,
+                        message.header_count, answer->body);
+    message_finish(&message);
+    release_call(call);
+}
+
+static void
+report_forward(caller_attempt_t *attempt, const http_answer_t *answer)
+{
+    caller_call_t *call = attempt->call;
+    caller_server_t *server = call->server;
+    bool answered =
+        answer->result == HTTP_COMPLETE &&
+        http_header_find(answer->headers, answer->header_count, HEADER_OUTCOME)
+                .data != NULL;
+    call_handle_t handle = call->handle;
+    call->references++;
+    free_attempt(attempt);
+    if (answered && call->request != NULL) {
+        pass_on_forwarded(call, answer);
+    }
+    entry_forward_done(server->options.entry, handle, answered,
+                       answer->result != HTTP_CONNECT_FAILED);
+    release_call(call);
+}
+
+static void
+attempt_done(void *context, const http_answer_t *answer)
+{
+    caller_attempt_t *attempt = context;
+    if (answer->result != HTTP_COMPLETE) {
+        metric_increment(answer->result == HTTP_CONNECT_FAILED
+                             ? METRIC_PEER_CONNECT_FAILURES_TOTAL
+                             : METRIC_PEER_ANSWERS_LOST_TOTAL);
+        log_debug("attempt_failed", "attempt=%u error=\"%s\"", attempt->number,
+                  answer->error);
+    }
+    if (attempt->number == 0) {
+        report_forward(attempt, answer);
+    }
+    else {
+        report_attempt(attempt, answer);
+    }
+}
+
+/// Reports an attempt at a VM that isn't listed any more.
+static void
+report_not_listed(void *context)
+{
+    const http_answer_t answer = {.result = HTTP_CONNECT_FAILED,
+                                  .error = "VM not listed"};
+    attempt_done(context, &answer);
+}
+
+static void
+add_call_headers(message_t *message, const caller_call_t *call,
+                 const attempt_info_t *info)
+{
+    const http_request_t *request = call->request;
+    message_add_end_to_end(message, request->headers, request->header_count);
+    message_add(message, "host", request->host);
+    message_add_string(message, HEADER_PROTOCOL, PROTOCOL_VERSION);
+    message_add_string(message, HEADER_CUSTOMER, info->customer);
+    message_add_string(message, HEADER_KIND, info->kind);
+    message_add_number(message, HEADER_WORTH, info->worth);
+    message_add_number(message, HEADER_BUDGET_US, info->budget_us);
+    message_add_number(message, HEADER_RETRIES, info->retries);
+    slice_t key = http_request_header(request, HEADER_KEY);
+    if (key.len > 0) {
+        message_add(message, HEADER_KEY, key);
+    }
+    char traceparent[TRACEPARENT_LEN + 1];
+    span_traceparent(&call->span, traceparent);
+    message_add_string(message, HEADER_TRACEPARENT, traceparent);
+}
+
+static void
+start_attempt(caller_attempt_t *attempt, const char *vm,
+              const attempt_info_t *info)
+{
+    caller_call_t *call = attempt->call;
+    const caller_server_options_t *options = &call->server->options;
+    g_strlcpy(call->kind, info->kind, sizeof(call->kind));
+    const vm_info_t *peer = vm == NULL ? NULL : vm_view_find(options->vms, vm);
+    if (peer == NULL) {
+        loop_timer_start(options->loop, &attempt->failure_timer, 0,
+                         report_not_listed, attempt);
+        return;
+    }
+    message_t message;
+    message_init(&message, 0);
+    add_call_headers(&message, call, info);
+    if (attempt->number == 0) {
+        message_add_string(&message, HEADER_FROM_PEER, "1");
+    }
+    else if (attempt->once) {
+        message_add_string(&message, HEADER_ONCE, "1");
+    }
+    attempt->exchange = http_exchange_start(
+        peer_client_target(options->peers, peer), call->request->method,
+        call->request->path, message.headers, message.header_count,
+        call->request->body, info->wait_us, attempt_done, attempt);
+    message_finish(&message);
+}
+
+static void
+io_send(entry_io_t *io, call_handle_t handle, void *user, uint32_t number,
+        vm_handle_t vm, const attempt_info_t *info)
+{
+    caller_server_t *server = (caller_server_t *)io;
+    caller_call_t *call = user;
+    call->handle = handle;
+    start_attempt(new_attempt(call, number, info->once),
+                  picker_vm_name(server->options.picker, vm), info);
+}
+
+static void
+io_forward(entry_io_t *io, call_handle_t handle, void *user,
+           const char *vm_name, const attempt_info_t *info)
+{
+    (void)io;
+    caller_call_t *call = user;
+    call->handle = handle;
+    metric_increment(METRIC_KEYS_FORWARDED_TOTAL);
+    start_attempt(new_attempt(call, 0, true), vm_name, info);
+}
+
+static void
+io_cancel(entry_io_t *io, call_handle_t handle, void *user, uint32_t number)
+{
+    (void)io;
+    (void)handle;
+    caller_call_t *call = user;
+    caller_attempt_t *attempt = call->attempts[number];
+    if (attempt == NULL) {
+        return;
+    }
+    if (attempt->exchange != NULL) {
+        http_exchange_cancel(attempt->exchange);
+    }
+    free_attempt(attempt);
+}
+
+static uint64_t
+hash_request(const http_request_t *request)
+{
+    uint64_t hash = XXH3_64bits(request->method.data, request->method.len);
+    hash = XXH3_64bits_withSeed(request->path.data, request->path.len, hash);
+    return XXH3_64bits_withSeed(request->body.data, request->body.len, hash);
+}
+
+static slice_t
+customer_of(const caller_server_t *server, const http_request_t *request)
+{
+    slice_t name = http_request_header(request, HEADER_CUSTOMER);
+    if (name.data != NULL) {
+        return name;
+    }
+    const contract_t *contract =
+        customers_find_host(server->options.customers, request->host);
+    return contract == NULL ? (slice_t){"", 0}
+                            : slice_from_string(contract->customer);
+}
+
+static void
+read_peer_fields(entry_request_t *call, const http_request_t *request)
+{
+    int64_t number;
+    call->from_peer = true;
+    if (parse_number(http_request_header(request, HEADER_WORTH),
+                     CONTRACT_WORTH_MAX, &number))
+    {
+        call->worth = (int32_t)number;
+    }
+    if (parse_number(http_request_header(request, HEADER_BUDGET_US),
+                     G_MAXINT64, &number))
+    {
+        call->budget_us = number;
+    }
+    if (parse_number(http_request_header(request, HEADER_RETRIES),
+                     CONTRACT_RETRIES_MAX, &number))
+    {
+        call->retries = (uint32_t)number;
+    }
+}
+
+static void
+handle(caller_server_t *server, http_request_t *request, origin_t origin)
+{
+    caller_call_t *call = g_new0(caller_call_t, 1);
+    *call = (caller_call_t){
+        .server = server,
+        .request = request,
+        .references = 2, // of the request and of this function
+    };
+    request->user = call;
+    span_start(&call->span, server->options.spans,
+               origin == FROM_EGRESS ? "egress" : "entry",
+               http_request_header(request, HEADER_TRACEPARENT));
+    entry_request_t taken = {
+        .customer = customer_of(server, request),
+        .method = request->method,
+        .path = request->path,
+        .key = http_request_header(request, HEADER_KEY),
+        .source = origin == FROM_CALLER ? request->source : 0,
+        .egress = origin == FROM_EGRESS,
+        .user = call,
+    };
+    if (taken.key.len > 0) {
+        taken.body_hash = hash_request(request);
+    }
+    if (origin == FROM_EGRESS) {
+        parse_hex(http_request_header(request, HEADER_REQUEST),
+                  &taken.request_id);
+    }
+    if (origin == FROM_PEER) {
+        read_peer_fields(&taken, request);
+    }
+    call_handle_t handle = entry_request(server->options.entry, &taken);
+    if (handle != 0) {
+        call->handle = handle;
+    }
+    release_call(call);
+}
+
+/// Takes a request of a caller.
+void
+caller_server_handle_caller(void *context, http_request_t *request)
+{
+    handle(context, request, FROM_CALLER);
+}
+
+/// Takes a request of the VM's own upstream.
+void
+caller_server_handle_egress(void *context, http_request_t *request)
+{
+    handle(context, request, FROM_EGRESS);
+}
+
+/// Takes a request that another node forwards to the owner of its key.
+void
+caller_server_handle_forwarded(caller_server_t *server,
+                               http_request_t *request)
+{
+    handle(server, request, FROM_PEER);
+}
+
+/// The caller has closed its connection.
+void
+caller_server_gone(void *context, http_request_t *request)
+{
+    caller_server_t *server = context;
+    caller_call_t *call = request->user;
+    if (call == NULL || call->request != request) {
+        return;
+    }
+    take_request(call, "caller-gone");
+    if (call->handle != 0) {
+        entry_caller_gone(server->options.entry, call->handle);
+    }
+    release_call(call);
+}
+
+/// Initialises the adapter; the entry is initialised with its io member.
+void
+caller_server_init(caller_server_t *server,
+                   const caller_server_options_t *options)
+{
+    static const entry_io_vtable_t vtable = {
+        .send = io_send,
+        .cancel = io_cancel,
+        .forward = io_forward,
+        .answer = io_answer,
+    };
+    *server = (caller_server_t){.io.vtable = &vtable, .options = *options};
+}
--- /dev/null
+++ b/src/ibisfield/io/caller_server.h
@@ -0,0 +1,40 @@
+#ifndef IBISFIELD_IO_CALLER_SERVER_H
+#define IBISFIELD_IO_CALLER_SERVER_H
+
+#include "ibisfield/call/entry.h"
+#include "ibisfield/io/customers.h"
+#include "ibisfield/io/http_server.h"
+#include "ibisfield/io/peer_client.h"
+#include "ibisfield/io/span.h"
+
+typedef struct caller_attempt caller_attempt_t;
+
+/// What the adapter works with; owned by the node.
+typedef struct {
+    loop_t *loop;
+    entry_t *entry;
+    picker_t *picker;
+    const customers_t *customers;
+    const vm_view_t *vms;
+    peer_client_t *peers;
+    span_source_t *spans;
+} caller_server_options_t;
+
+/// Adapter between the entry and HTTP: callers, own upstream (egress) and
+/// requests that other nodes forward because this node owns their key.
+typedef struct {
+    entry_io_t io;
+    caller_server_options_t options;
+    /// Answer of the attempt whose result the entry is being told.
+    const http_answer_t *current;
+} caller_server_t;
+
+void caller_server_init(caller_server_t *server,
+                        const caller_server_options_t *options);
+void caller_server_handle_caller(void *context, http_request_t *request);
+void caller_server_handle_egress(void *context, http_request_t *request);
+void caller_server_handle_forwarded(caller_server_t *server,
+                                    http_request_t *request);
+void caller_server_gone(void *context, http_request_t *request);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/io/customers.c
@@ -0,0 +1,107 @@
+/// @file
+/// The contracts in force, found by the customer's name or by a host name.
+
+#include "ibisfield/io/customers.h"
+
+#include <string.h>
+
+static void
+free_contract(void *pointer)
+{
+    contract_finish(pointer);
+    g_free(pointer);
+}
+
+void
+customers_init(customers_t *customers)
+{
+    customers->contracts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_contract);
+    customers->by_host =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void
+customers_finish(customers_t *customers)
+{
+    g_hash_table_destroy(customers->by_host);
+    g_hash_table_destroy(customers->contracts);
+}
+
+static void
+index_hosts(customers_t *customers)
+{
+    g_hash_table_remove_all(customers->by_host);
+    GHashTableIter iter;
+    void *pointer = NULL;
+    g_hash_table_iter_init(&iter, customers->contracts);
+    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
+        contract_t *contract = pointer;
+        for (uint32_t i = 0; i < contract->host_count; i++) {
+            g_hash_table_insert(customers->by_host,
+                                g_ascii_strdown(contract->hosts[i], -1),
+                                contract);
+        }
+    }
+}
+
+/// Puts a contract in force. Returns false if it is invalid; then the previous
+/// one stays.
+bool
+customers_set(customers_t *customers, const char *name, slice_t value)
+{
+    contract_t *contract = g_new0(contract_t, 1);
+    GPtrArray *problems = g_ptr_array_new_with_free_func(g_free);
+    bool valid = contract_parse(contract, name, value, problems);
+    g_ptr_array_unref(problems);
+    if (!valid) {
+        g_free(contract);
+        return false;
+    }
+    g_hash_table_replace(customers->contracts, contract->customer, contract);
+    index_hosts(customers);
+    return true;
+}
+
+void
+customers_remove(customers_t *customers, const char *name)
+{
+    g_hash_table_remove(customers->contracts, name);
+    index_hosts(customers);
+}
+
+static const contract_t *
+find(GHashTable *table, slice_t name)
+{
+    char text[CONTRACT_NAME_MAX + 1];
+    if (name.len == 0 || name.len >= sizeof(text)) {
+        return NULL;
+    }
+    memcpy(text, name.data, name.len);
+    text[name.len] = '\0';
+    return g_hash_table_lookup(table, text);
+}
+
+/// Returns the contract of a customer, NULL if there is none in force.
+const contract_t *
+customers_find(const customers_t *customers, slice_t name)
+{
+    return find(customers->contracts, name);
+}
+
+/// Returns the contract with this host; @p host may carry a port.
+const contract_t *
+customers_find_host(const customers_t *customers, slice_t host)
+{
+    const char *colon = memchr(host.data == NULL ? "" : host.data, ':',
+                               host.data == NULL ? 0 : host.len);
+    if (colon != NULL) {
+        host.len = (size_t)(colon - host.data);
+    }
+    char *lower =
+        g_ascii_strdown(host.data == NULL ? "" : host.data, (gssize)host.len);
+    const contract_t *contract =
+        find(customers->by_host, slice_from_string(lower));
+    g_free(lower);
+    return contract;
+}
--- /dev/null
+++ b/src/ibisfield/io/customers.h
@@ -0,0 +1,23 @@
+#ifndef IBISFIELD_IO_CUSTOMERS_H
+#define IBISFIELD_IO_CUSTOMERS_H
+
+#include <glib.h>
+
+#include "ibisfield/base/slice.h"
+#include "ibisfield/contract/contract.h"
+
+/// The contracts in force, by customer.
+typedef struct {
+    GHashTable *contracts; ///< customer name to contract_t
+    GHashTable *by_host;   ///< lower-case host name to contract_t
+} customers_t;
+
+void customers_init(customers_t *customers);
+void customers_finish(customers_t *customers);
+bool customers_set(customers_t *customers, const char *name, slice_t value);
+void customers_remove(customers_t *customers, const char *name);
+const contract_t *customers_find(const customers_t *customers, slice_t name);
+const contract_t *customers_find_host(const customers_t *customers,
+                                      slice_t host);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/io/http_server.c
@@ -0,0 +1,624 @@
+/// @file
+/// HTTP/1.1 server over h2o: one context for all listeners of a process, a
+/// bounded connection table, refusals with the project's headers for what h2o
+/// refuses by itself, and the detection of senders that have gone.
+
+#include "ibisfield/io/http_server.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <sys/socket.h>
+#include <xxhash.h>
+
+#include "ibisfield/base/error.h"
+#include "ibisfield/base/log.h"
+#include "ibisfield/base/metrics.h"
+#include "ibisfield/io/message.h"
+
+/// Idle connections are closed after this time. It is above the idle time of
+/// the HTTP client, so that the client closes first.
+#define IDLE_LIMIT_MS 60000
+/// A request must be complete this long after its first byte; a new connection
+/// must bring one in the same time.
+#define REQUEST_READ_LIMIT_US (10 * US_PER_S)
+#define SWEEP_INTERVAL_US US_PER_S
+/// Interval of the check whether senders of requests in flight have gone.
+#define GONE_INTERVAL_US (20 * US_PER_MS)
+/// Connections beyond the table's bound that are accepted only to refuse
+/// their requests properly; further ones are closed at once.
+#define REFUSED_CONNECTIONS_MAX 64
+
+struct http_server {
+    loop_t *loop;
+    h2o_globalconf_t config;
+    h2o_context_t context;
+    GPtrArray *listeners;
+    uint32_t connections_max;
+    GQueue connections;
+    GQueue requests; ///< in flight
+    loop_timer_t sweep_timer;
+    loop_timer_t gone_timer;
+    bool draining;
+    bool context_ready;
+};
+
+struct http_listener {
+    http_server_t *server;
+    http_listener_options_t options;
+    h2o_socket_t *socket;
+    h2o_hostconf_t *hosts[2];
+    h2o_accept_ctx_t accept;
+};
+
+typedef struct {
+    http_listener_t *listener;
+    h2o_socket_t *socket;
+    GList *link;
+    http_request_t *request; ///< in flight
+    bool answering;          ///< a handler's answer is being started
+    int64_t incomplete_us;   ///< when a part of a request was first seen
+    bool had_request;
+    bool refused; ///< beyond the bound of the table
+} connection_t;
+
+typedef struct {
+    h2o_handler_t base;
+    http_listener_t *listener;
+} listener_handler_t;
+
+typedef struct {
+    h2o_ostream_t base;
+    h2o_iovec_t body;
+} refusal_ostream_t;
+
+static connection_t *
+connection_of(const h2o_req_t *request)
+{
+    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+    return socket->on_close.data;
+}
+
+static void
+forget_request(http_request_t *request)
+{
+    if (request->link != NULL) {
+        g_queue_delete_link(&request->listener->server->requests,
+                            request->link);
+        request->link = NULL;
+    }
+}
+
+static void
+report_gone(http_request_t *request)
+{
+    forget_request(request);
+    metric_increment(METRIC_SENDERS_GONE_TOTAL);
+    log_debug("sender_gone", "listener=%s path=\"%.*s\"",
+              request->listener->options.name, (int)request->path.len,
+              request->path.data);
+    http_listener_options_t *options = &request->listener->options;
+    options->gone(options->context, request);
+}
+
+/// Called by h2o when the memory of a request is released.
+static void
+dispose_request(void *memory)
+{
+    http_request_t *request = memory;
+    if (!request->answered) {
+        request->answered = true;
+        report_gone(request);
+    }
+}
+
+static uint32_t
+source_of(h2o_conn_t *connection)
+{
+    struct sockaddr_storage address;
+    socklen_t size = connection->callbacks->get_peername(
+        connection, (struct sockaddr *)&address);
+    uint64_t hash = 0;
+    if (size >= sizeof(struct sockaddr_in) && address.ss_family == AF_INET) {
+        const struct in_addr *ip =
+            &((const struct sockaddr_in *)&address)->sin_addr;
+        hash = XXH3_64bits(ip, sizeof(*ip));
+    }
+    return MAX((uint32_t)hash, 1);
+}
+
+static slice_t
+slice_of(h2o_iovec_t text)
+{
+    return (slice_t){text.base, text.len};
+}
+
+static http_request_t *
+wrap_request(http_listener_t *listener, h2o_req_t *h2o)
+{
+    http_request_t *request =
+        h2o_mem_alloc_shared(&h2o->pool, sizeof(*request), dispose_request);
+    *request = (http_request_t){
+        .listener = listener,
+        .h2o = h2o,
+        .method = slice_of(h2o->input.method),
+        .path = slice_of(h2o->input.path),
+        .host = slice_of(h2o->input.authority),
+        .body = slice_of(h2o->entity),
+        .source = source_of(h2o->conn),
+        .received_us = clock_now_us(listener->server->loop->clock),
+        .header_count = h2o->headers.size,
+    };
+    request->headers = h2o_mem_alloc_pool(
+        &h2o->pool, sizeof(http_header_t) * (h2o->headers.size + 1));
+    for (size_t i = 0; i < h2o->headers.size; i++) {
+        const h2o_header_t *header = &h2o->headers.entries[i];
+        request->headers[i] =
+            (http_header_t){slice_of(*header->name), slice_of(header->value)};
+    }
+    return request;
+}
+
+static void
+refuse_connection(http_request_t *request)
+{
+    metric_increment(METRIC_CONNECTIONS_REFUSED_TOTAL);
+    log_warning("connection_refused", "listener=%s max=%u",
+                request->listener->options.name,
+                request->listener->server->connections_max);
+    slice_t key = http_request_header(request, HEADER_KEY);
+    refusal_t refusal = {
+        .reason = REASON_OVERLOADED,
+        .outcome = key.len > 0 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+        .retry_after_ms = 1000,
+    };
+    message_t answer;
+    message_init_refusal(&answer, &refusal);
+    http_request_answer_and_close(request, answer.status, answer.headers,
+                                  answer.header_count, message_body(&answer));
+    message_finish(&answer);
+}
+
+static void arm_gone_timer(http_server_t *server);
+
+static int
+on_request(h2o_handler_t *handler, h2o_req_t *h2o)
+{
+    http_listener_t *listener = ((listener_handler_t *)handler)->listener;
+    http_server_t *server = listener->server;
+    connection_t *connection = connection_of(h2o);
+    http_request_t *request = wrap_request(listener, h2o);
+    connection->request = request;
+    connection->had_request = true;
+    connection->incomplete_us = 0;
+    g_queue_push_tail(&server->requests, request);
+    request->link = g_queue_peek_tail_link(&server->requests);
+    if (connection->refused) {
+        refuse_connection(request);
+        return 0;
+    }
+    arm_gone_timer(server);
+    listener->options.handle(listener->options.context, request);
+    return 0;
+}
+
+static reason_t
+reason_of_h2o_status(int status)
+{
+    switch (status) {
+    case 413:
+        return REASON_REQUEST_TOO_LARGE;
+    case 404:
+        return REASON_NO_SUCH_KIND;
+    default:
+        return REASON_MALFORMED;
+    }
+}
+
+static void
+send_refusal_body(h2o_ostream_t *ostream, h2o_req_t *h2o, h2o_iovec_t *buffers,
+                  size_t count, h2o_send_state_t state)
+{
+    (void)buffers;
+    (void)count;
+    refusal_ostream_t *refusal = (refusal_ostream_t *)ostream;
+    h2o_ostream_send_next(ostream, h2o, &refusal->body, 1, state);
+}
+
+static void
+copy_headers(h2o_req_t *h2o, const http_header_t *headers, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        h2o_iovec_t name =
+            h2o_strdup(&h2o->pool, headers[i].name.data, headers[i].name.len);
+        h2o_iovec_t value = h2o_strdup(&h2o->pool, headers[i].value.data,
+                                       headers[i].value.len);
+        h2o_add_header_by_str(&h2o->pool, &h2o->res.headers, name.base,
+                              name.len, 1, NULL, value.base, value.len);
+    }
+}
+
+/// Gives an error answer of h2o itself the project's headers and body. The
+/// request never reached a handler, so it was not run.
+static void
+rewrite_h2o_error(h2o_filter_t *filter, h2o_req_t *h2o, h2o_ostream_t **slot)
+{
+    (void)filter;
+    connection_t *connection = connection_of(h2o);
+    if (connection->answering) {
+        h2o_setup_next_ostream(h2o, slot);
+        return;
+    }
+    reason_t reason = reason_of_h2o_status(h2o->res.status);
+    metric_increment(reason == REASON_REQUEST_TOO_LARGE
+                         ? METRIC_REQUESTS_TOO_LARGE_TOTAL
+                         : METRIC_REQUESTS_MALFORMED_TOTAL);
+    log_warning("request_refused", "listener=%s status=%d reason=%s",
+                connection->listener->options.name, h2o->res.status,
+                reason_token(reason));
+    refusal_t refusal = {.reason = reason, .outcome = OUTCOME_NOT_RUN};
+    if (h2o_find_header_by_str(&h2o->headers, HEADER_KEY, strlen(HEADER_KEY),
+                               -1) != -1)
+    {
+        refusal.outcome = OUTCOME_UNKNOWN;
+    }
+    message_t answer;
+    message_init_refusal(&answer, &refusal);
+    slice_t body = message_body(&answer);
+    h2o->res.headers = (h2o_headers_t){0};
+    copy_headers(h2o, answer.headers, answer.header_count);
+    h2o->res.content_length = body.len;
+    refusal_ostream_t *ostream =
+        (refusal_ostream_t *)h2o_add_ostream(h2o, sizeof(*ostream), slot);
+    ostream->base.do_send = send_refusal_body;
+    ostream->body = h2o_strdup(&h2o->pool, body.data, body.len);
+    message_finish(&answer);
+    h2o_setup_next_ostream(h2o, &ostream->base.next);
+}
+
+static void
+on_connection_closed(void *data)
+{
+    connection_t *connection = data;
+    http_server_t *server = connection->listener->server;
+    g_queue_delete_link(&server->connections, connection->link);
+    metric_set(METRIC_CONNECTIONS, server->connections.length);
+    g_free(connection);
+}
+
+static void
+on_accept(h2o_socket_t *listening, const char *error)
+{
+    if (error != NULL) {
+        return;
+    }
+    http_listener_t *listener = listening->data;
+    http_server_t *server = listener->server;
+    h2o_socket_t *socket;
+    while ((socket = h2o_evloop_socket_accept(listening)) != NULL) {
+        uint32_t count = server->connections.length;
+        if (count >= server->connections_max + REFUSED_CONNECTIONS_MAX) {
+            metric_increment(METRIC_CONNECTIONS_REFUSED_TOTAL);
+            h2o_socket_close(socket);
+            continue;
+        }
+        connection_t *connection = g_new0(connection_t, 1);
+        connection->listener = listener;
+        connection->socket = socket;
+        connection->refused = count >= server->connections_max;
+        g_queue_push_tail(&server->connections, connection);
+        connection->link = g_queue_peek_tail_link(&server->connections);
+        metric_set(METRIC_CONNECTIONS, server->connections.length);
+        socket->on_close.cb = on_connection_closed;
+        socket->on_close.data = connection;
+        h2o_accept(&listener->accept, socket);
+    }
+}
+
+/// Closes a connection whose request does not become complete.
+static void
+check_incomplete(connection_t *connection, int64_t now_us)
+{
+    bool waits =
+        connection->request == NULL &&
+        (!connection->had_request || connection->socket->input->size > 0);
+    if (!waits) {
+        connection->incomplete_us = 0;
+        return;
+    }
+    if (connection->incomplete_us == 0) {
+        connection->incomplete_us = now_us;
+    }
+    if (now_us - connection->incomplete_us < REQUEST_READ_LIMIT_US) {
+        return;
+    }
+    metric_increment(METRIC_CONNECTIONS_HALF_OPEN_TOTAL);
+    log_warning("half_open_connection_closed", "listener=%s bytes=%zu",
+                connection->listener->options.name,
+                connection->socket->input->size);
+    // h2o sees the end of the stream and closes the connection.
+    shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
+}
+
+static void
+sweep(void *context)
+{
+    http_server_t *server = context;
+    int64_t now_us = clock_now_us(server->loop->clock);
+    for (GList *link = server->connections.head; link != NULL;
+         link = link->next) {
+        check_incomplete(link->data, now_us);
+    }
+    loop_timer_start(server->loop, &server->sweep_timer, SWEEP_INTERVAL_US,
+                     sweep, server);
+}
+
+static bool
+is_closed_by_peer(const http_request_t *request)
+{
+    h2o_socket_t *socket =
+        request->h2o->conn->callbacks->get_socket(request->h2o->conn);
+    char byte;
+    ssize_t got =
+        recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                        errno != EINTR);
+}
+
+/// h2o doesn't read a connection while a handler works on its request, so it
+/// doesn't notice that the sender has closed it. The answer only makes h2o
+/// close the connection; a sender that has closed one direction may read it.
+static void
+end_gone_request(http_request_t *request)
+{
+    if (request->answered) {
+        return;
+    }
+    report_gone(request);
+    http_request_answer_and_close(request, 502, NULL, 0, (slice_t){NULL, 0});
+}
+
+static void
+check_gone(void *context)
+{
+    http_server_t *server = context;
+    // The handlers may answer other requests, so the list changes while the
+    // gone ones are reported.
+    GPtrArray *gone = g_ptr_array_new();
+    for (GList *link = server->requests.head; link != NULL; link = link->next)
+    {
+        if (is_closed_by_peer(link->data)) {
+            g_ptr_array_add(gone, link->data);
+        }
+    }
+    for (guint i = 0; i < gone->len; i++) {
+        end_gone_request(gone->pdata[i]);
+    }
+    g_ptr_array_unref(gone);
+    if (server->requests.length > 0) {
+        arm_gone_timer(server);
+    }
+}
+
+static void
+arm_gone_timer(http_server_t *server)
+{
+    if (server->gone_timer.position == NULL) {
+        loop_timer_start(server->loop, &server->gone_timer, GONE_INTERVAL_US,
+                         check_gone, server);
+    }
+}
+
+/// Creates a server without listeners.
+http_server_t *
+http_server_new(loop_t *loop, uint32_t connections_max,
+                size_t max_request_bytes)
+{
+    http_server_t *server = g_new0(http_server_t, 1);
+    server->loop = loop;
+    server->connections_max = connections_max;
+    server->listeners = g_ptr_array_new();
+    h2o_config_init(&server->config);
+    server->config.server_name = h2o_iovec_init(NULL, 0);
+    server->config.max_request_entity_size = max_request_bytes;
+    server->config.http1.req_timeout = IDLE_LIMIT_MS;
+    server->config.http1.upgrade_to_http2 = 0;
+    loop_timer_start(loop, &server->sweep_timer, SWEEP_INTERVAL_US, sweep,
+                     server);
+    return server;
+}
+
+static int
+open_listener(const endpoint_t *endpoint)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(endpoint->port)};
+    inet_pton(AF_INET, endpoint->address, &address.sin_addr);
+    const int on = 1;
+    if (fd >= 0 &&
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
+        bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
+        listen(fd, SOMAXCONN) == 0)
+    {
+        return fd;
+    }
+    int failure = errno;
+    if (fd >= 0) {
+        close(fd);
+    }
+    errno = failure;
+    return -1;
+}
+
+static void
+register_handler(http_listener_t *listener)
+{
+    h2o_pathconf_t *path =
+        h2o_config_register_path(listener->hosts[0], "/", 0);
+    listener_handler_t *handler =
+        (listener_handler_t *)h2o_create_handler(path, sizeof(*handler));
+    handler->base.on_req = on_request;
+    handler->listener = listener;
+    h2o_filter_t *filter = h2o_create_filter(path, sizeof(*filter));
+    filter->on_setup_ostream = rewrite_h2o_error;
+    filter =
+        h2o_create_filter(&listener->hosts[0]->fallback_path, sizeof(*filter));
+    filter->on_setup_ostream = rewrite_h2o_error;
+}
+
+/// Opens a listener. All are to be opened before the loop runs.
+bool
+http_server_listen(http_server_t *server,
+                   const http_listener_options_t *options, GError **error)
+{
+    int fd = open_listener(&options->endpoint);
+    if (fd < 0) {
+        set_step_error(error, IBISFIELD_ERROR_IO, "listen", options->name,
+                       "%s:%u: %s", options->endpoint.address,
+                       options->endpoint.port, g_strerror(errno));
+        return false;
+    }
+    http_listener_t *listener = g_new0(http_listener_t, 1);
+    listener->server = server;
+    listener->options = *options;
+    listener->hosts[0] = h2o_config_register_host(
+        &server->config, h2o_iovec_init(options->name, strlen(options->name)),
+        65535);
+    register_handler(listener);
+    listener->accept =
+        (h2o_accept_ctx_t){.ctx = &server->context, .hosts = listener->hosts};
+    listener->socket = h2o_evloop_socket_create(server->loop->h2o, fd,
+                                                H2O_SOCKET_FLAG_DONT_READ);
+    listener->socket->data = listener;
+    g_ptr_array_add(server->listeners, listener);
+    return true;
+}
+
+/// Starts to accept connections on all listeners.
+void
+http_server_start(http_server_t *server)
+{
+    h2o_context_init(&server->context, server->loop->h2o, &server->config);
+    server->context_ready = true;
+    for (guint i = 0; i < server->listeners->len; i++) {
+        http_listener_t *listener = server->listeners->pdata[i];
+        h2o_socket_read_start(listener->socket, on_accept);
+    }
+}
+
+/// From now on each answer ends its connection.
+void
+http_server_set_draining(http_server_t *server)
+{
+    server->draining = true;
+}
+
+/// Accepts what has already connected and closes the listeners.
+void
+http_server_stop_listening(http_server_t *server)
+{
+    for (guint i = 0; i < server->listeners->len; i++) {
+        http_listener_t *listener = server->listeners->pdata[i];
+        if (listener->socket != NULL) {
+            on_accept(listener->socket, NULL);
+            h2o_socket_read_stop(listener->socket);
+            h2o_socket_close(listener->socket);
+            listener->socket = NULL;
+        }
+    }
+}
+
+/// Returns the requests that have no answer yet.
+uint32_t
+http_server_in_flight(const http_server_t *server)
+{
+    return server->requests.length;
+}
+
+/// Returns whether answers are still being written or requests being read.
+bool
+http_server_is_idle(const http_server_t *server)
+{
+    for (const GList *link = server->connections.head; link != NULL;
+         link = link->next)
+    {
+        const connection_t *connection = link->data;
+        if (connection->socket->input->size > 0 ||
+            h2o_socket_is_writing(connection->socket))
+        {
+            return false;
+        }
+    }
+    return server->requests.length == 0;
+}
+
+/// Stops the server at the end of the process. Connections are left to the
+/// process's exit, because h2o offers no way to close them.
+void
+http_server_free(http_server_t *server)
+{
+    http_server_stop_listening(server);
+    loop_timer_stop(server->loop, &server->sweep_timer);
+    loop_timer_stop(server->loop, &server->gone_timer);
+}
+
+/// Returns the value of the first header with this lower-case name; data is
+/// NULL if there is none.
+slice_t
+http_request_header(const http_request_t *request, const char *name)
+{
+    return http_header_find(request->headers, request->header_count, name);
+}
+
+static const char *
+reason_phrase(int status)
+{
+    switch (status / 100) {
+    case 2:
+        return "OK";
+    case 3:
+        return "Redirect";
+    case 4:
+        return "Refused";
+    default:
+        return "Failed";
+    }
+}
+
+/// Answers the request, which is invalid afterwards. All slices are copied.
+void
+http_request_answer(http_request_t *request, int status,
+                    const http_header_t *headers, size_t header_count,
+                    slice_t body)
+{
+    static h2o_generator_t generator = {NULL, NULL};
+    h2o_req_t *h2o = request->h2o;
+    forget_request(request);
+    request->answered = true;
+    if (request->listener->server->draining) {
+        h2o->http1_is_persistent = 0;
+    }
+    h2o->res.status = status;
+    h2o->res.reason = reason_phrase(status);
+    h2o->res.content_length = body.len;
+    copy_headers(h2o, headers, header_count);
+    h2o_iovec_t content = h2o_strdup(&h2o->pool, body.data, body.len);
+    bool is_head = slice_equal_string(request->method, "HEAD");
+    connection_t *connection = connection_of(h2o);
+    connection->request = NULL;
+    connection->answering = true;
+    h2o_start_response(h2o, &generator);
+    connection->answering = false;
+    h2o_send(h2o, &content, is_head || body.len == 0 ? 0 : 1,
+             H2O_SEND_STATE_FINAL);
+}
+
+/// Answers the request and closes its connection.
+void
+http_request_answer_and_close(http_request_t *request, int status,
+                              const http_header_t *headers,
+                              size_t header_count, slice_t body)
+{
+    request->h2o->http1_is_persistent = 0;
+    http_request_answer(request, status, headers, header_count, body);
+}
--- /dev/null
+++ b/src/ibisfield/io/http_server.h
@@ -0,0 +1,63 @@
+#ifndef IBISFIELD_IO_HTTP_SERVER_H
+#define IBISFIELD_IO_HTTP_SERVER_H
+
+#include "ibisfield/call/call_defs.h"
+#include "ibisfield/contract/settings_defs.h"
+#include "ibisfield/io/http_client.h"
+#include "ibisfield/io/loop.h"
+
+typedef struct http_server http_server_t;
+typedef struct http_listener http_listener_t;
+
+/// A request in flight. It is valid until it is answered or gone.
+typedef struct {
+    http_listener_t *listener;
+    h2o_req_t *h2o;
+    slice_t method;
+    slice_t path; ///< with query
+    slice_t host;
+    slice_t body;
+    http_header_t *headers; ///< without Host
+    size_t header_count;
+    uint32_t source;     ///< hash of the sender's address; never 0
+    bool answered;       ///< the answer is being written
+    int64_t received_us; ///< when it was complete
+    GList *link;
+    void *user; ///< the handler's own object
+} http_request_t;
+
+/// Takes a request; it is answered by http_request_answer(), at once or later.
+typedef void (*http_handler_t)(void *context, http_request_t *request);
+/// The sender has closed its connection: the request must not be used any
+/// more.
+typedef void (*http_gone_t)(void *context, http_request_t *request);
+
+typedef struct {
+    const char *name; ///< for logs
+    endpoint_t endpoint;
+    http_handler_t handle;
+    http_gone_t gone;
+    void *context;
+} http_listener_options_t;
+
+http_server_t *http_server_new(loop_t *loop, uint32_t connections_max,
+                               size_t max_request_bytes);
+void http_server_free(http_server_t *server);
+bool http_server_listen(http_server_t *server,
+                        const http_listener_options_t *options,
+                        GError **error);
+void http_server_start(http_server_t *server);
+void http_server_set_draining(http_server_t *server);
+void http_server_stop_listening(http_server_t *server);
+uint32_t http_server_in_flight(const http_server_t *server);
+bool http_server_is_idle(const http_server_t *server);
+
+slice_t http_request_header(const http_request_t *request, const char *name);
+void http_request_answer(http_request_t *request, int status,
+                         const http_header_t *headers, size_t header_count,
+                         slice_t body);
+void http_request_answer_and_close(http_request_t *request, int status,
+                                   const http_header_t *headers,
+                                   size_t header_count, slice_t body);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/io/message.c
@@ -0,0 +1,302 @@
+/// @file
+/// Headers between nodes, refusals, and the stored form of answers.
+
+#include "ibisfield/io/message.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+
+/// Headers that concern one connection only, and those that the HTTP client
+/// and server write themselves.
+static const char *const hop_by_hop[] = {
+    "connection",
+    "content-length",
+    "date",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+};
+
+/// Initialises a message without headers and with an empty body.
+void
+message_init(message_t *message, int status)
+{
+    *message = (message_t){
+        .status = status,
+        .texts = g_string_chunk_new(1024),
+        .body = g_string_new(NULL),
+    };
+}
+
+void
+message_finish(message_t *message)
+{
+    g_free(message->headers);
+    g_string_chunk_free(message->texts);
+    g_string_free(message->body, TRUE);
+}
+
+slice_t
+message_body(const message_t *message)
+{
+    return (slice_t){message->body->str, message->body->len};
+}
+
+static void
+add_header(message_t *message, slice_t name, slice_t value)
+{
+    if (message->header_count == message->header_capacity) {
+        message->header_capacity = message->header_capacity * 2 + 16;
+        message->headers =
+            g_renew(http_header_t, message->headers, message->header_capacity);
+    }
+    http_header_t *header = &message->headers[message->header_count++];
+    header->name = (slice_t){
+        g_string_chunk_insert_len(message->texts, name.data, (gssize)name.len),
+        name.len};
+    header->value =
+        (slice_t){g_string_chunk_insert_len(message->texts, value.data,
+                                            (gssize)value.len),
+                  value.len};
+}
+
+/// Adds a header; @p name is lower case.
+void
+message_add(message_t *message, const char *name, slice_t value)
+{
+    add_header(message, slice_from_string(name), value);
+}
+
+void
+message_add_string(message_t *message, const char *name, const char *value)
+{
+    message_add(message, name, slice_from_string(value));
+}
+
+void
+message_add_number(message_t *message, const char *name, int64_t value)
+{
+    char text[24];
+    g_snprintf(text, sizeof(text), "%" PRId64, value);
+    message_add_string(message, name, text);
+}
+
+static bool
+is_named_in(slice_t list, slice_t name)
+{
+    size_t start = 0;
+    while (start < list.len) {
+        const char *comma = memchr(list.data + start, ',', list.len - start);
+        size_t end = comma == NULL ? list.len : (size_t)(comma - list.data);
+        size_t first = start;
+        size_t last = end;
+        while (first < last && list.data[first] == ' ') {
+            first++;
+        }
+        while (last > first && list.data[last - 1] == ' ') {
+            last--;
+        }
+        if (last - first == name.len &&
+            g_ascii_strncasecmp(list.data + first, name.data, name.len) == 0)
+        {
+            return true;
+        }
+        start = end + 1;
+    }
+    return false;
+}
+
+static bool
+is_end_to_end(slice_t name, slice_t connection)
+{
+    if (slice_starts_with(name, SLICE_LITERAL(HEADER_PREFIX)) ||
+        slice_equal_string(name, HEADER_TRACEPARENT))
+    {
+        return false;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(hop_by_hop); i++) {
+        if (slice_equal_string(name, hop_by_hop[i])) {
+            return false;
+        }
+    }
+    return !is_named_in(connection, name);
+}
+
+/// Copies the headers that concern caller and upstream only. Those of this
+/// project and traceparent are left out; the sender adds its own.
+void
+message_add_end_to_end(message_t *message, const http_header_t *headers,
+                       size_t header_count)
+{
+    slice_t connection = http_header_find(headers, header_count, "connection");
+    for (size_t i = 0; i < header_count; i++) {
+        if (is_end_to_end(headers[i].name, connection)) {
+            add_header(message, headers[i].name, headers[i].value);
+        }
+    }
+}
+
+static void
+write_refusal_body(GString *body, const refusal_t *refusal)
+{
+    struct json_object *object = json_object_new_object();
+    json_object_object_add(
+        object, "reason",
+        json_object_new_string(reason_token(refusal->reason)));
+    json_object_object_add(
+        object, "outcome",
+        json_object_new_string(outcome_token(refusal->outcome)));
+    if (refusal->retry_after_ms > 0) {
+        json_object_object_add(object, "retry_after_ms",
+                               json_object_new_int(refusal->retry_after_ms));
+    }
+    if (refusal->fresh_key != NULL && refusal->fresh_key[0] != '\0') {
+        json_object_object_add(object, "key",
+                               json_object_new_string(refusal->fresh_key));
+    }
+    g_string_append(
+        body, json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN));
+    g_string_append_c(body, '\n');
+    json_object_put(object);
+}
+
+/// Initialises the answer that refuses a request, with headers and JSON body.
+void
+message_init_refusal(message_t *message, const refusal_t *refusal)
+{
+    message_init(message, reason_status(refusal->reason));
+    message_add_string(message, "content-type", "application/json");
+    message_add_string(message, HEADER_REASON, reason_token(refusal->reason));
+    message_add_string(message, HEADER_OUTCOME,
+                       outcome_token(refusal->outcome));
+    if (refusal->retry_after_ms > 0) {
+        // Retry-After has whole seconds; a caller must not come earlier.
+        message_add_number(message, "retry-after",
+                           (refusal->retry_after_ms + 999) / 1000);
+        message_add_number(message, HEADER_RETRY_AFTER_MS,
+                           refusal->retry_after_ms);
+    }
+    if (refusal->fresh_key != NULL && refusal->fresh_key[0] != '\0') {
+        message_add_string(message, HEADER_KEY, refusal->fresh_key);
+    }
+    write_refusal_body(message->body, refusal);
+}
+
+static void
+append_u32(GByteArray *out, uint32_t value)
+{
+    g_byte_array_append(out, (const guint8 *)&value, sizeof(value));
+}
+
+static void
+append_text(GByteArray *out, slice_t text)
+{
+    append_u32(out, (uint32_t)text.len);
+    if (text.len > 0) {
+        g_byte_array_append(out, (const guint8 *)text.data, (guint)text.len);
+    }
+}
+
+/// Appends an answer in the form that is kept for a key: status, number of
+/// headers, names and values, body. It never leaves the process.
+void
+answer_serialise(GByteArray *out, const http_answer_t *answer)
+{
+    append_u32(out, (uint32_t)answer->status);
+    append_u32(out, (uint32_t)answer->header_count);
+    for (size_t i = 0; i < answer->header_count; i++) {
+        append_text(out, answer->headers[i].name);
+        append_text(out, answer->headers[i].value);
+    }
+    append_text(out, answer->body);
+}
+
+static bool
+take_u32(slice_t *rest, uint32_t *value)
+{
+    if (rest->len < sizeof(*value)) {
+        return false;
+    }
+    memcpy(value, rest->data, sizeof(*value));
+    rest->data += sizeof(*value);
+    rest->len -= sizeof(*value);
+    return true;
+}
+
+static bool
+take_text(slice_t *rest, slice_t *text)
+{
+    uint32_t len;
+    if (!take_u32(rest, &len) || rest->len < len) {
+        return false;
+    }
+    *text = (slice_t){rest->data, len};
+    rest->data += len;
+    rest->len -= len;
+    return true;
+}
+
+/// Initialises @p message with the end-to-end part of a stored answer. Returns
+/// false if @p stored isn't one; @p message is to be finished even then.
+bool
+answer_deserialise(message_t *message, slice_t stored)
+{
+    uint32_t status = 0;
+    uint32_t count = 0;
+    message_init(message, 0);
+    if (!take_u32(&stored, &status) || !take_u32(&stored, &count)) {
+        return false;
+    }
+    message->status = (int)status;
+    for (uint32_t i = 0; i < count; i++) {
+        http_header_t header;
+        if (!take_text(&stored, &header.name) ||
+            !take_text(&stored, &header.value)) {
+            return false;
+        }
+        message_add_end_to_end(message, &header, 1);
+    }
+    slice_t body;
+    if (!take_text(&stored, &body)) {
+        return false;
+    }
+    g_string_append_len(message->body, body.data, (gssize)body.len);
+    return true;
+}
+
+/// Parses a decimal number from 0 to @p max.
+bool
+parse_number(slice_t text, int64_t max, int64_t *value)
+{
+    int64_t number = 0;
+    for (size_t i = 0; i < text.len; i++) {
+        int digit = g_ascii_digit_value(text.data[i]);
+        if (digit < 0 || number > (max - digit) / 10) {
+            return false;
+        }
+        number = number * 10 + digit;
+    }
+    *value = number;
+    return text.len > 0;
+}
+
+/// Parses a hexadecimal number of at most 16 digits.
+bool
+parse_hex(slice_t text, uint64_t *value)
+{
+    uint64_t number = 0;
+    for (size_t i = 0; i < text.len; i++) {
+        int digit = g_ascii_xdigit_value(text.data[i]);
+        if (digit < 0) {
+            return false;
+        }
+        number = number << 4 | (uint64_t)digit;
+    }
+    *value = number;
+    return text.len > 0 && text.len <= 16;
+}
--- /dev/null
+++ b/src/ibisfield/io/message.h
@@ -0,0 +1,65 @@
+#ifndef IBISFIELD_IO_MESSAGE_H
+#define IBISFIELD_IO_MESSAGE_H
+
+#include <glib.h>
+
+#include "ibisfield/call/call_defs.h"
+#include "ibisfield/io/http_client.h"
+
+#define PROTOCOL_VERSION "1"
+
+#define HEADER_PREFIX "ibisfield-"
+#define HEADER_BUDGET_US "ibisfield-budget-us"
+#define HEADER_CUSTOMER "ibisfield-customer"
+#define HEADER_FROM_PEER "ibisfield-from-peer"
+#define HEADER_KEY "ibisfield-key"
+#define HEADER_KIND "ibisfield-kind"
+#define HEADER_LOAD "ibisfield-load"
+#define HEADER_ONCE "ibisfield-once"
+#define HEADER_OUTCOME "ibisfield-outcome"
+#define HEADER_PROTOCOL "ibisfield-protocol"
+#define HEADER_REASON "ibisfield-reason"
+#define HEADER_REQUEST "ibisfield-request"
+#define HEADER_RETRIES "ibisfield-retries"
+#define HEADER_RETRIES_LEFT "ibisfield-retries-left"
+#define HEADER_RETRY_AFTER_MS "ibisfield-retry-after-ms"
+#define HEADER_SHED "ibisfield-shed"
+#define HEADER_TRACEPARENT "traceparent"
+#define HEADER_WORTH "ibisfield-worth"
+
+/// Headers and body of a request or an answer under construction. It owns
+/// copies of all its texts.
+typedef struct {
+    int status; ///< answers only
+    http_header_t *headers;
+    size_t header_count;
+    size_t header_capacity;
+    GStringChunk *texts;
+    GString *body;
+} message_t;
+
+typedef struct {
+    reason_t reason;
+    outcome_t outcome;
+    int32_t retry_after_ms; ///< 0: no hint
+    const char *fresh_key;  ///< NULL or "" for none
+} refusal_t;
+
+void message_init(message_t *message, int status);
+void message_init_refusal(message_t *message, const refusal_t *refusal);
+void message_finish(message_t *message);
+slice_t message_body(const message_t *message);
+void message_add(message_t *message, const char *name, slice_t value);
+void message_add_string(message_t *message, const char *name,
+                        const char *value);
+void message_add_number(message_t *message, const char *name, int64_t value);
+void message_add_end_to_end(message_t *message, const http_header_t *headers,
+                            size_t header_count);
+
+void answer_serialise(GByteArray *out, const http_answer_t *answer);
+bool answer_deserialise(message_t *message, slice_t stored);
+
+bool parse_number(slice_t text, int64_t max, int64_t *value);
+bool parse_hex(slice_t text, uint64_t *value);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/io/node.h
@@ -0,0 +1,62 @@
+#ifndef IBISFIELD_IO_NODE_H
+#define IBISFIELD_IO_NODE_H
+
+#include "ibisfield/call/entry.h"
+#include "ibisfield/call/guard.h"
+#include "ibisfield/config/vm_view.h"
+#include "ibisfield/contract/settings_defs.h"
+#include "ibisfield/io/caller_server.h"
+#include "ibisfield/io/config_agent.h"
+#include "ibisfield/io/customers.h"
+#include "ibisfield/io/http_server.h"
+#include "ibisfield/io/peer_client.h"
+#include "ibisfield/io/peer_server.h"
+#include "ibisfield/io/span.h"
+#include "ibisfield/io/upstream_client.h"
+
+/// Why the node gets no new work.
+typedef enum {
+    LEAVE_SHUTDOWN = 1 << 0, ///< SIGTERM
+    LEAVE_LISTED = 1 << 1,   ///< the published list says so
+    LEAVE_OPERATOR = 1 << 2, ///< POST /drain
+    LEAVE_UPSTREAM = 1 << 3, ///< the upstream's health endpoint says so
+} leave_cause_t;
+
+/// All parts of one node.
+typedef struct {
+    const settings_t *settings;
+    clock_source_t clock;
+    loop_t loop;
+    customers_t customers;
+    vm_view_t vms;
+    picker_t picker;
+    key_table_t keys;
+    retry_accounts_t accounts;
+    client_retry_budget_t client_retries;
+    entry_t entry;
+    guard_t guard;
+    span_source_t spans;
+    http_server_t *server;
+    peer_client_t peers;
+    upstream_client_t upstream;
+    caller_server_t caller_server;
+    peer_server_t peer_server;
+    config_agent_t *agent;
+    loop_timer_t tick_timer;
+    loop_timer_t shutdown_timer;
+    unsigned int leave_causes; ///< of leave_cause_t
+    bool ready;
+    bool stopped_listening;
+    int64_t start_us;
+    int64_t shutdown_us; ///< when SIGTERM came
+    int exit_code;
+} node_t;
+
+bool node_init(node_t *node, const settings_t *settings, GError **error);
+void node_finish(node_t *node);
+int node_run(node_t *node);
+void node_leave(node_t *node, leave_cause_t cause, bool leaving);
+void node_shut_down(node_t *node);
+void node_stop(node_t *node);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/io/operator_server.c
@@ -0,0 +1,143 @@
+/// @file
+/// The operators' HTTP address.
+
+#include "ibisfield/io/operator_server.h"
+
+#include <json-c/json.h>
+
+#include "ibisfield/base/log.h"
+#include "ibisfield/base/metrics.h"
+#include "ibisfield/io/node.h"
+
+static void
+answer_text(http_request_t *request, int status, const char *type,
+            const char *text)
+{
+    const http_header_t header = {SLICE_LITERAL("content-type"),
+                                  slice_from_string(type)};
+    http_request_answer(request, status, &header, 1, slice_from_string(text));
+}
+
+static void
+answer_json(http_request_t *request, int status, struct json_object *object)
+{
+    char *text = g_strdup_printf("%s\n", json_object_to_json_string_ext(
+                                             object, JSON_C_TO_STRING_PRETTY));
+    answer_text(request, status, "application/json", text);
+    g_free(text);
+    json_object_put(object);
+}
+
+static const char *
+state_of(const node_t *node)
+{
+    if (node->leave_causes != 0) {
+        return "draining";
+    }
+    return node->ready ? "ok" : "not-ready";
+}
+
+static void
+answer_health(const node_t *node, http_request_t *request)
+{
+    const char *state = state_of(node);
+    struct json_object *health = json_object_new_object();
+    json_object_object_add(health, "status", json_object_new_string(state));
+    answer_json(request, strcmp(state, "ok") == 0 ? 200 : 503, health);
+}
+
+static void
+answer_metrics(http_request_t *request)
+{
+    GString *text = g_string_new(NULL);
+    metrics_write_text(text);
+    answer_text(request, 200, "text/plain; version=0.0.4", text->str);
+    g_string_free(text, TRUE);
+}
+
+static void
+add_number(struct json_object *object, const char *name, int64_t value)
+{
+    json_object_object_add(object, name, json_object_new_int64(value));
+}
+
+static struct json_object *
+guard_status(const node_t *node)
+{
+    guard_load_t load = guard_load(&node->guard);
+    struct json_object *guard = json_object_new_object();
+    add_number(guard, "in_flight", load.in_flight);
+    add_number(guard, "limit", load.limit);
+    add_number(guard, "queue", load.queue);
+    add_number(guard, "service_us", load.service_us);
+    add_number(guard, "min_worth", load.min_worth);
+    return guard;
+}
+
+static void
+answer_status(const node_t *node, http_request_t *request)
+{
+    const settings_t *settings = node->settings;
+    struct json_object *status = json_object_new_object();
+    json_object_object_add(status, "vm", json_object_new_string(settings->vm));
+    json_object_object_add(status, "service",
+                           json_object_new_string(settings->service));
+    json_object_object_add(status, "data_centre",
+                           json_object_new_string(settings->data_centre));
+    json_object_object_add(status, "version",
+                           json_object_new_string(IBISFIELD_VERSION));
+    json_object_object_add(status, "state",
+                           json_object_new_string(state_of(node)));
+    add_number(status, "uptime_s",
+               (clock_now_us(&node->clock) - node->start_us) / US_PER_S);
+    add_number(status, "calls_in_flight", entry_in_flight(&node->entry));
+    add_number(status, "keys", key_table_count(&node->keys));
+    add_number(status, "vms_listed", g_hash_table_size(node->vms.vms));
+    json_object_object_add(status, "guard", guard_status(node));
+    config_agent_write_status(node->agent, status);
+    answer_json(request, 200, status);
+}
+
+static void
+answer_drain(node_t *node, http_request_t *request)
+{
+    log_info("drain_requested", "vm=%s", node->settings->vm);
+    node_leave(node, LEAVE_OPERATOR, true);
+    answer_text(request, 200, "application/json",
+                "{\"status\": \"draining\"}\n");
+}
+
+/// Answers a request of the operators.
+void
+operator_server_handle(void *context, http_request_t *request)
+{
+    node_t *node = context;
+    bool is_get = slice_equal_string(request->method, "GET");
+    if (is_get && slice_equal_string(request->path, "/health")) {
+        answer_health(node, request);
+    }
+    else if (is_get && slice_equal_string(request->path, "/metrics")) {
+        answer_metrics(request);
+    }
+    else if (is_get && slice_equal_string(request->path, "/status")) {
+        answer_status(node, request);
+    }
+    else if (slice_equal_string(request->method, "POST") &&
+             slice_equal_string(request->path, "/drain"))
+    {
+        answer_drain(node, request);
+    }
+    else {
+        answer_text(request, 404, "application/json",
+                    "{\"error\": \"unknown path\", \"expected\": \"GET "
+                    "/health, GET /metrics, GET /status or POST /drain\"}\n");
+    }
+}
+
+/// Requests are answered at once, so none can be left.
+void
+operator_server_gone(void *context, http_request_t *request)
+{
+    (void)context;
+    (void)request;
+}
--- /dev/null
+++ b/src/ibisfield/io/peer_client.h
@@ -0,0 +1,24 @@
+#ifndef IBISFIELD_IO_PEER_CLIENT_H
+#define IBISFIELD_IO_PEER_CLIENT_H
+
+#include "ibisfield/call/entry.h"
+#include "ibisfield/config/vm_view.h"
+#include "ibisfield/io/http_client.h"
+
+/// Connections to the peer addresses of other nodes.
+typedef struct {
+    loop_t *loop;
+    size_t max_answer_bytes;
+    GHashTable *targets; ///< VM name to peer_target_t
+} peer_client_t;
+
+void peer_client_init(peer_client_t *client, loop_t *loop,
+                      size_t max_answer_bytes);
+void peer_client_finish(peer_client_t *client);
+http_target_t *peer_client_target(peer_client_t *client,
+                                  const vm_info_t *info);
+void peer_client_forget(peer_client_t *client, const char *vm);
+void peer_client_read_result(attempt_result_t *result,
+                             const http_answer_t *answer);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/io/peer_server.h
@@ -0,0 +1,32 @@
+#ifndef IBISFIELD_IO_PEER_SERVER_H
+#define IBISFIELD_IO_PEER_SERVER_H
+
+#include "ibisfield/call/guard.h"
+#include "ibisfield/io/caller_server.h"
+#include "ibisfield/io/http_server.h"
+#include "ibisfield/io/span.h"
+#include "ibisfield/io/upstream_client.h"
+
+/// What the adapter works with; owned by the node.
+typedef struct {
+    guard_t *guard;
+    upstream_client_t *upstream;
+    caller_server_t *callers; ///< takes forwarded requests
+    span_source_t *spans;
+} peer_server_options_t;
+
+/// Adapter between the guard and HTTP: requests of other nodes for this VM's
+/// upstream.
+typedef struct {
+    guard_io_t io;
+    peer_server_options_t options;
+    /// Answer of the upstream whose result the guard is being told.
+    const http_answer_t *current;
+} peer_server_t;
+
+void peer_server_init(peer_server_t *server,
+                      const peer_server_options_t *options);
+void peer_server_handle(void *context, http_request_t *request);
+void peer_server_gone(void *context, http_request_t *request);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/io/upstream_client.c
@@ -0,0 +1,135 @@
+/// @file
+/// Connections to the upstream on this VM, the meaning of its answers, and the
+/// check whether it is draining.
+
+#include "ibisfield/io/upstream_client.h"
+
+#include <json-c/json.h>
+
+#include "ibisfield/base/log.h"
+#include "ibisfield/base/metrics.h"
+#include "ibisfield/io/message.h"
+
+#define HEALTH_PATH "/health"
+#define HEALTH_INTERVAL_US US_PER_S
+#define HEALTH_TIMEOUT_US US_PER_S
+
+static void check_health(void *context);
+
+static bool
+says_draining(slice_t body)
+{
+    struct json_tokener *tokener = json_tokener_new();
+    struct json_object *health =
+        json_tokener_parse_ex(tokener, body.data, (int)body.len);
+    struct json_object *status = NULL;
+    bool draining = json_object_is_type(health, json_type_object) &&
+                    json_object_object_get_ex(health, "status", &status) &&
+                    g_strcmp0(json_object_get_string(status), "draining") == 0;
+    json_object_put(health);
+    json_tokener_free(tokener);
+    return draining;
+}
+
+/// Only a whole answer changes the state: the health endpoint may fail or
+/// mislead, while the guard sees each failed request itself.
+static void
+health_done(void *context, const http_answer_t *answer)
+{
+    upstream_client_t *client = context;
+    client->health_exchange = NULL;
+    loop_timer_start(client->loop, &client->health_timer, HEALTH_INTERVAL_US,
+                     check_health, client);
+    if (answer->result != HTTP_COMPLETE || answer->body.len == 0) {
+        return;
+    }
+    bool draining = says_draining(answer->body);
+    if (draining != client->draining) {
+        client->draining = draining;
+        log_info("upstream_health_changed", "draining=%d", draining);
+        client->draining_changed(client->context, draining);
+    }
+}
+
+static void
+check_health(void *context)
+{
+    upstream_client_t *client = context;
+    client->health_exchange = http_exchange_start(
+        client->target, SLICE_LITERAL("GET"), SLICE_LITERAL(HEALTH_PATH), NULL,
+        0, (slice_t){NULL, 0}, HEALTH_TIMEOUT_US, health_done, client);
+}
+
+/// Initialises the connections and starts to watch the health endpoint.
+void
+upstream_client_init(upstream_client_t *client, loop_t *loop,
+                     const settings_t *settings,
+                     upstream_draining_t draining_changed, void *context)
+{
+    *client = (upstream_client_t){
+        .loop = loop,
+        .target = http_target_new(loop, &settings->upstream,
+                                  (uint32_t)settings->upstream_connections,
+                                  (size_t)settings->max_answer_bytes),
+        .draining_changed = draining_changed,
+        .context = context,
+    };
+    loop_timer_start(loop, &client->health_timer, 0, check_health, client);
+}
+
+void
+upstream_client_finish(upstream_client_t *client)
+{
+    loop_timer_stop(client->loop, &client->health_timer);
+    if (client->health_exchange != NULL) {
+        http_exchange_cancel(client->health_exchange);
+    }
+    http_target_release(client->target);
+}
+
+static void
+note_connect(upstream_client_t *client, bool failed, const char *error)
+{
+    if (failed == client->failing) {
+        return;
+    }
+    client->failing = failed;
+    if (failed) {
+        log_warning("upstream_unreachable", "error=\"%s\"", error);
+    }
+    else {
+        log_info("upstream_reachable", "%s", "");
+    }
+}
+
+/// Returns what an answer of the upstream says about the request; counts and
+/// logs failures.
+upstream_result_t
+upstream_client_result(upstream_client_t *client, const http_answer_t *answer)
+{
+    note_connect(client, answer->result == HTTP_CONNECT_FAILED, answer->error);
+    switch (answer->result) {
+    case HTTP_COMPLETE:
+        if (answer->status == 503 &&
+            slice_equal_string(http_header_find(answer->headers,
+                                                answer->header_count,
+                                                HEADER_SHED),
+                               "1"))
+        {
+            metric_increment(METRIC_UPSTREAM_SHED_TOTAL);
+            return UPSTREAM_SHED;
+        }
+        return UPSTREAM_ANSWERED;
+    case HTTP_CONNECT_FAILED:
+        metric_increment(METRIC_UPSTREAM_CONNECT_FAILURES_TOTAL);
+        return UPSTREAM_CONNECT_FAILED;
+    case HTTP_TOO_LARGE:
+        metric_increment(METRIC_UPSTREAM_ANSWERS_TOO_LARGE_TOTAL);
+        log_warning("upstream_answer_too_large", "status=%d", answer->status);
+        return UPSTREAM_TOO_LARGE;
+    default:
+        metric_increment(METRIC_UPSTREAM_ANSWERS_LOST_TOTAL);
+        log_warning("upstream_answer_lost", "error=\"%s\"", answer->error);
+        return UPSTREAM_LOST;
+    }
+}
--- /dev/null
+++ b/src/ibisfield/io/upstream_client.h
@@ -0,0 +1,29 @@
+#ifndef IBISFIELD_IO_UPSTREAM_CLIENT_H
+#define IBISFIELD_IO_UPSTREAM_CLIENT_H
+
+#include "ibisfield/call/guard.h"
+#include "ibisfield/contract/settings_defs.h"
+#include "ibisfield/io/http_client.h"
+
+typedef void (*upstream_draining_t)(void *context, bool draining);
+
+/// Connections to the upstream on this VM, and its health.
+typedef struct {
+    loop_t *loop;
+    http_target_t *target;
+    http_exchange_t *health_exchange;
+    loop_timer_t health_timer;
+    upstream_draining_t draining_changed;
+    void *context;
+    bool draining;
+    bool failing; ///< the last connect failed
+} upstream_client_t;
+
+void upstream_client_init(upstream_client_t *client, loop_t *loop,
+                          const settings_t *settings,
+                          upstream_draining_t draining_changed, void *context);
+void upstream_client_finish(upstream_client_t *client);
+upstream_result_t upstream_client_result(upstream_client_t *client,
+                                         const http_answer_t *answer);
+
+#endif
