--- /dev/null
+++ b/src/ibisfield/contract/explain.c
@@ -0,0 +1,158 @@
+/// @file
+/// Text that derives every limit from a contract and states the reason for
+/// each figure.
+
+#include "ibisfield/contract/explain.h"
+
+#include "ibisfield/call/call_defs.h"
+#include "ibisfield/contract/contract.h"
+
+static void
+explain_retries(const contract_t *contract, GString *out)
+{
+    g_string_append_printf(
+        out,
+        "retries %d: each caller request has %d units for retries and hedged "
+        "requests.\n"
+        "  Each costs a unit. Units are split between the calls of a chain "
+        "and "
+        "never copied,\n"
+        "  so at any service of the chain at most 1 + %d = %d attempts arrive "
+        "for one caller\n"
+        "  request.\n",
+        contract->retries, contract->retries, contract->retries,
+        1 + contract->retries);
+    g_string_append_printf(
+        out,
+        "client_retry_percent %d: at each node, a first request adds %d.%02d "
+        "tokens to the customer's\n"
+        "  bucket. A repetition before its Retry-After has passed takes one, "
+        "and is refused with\n"
+        "  429 customer-retry-budget when there is none.\n",
+        contract->client_retry_percent, contract->client_retry_percent / 100,
+        contract->client_retry_percent % 100);
+}
+
+/// Appends one line: what is limited, the figure and its reason.
+static void
+append_row(GString *out, const char *what, const char *reason,
+           const char *figure_format, ...)
+{
+    va_list arguments;
+    va_start(arguments, figure_format);
+    char *figure = g_strdup_vprintf(figure_format, arguments);
+    va_end(arguments);
+    g_string_append_printf(out, "  %-12s %-16s %s\n", what, figure, reason);
+    g_free(figure);
+}
+
+static void
+explain_once(const kind_t *kind, const kind_limits_t *limits, GString *out)
+{
+    char *reason =
+        g_strdup_printf("resend_s %d x 1000, from the issue of the key: so "
+                        "long the caller can learn the outcome",
+                        kind->resend_s);
+    append_row(out, "key life", reason, "%d ms", limits->key_life_ms);
+    g_free(reason);
+    append_row(out, "late answer",
+               "wait after the deadline for the outcome of the key; the "
+               "caller has its 504 by then",
+               "%d ms", (int)(LATE_ANSWER_WAIT_US / 1000));
+    append_row(out, "hedging",
+               "run is \"once\": two attempts at the same time could both run",
+               "no");
+}
+
+static void
+explain_repeatable(const kind_limits_t *limits, GString *out)
+{
+    append_row(out, "key",
+               "run is \"repeatable\": running it twice does no "
+               "harm",
+               "none");
+    append_row(out, "hedging",
+               limits->hedge
+                   ? "repeatable, and retries is above 0: a late answer "
+                     "starts a second attempt for one unit"
+                   : "retries is 0: there is no unit for a second attempt",
+               "%s", limits->hedge ? "yes" : "no");
+}
+
+static void
+explain_kind(const contract_t *contract, const kind_t *kind, GString *out)
+{
+    kind_limits_t limits = kind_limits(contract, kind);
+    g_string_append_printf(out, "\nkind %s: %s %s -> %s\n", kind->name,
+                           kind->method, kind->path, kind->service);
+    append_row(out, "attempts",
+               kind->run == RUN_ONCE
+                   ? "1 + retries; another one only while each before is "
+                     "known not to have run"
+                   : "1 + retries, at any service of the chain",
+               "at most %d", limits.attempts_max);
+    append_row(out, "deadline",
+               "deadline_ms, from the arrival at the entry; then the caller "
+               "gets 504",
+               "%d ms", kind->deadline_ms);
+    append_row(out, "queue wait",
+               "deadline_ms less the service time that the guard has learned: "
+               "what can't finish is dropped",
+               "below %d ms", limits.queue_wait_ms);
+    if (kind->run == RUN_ONCE) {
+        explain_once(kind, &limits, out);
+    }
+    else {
+        explain_repeatable(&limits, out);
+    }
+    append_row(out, "child calls",
+               "worth: the larger of this and the child kind's", "worth >= %d",
+               kind->worth);
+    append_row(out, "",
+               "deadline: the smaller of the child kind's and the "
+               "rest of this one",
+               "<= %d ms", kind->deadline_ms);
+}
+
+static void
+explain_shedding(const contract_t *contract, GString *out)
+{
+    g_string_append(out, "\norder of shedding (lowest worth first):\n");
+    int position = 0;
+    for (int32_t worth = 1; worth <= CONTRACT_WORTH_MAX; worth++) {
+        GString *names = g_string_new(NULL);
+        for (uint32_t i = 0; i < contract->kind_count; i++) {
+            if (contract->kinds[i].worth == worth) {
+                g_string_append_printf(names, "%s%s",
+                                       names->len == 0 ? "" : ", ",
+                                       contract->kinds[i].name);
+            }
+        }
+        if (names->len > 0) {
+            g_string_append_printf(out, "  %d. worth %d: %s\n", ++position,
+                                   worth, names->str);
+        }
+        g_string_free(names, TRUE);
+    }
+    g_string_append(out,
+                    "  A guard whose queue is full evicts the lowest worth, "
+                    "and an entry refuses a\n"
+                    "  request at once when every guard sheds its worth.\n");
+}
+
+/// Appends the derivation of every limit of @p contract to @p out.
+void
+explain_contract(const contract_t *contract, GString *out)
+{
+    g_string_append_printf(out, "customer %s", contract->customer);
+    for (uint32_t i = 0; i < contract->host_count; i++) {
+        g_string_append_printf(out, "%s%s", i == 0 ? ", hosts " : " ",
+                               contract->hosts[i]);
+    }
+    g_string_append_c(out, '\n');
+    explain_retries(contract, out);
+    for (uint32_t i = 0; i < contract->kind_count; i++) {
+        explain_kind(contract, &contract->kinds[i], out);
+    }
+    explain_shedding(contract, out);
+}
