--- /dev/null
+++ b/test/fuzz/fuzz_wire_text.c
@@ -0,0 +1,77 @@
+/// @file
+/// Fuzz target of the text that the core reads from the wire: request keys,
+/// loads of guards and reasons. What is accepted must have exactly one form.
+
+#include <stdlib.h>
+
+#include "ibisfield/once/key_table.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+check_key(slice_t text)
+{
+    issued_key_t key;
+    if (!issued_key_parse(&key, text)) {
+        return;
+    }
+    char again[KEY_TEXT_MAX + 1];
+    issued_key_format(&key, again);
+    if (!slice_equal_string(text, again)) {
+        abort();
+    }
+}
+
+static void
+check_load(slice_t text)
+{
+    guard_load_t load, read;
+    if (!guard_load_parse(&load, text)) {
+        return;
+    }
+    char again[128];
+    guard_load_format(&load, again, sizeof(again));
+    if (!guard_load_parse(&read, slice_from_string(again)) ||
+        memcmp(&load, &read, sizeof(load)) != 0)
+    {
+        abort();
+    }
+}
+
+/// A key that the table did not mint never runs.
+static void
+check_submission(slice_t text)
+{
+    manual_clock_t clock;
+    manual_clock_init(&clock, US_PER_S);
+    key_table_options_t options = {
+        .vm = "vm",
+        .incarnation = 10,
+        .secret = {1},
+        .max_records = 2,
+    };
+    key_table_t table;
+    key_submission_t submission;
+    key_table_init(&table, &clock.base, &options);
+    if (key_table_submit(&table, SLICE_LITERAL("c"), text, 1, &submission) ==
+        KEY_RUN)
+    {
+        abort();
+    }
+    key_table_finish(&table);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    slice_t text = {(const char *)data, size};
+    check_key(text);
+    check_load(text);
+    check_submission(text);
+    reason_t reason = reason_from_token(text);
+    if (reason != REASON_NONE &&
+        !slice_equal_string(text, reason_token(reason))) {
+        abort();
+    }
+    return 0;
+}
--- /dev/null
+++ b/test/unit/test_entry.c
@@ -0,0 +1,494 @@
+/// @file
+/// The entry's states: keys, attempts, units, deadlines and callers that go.
+
+#include "ibisfield/call/entry.h"
+
+#include "common/suite.h"
+
+#define SENT_MAX 16
+
+/// A caller of the tests; a request's user pointer.
+typedef struct {
+    int answers;
+    entry_answer_t answer;
+} caller_t;
+
+typedef struct {
+    call_handle_t call;
+    uint32_t attempt;
+    vm_handle_t vm;
+    attempt_info_t info;
+    bool cancelled;
+} sent_t;
+
+static manual_clock_t manual;
+static key_table_t keys;
+static retry_accounts_t accounts;
+static picker_t picker;
+static client_retry_budget_t client_retries;
+static entry_t entry;
+static contract_t contract;
+static kind_t kinds[2];
+static caller_t callers[4];
+static sent_t sent[SENT_MAX];
+static int sent_count;
+static char forwarded_to[VM_NAME_MAX + 1];
+static attempt_info_t forwarded_info;
+static int cancelled_forwards;
+
+static void
+fake_send(entry_io_t *io, call_handle_t call, void *user, uint32_t attempt,
+          vm_handle_t vm, const attempt_info_t *info)
+{
+    (void)io;
+    (void)user;
+    if (sent_count < SENT_MAX) {
+        sent[sent_count++] = (sent_t){call, attempt, vm, *info, false};
+    }
+}
+
+static void
+fake_cancel(entry_io_t *io, call_handle_t call, void *user, uint32_t attempt)
+{
+    (void)io;
+    (void)user;
+    cancelled_forwards += attempt == 0;
+    for (int i = 0; i < sent_count; i++) {
+        sent[i].cancelled |=
+            sent[i].call == call && sent[i].attempt == attempt;
+    }
+}
+
+static void
+fake_forward(entry_io_t *io, call_handle_t call, void *user,
+             const char *vm_name, const attempt_info_t *info)
+{
+    (void)io;
+    (void)call;
+    (void)user;
+    g_strlcpy(forwarded_to, vm_name, sizeof(forwarded_to));
+    forwarded_info = *info;
+}
+
+static void
+fake_answer(entry_io_t *io, call_handle_t call, void *user,
+            const entry_answer_t *answer)
+{
+    (void)io;
+    (void)call;
+    caller_t *caller = user;
+    caller->answers++;
+    caller->answer = *answer;
+}
+
+static const contract_t *
+find_contract(void *context, slice_t customer)
+{
+    (void)context;
+    return slice_equal_string(customer, contract.customer) ? &contract : NULL;
+}
+
+static void
+make_contract(int32_t retries)
+{
+    kinds[0] =
+        (kind_t){"hours", "info", "GET", "/hours", 10, 100, 0, RUN_REPEATABLE};
+    kinds[1] =
+        (kind_t){"book", "booking", "POST", "/book", 90, 100, 60, RUN_ONCE};
+    contract = (contract_t){
+        .customer = "c",
+        .retries = retries,
+        .client_retry_percent = 10,
+        .kinds = kinds,
+        .kind_count = 2,
+    };
+}
+
+static void
+start_stores(void)
+{
+    key_table_options_t key_options = {
+        .vm = "vm-1",
+        .incarnation = 4,
+        .max_records = 4,
+        .max_answer_bytes = 100,
+    };
+    key_table_init(&keys, &manual.base, &key_options);
+    retry_accounts_init(&accounts, 8, 3);
+    client_retry_budget_init(&client_retries, &manual.base);
+    picker_options_t options = {.own_vm = "vm-1", .own_data_centre = "d"};
+    picker_init(&picker, &manual.base, &options);
+    static const char *const services[] = {"info", "booking"};
+    for (int i = 0; i < 6; i++) {
+        char name[] = {'v', (char)('0' + i), '\0'};
+        picker_vm_t vm = {name, "d", services[i % 2], false};
+        picker_set_vm(&picker, &vm);
+    }
+}
+
+static void
+start_entry(int32_t retries)
+{
+    static const entry_io_vtable_t vtable = {fake_send, fake_cancel,
+                                             fake_forward, fake_answer};
+    static entry_io_t io = {&vtable};
+    memset(callers, 0, sizeof(callers));
+    sent_count = 0;
+    cancelled_forwards = 0;
+    manual_clock_init(&manual, US_PER_S);
+    make_contract(retries);
+    start_stores();
+    entry_options_t options = {
+        .clock = &manual.base,
+        .io = &io,
+        .lookup = find_contract,
+        .picker = &picker,
+        .keys = &keys,
+        .accounts = &accounts,
+        .client_retries = &client_retries,
+        .max_calls = 3,
+        .seed = 1,
+    };
+    entry_init(&entry, &options);
+    entry_set_ready(&entry, true);
+}
+
+static void
+stop_entry(void)
+{
+    entry_finish(&entry);
+    picker_finish(&picker);
+    client_retry_budget_finish(&client_retries);
+    retry_accounts_finish(&accounts);
+    key_table_finish(&keys);
+}
+
+static entry_request_t
+request_of(uint32_t caller, bool book, const char *key)
+{
+    return (entry_request_t){
+        .customer = SLICE_LITERAL("c"),
+        .method = book ? SLICE_LITERAL("POST") : SLICE_LITERAL("GET"),
+        .path = book ? SLICE_LITERAL("/book") : SLICE_LITERAL("/hours"),
+        .body_hash = 7,
+        .key = slice_from_string(key),
+        .source = 1,
+        .user = &callers[caller],
+    };
+}
+
+static call_handle_t
+request(uint32_t caller, bool book, const char *key)
+{
+    entry_request_t taken = request_of(caller, book, key);
+    return entry_request(&entry, &taken);
+}
+
+static void
+finish_attempt(int number, attempt_result_kind_t kind, reason_t reason,
+               uint32_t retries_left)
+{
+    attempt_result_t result = {
+        .kind = kind,
+        .reason = reason,
+        .status = 200,
+        .retries_left = retries_left,
+        .answer = SLICE_LITERAL("booked"),
+    };
+    entry_attempt_done(&entry, sent[number].call, sent[number].attempt,
+                       &result);
+}
+
+static void
+check_answer(uint32_t caller, reason_t reason, outcome_t outcome)
+{
+    CU_ASSERT_EQUAL(callers[caller].answers, 1);
+    CU_ASSERT_EQUAL(callers[caller].answer.reason, reason);
+    CU_ASSERT_EQUAL(callers[caller].answer.outcome, outcome);
+}
+
+/// Asks for a key with caller 3 and copies it.
+static void
+get_key(char key[KEY_TEXT_MAX + 1])
+{
+    callers[3] = (caller_t){0};
+    CU_ASSERT_EQUAL(request(3, true, ""), 0);
+    check_answer(3, REASON_KEY_REQUIRED, OUTCOME_NOT_RUN);
+    memcpy(key, callers[3].answer.fresh_key, KEY_TEXT_MAX + 1);
+}
+
+/// Guards against a healthy path that refuses: a booking with its key is
+/// answered, and the answer is replayed.
+static void
+test_booking_is_answered_and_replayed(void)
+{
+    start_entry(2);
+    char key[KEY_TEXT_MAX + 1];
+    get_key(key);
+    CU_ASSERT_NOT_EQUAL(request(0, true, key), 0);
+    CU_ASSERT_TRUE(sent[0].info.once);
+    CU_ASSERT_EQUAL(sent[0].info.retries, 1);
+    CU_ASSERT_EQUAL(sent[0].info.wait_us,
+                    sent[0].info.budget_us + LATE_ANSWER_WAIT_US);
+    request(1, true, key);
+    check_answer(1, REASON_IN_PROGRESS, OUTCOME_UNKNOWN);
+    finish_attempt(0, ATTEMPT_ANSWERED, REASON_NONE, 1);
+    check_answer(0, REASON_NONE, OUTCOME_ANSWERED);
+    CU_ASSERT_EQUAL(callers[0].answer.attempt, 1);
+    request(2, true, key);
+    check_answer(2, REASON_NONE, OUTCOME_ANSWERED);
+    CU_ASSERT_TRUE(
+        slice_equal_string(callers[2].answer.stored_answer, "booked"));
+    CU_ASSERT_EQUAL(sent_count, 1);
+    CU_ASSERT_EQUAL(entry_in_flight(&entry), 0);
+    stop_entry();
+}
+
+/// Guards against a booking that is tried again after an attempt that may
+/// have run, and against one that isn't when it is known not to have run.
+static void
+test_booking_is_retried_only_if_not_run(void)
+{
+    start_entry(2);
+    char key[KEY_TEXT_MAX + 1];
+    get_key(key);
+    request(0, true, key);
+    finish_attempt(0, ATTEMPT_CONNECT_FAILED, REASON_NONE, 0);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    CU_ASSERT_NOT_EQUAL(sent[0].vm, sent[1].vm);
+    finish_attempt(1, ATTEMPT_LOST, REASON_NONE, 0);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    check_answer(0, REASON_UPSTREAM_FAILED, OUTCOME_UNKNOWN);
+    CU_ASSERT_STRING_EQUAL(callers[0].answer.fresh_key, "");
+    request(1, true, key);
+    check_answer(1, REASON_UPSTREAM_FAILED, OUTCOME_UNKNOWN);
+    stop_entry();
+}
+
+/// Guards against a refused key that runs later, and against a refusal that
+/// leaves the caller without a key or a time to try again.
+static void
+test_refused_key_is_final(void)
+{
+    start_entry(0);
+    char key[KEY_TEXT_MAX + 1];
+    get_key(key);
+    request(0, true, key);
+    finish_attempt(0, ATTEMPT_REFUSED, REASON_OVERLOADED, 0);
+    check_answer(0, REASON_OVERLOADED, OUTCOME_NOT_RUN);
+    CU_ASSERT_TRUE(callers[0].answer.retry_after_ms > 0);
+    CU_ASSERT_STRING_NOT_EQUAL(callers[0].answer.fresh_key, "");
+    request(1, true, key);
+    check_answer(1, REASON_OVERLOADED, OUTCOME_NOT_RUN);
+    CU_ASSERT_STRING_NOT_EQUAL(callers[1].answer.fresh_key, "");
+    CU_ASSERT_EQUAL(sent_count, 1);
+    stop_entry();
+}
+
+/// Guards against a booking whose outcome is forgotten when its caller stops
+/// waiting: the late answer is kept.
+static void
+test_late_answers_of_keys(void)
+{
+    start_entry(2);
+    char key[KEY_TEXT_MAX + 1];
+    get_key(key);
+    request(0, true, key);
+    manual_clock_advance(&manual, 100 * US_PER_MS);
+    entry_tick(&entry);
+    check_answer(0, REASON_DEADLINE, OUTCOME_UNKNOWN);
+    CU_ASSERT_FALSE(sent[0].cancelled);
+    CU_ASSERT_EQUAL(entry_in_flight(&entry), 1);
+    request(1, true, key);
+    check_answer(1, REASON_DEADLINE, OUTCOME_UNKNOWN);
+    finish_attempt(0, ATTEMPT_ANSWERED, REASON_NONE, 0);
+    CU_ASSERT_EQUAL(callers[0].answers, 1);
+    request(2, true, key);
+    check_answer(2, REASON_NONE, OUTCOME_ANSWERED);
+    get_key(key);
+    call_handle_t call = request(0, true, key);
+    entry_caller_gone(&entry, call);
+    CU_ASSERT_FALSE(sent[1].cancelled);
+    manual_clock_advance(&manual, 100 * US_PER_MS + LATE_ANSWER_WAIT_US);
+    entry_tick(&entry);
+    CU_ASSERT_EQUAL(entry_in_flight(&entry), 0);
+    finish_attempt(1, ATTEMPT_ANSWERED, REASON_NONE, 0);
+    CU_ASSERT_EQUAL(callers[0].answers, 1);
+    stop_entry();
+}
+
+/// Guards against units that are copied: extra attempts and lent units come
+/// out of one budget, and what a lost answer held is lost.
+static void
+test_units_of_a_call(void)
+{
+    start_entry(3);
+    request(0, false, "");
+    CU_ASSERT_EQUAL(sent[0].info.retries, 2);
+    finish_attempt(0, ATTEMPT_REFUSED, REASON_OVERLOADED, 100);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    CU_ASSERT_EQUAL(sent[1].info.retries, 1);
+    finish_attempt(1, ATTEMPT_LOST, REASON_NONE, 1);
+    CU_ASSERT_EQUAL(sent_count, 3);
+    CU_ASSERT_EQUAL(sent[2].info.retries, 0);
+    finish_attempt(2, ATTEMPT_LOST, REASON_NONE, 0);
+    check_answer(0, REASON_UPSTREAM_FAILED, OUTCOME_UNKNOWN);
+    stop_entry();
+}
+
+/// Guards against repeatable work that goes on after its deadline or without
+/// its caller.
+static void
+test_repeatable_work_is_cancelled(void)
+{
+    start_entry(1);
+    call_handle_t call = request(0, false, "");
+    entry_caller_gone(&entry, call);
+    CU_ASSERT_TRUE(sent[0].cancelled);
+    CU_ASSERT_EQUAL(callers[0].answers, 0);
+    request(1, false, "");
+    manual_clock_advance(&manual, 100 * US_PER_MS);
+    entry_tick(&entry);
+    CU_ASSERT_TRUE(sent[1].cancelled);
+    check_answer(1, REASON_DEADLINE, OUTCOME_UNKNOWN);
+    finish_attempt(1, ATTEMPT_ANSWERED, REASON_NONE, 0);
+    CU_ASSERT_EQUAL(callers[1].answers, 1);
+    CU_ASSERT_EQUAL(entry_in_flight(&entry), 0);
+    stop_entry();
+}
+
+/// Guards against a child call that outlives or outranks its root, names
+/// another customer, or brings units of its own.
+static void
+test_egress_draws_from_the_account(void)
+{
+    start_entry(3);
+    retry_account_t account = {
+        .customer = "c",
+        .worth = 50,
+        .deadline_us = clock_now_us(&manual.base) + 40 * US_PER_MS,
+        .units = 3,
+    };
+    uint64_t id = retry_accounts_open(&accounts, &account);
+    entry_request_t child = request_of(0, false, "");
+    child.customer = SLICE_LITERAL("other");
+    child.egress = true;
+    child.request_id = id;
+    entry_request(&entry, &child);
+    CU_ASSERT_STRING_EQUAL(sent[0].info.customer, "c");
+    CU_ASSERT_EQUAL(sent[0].info.worth, 50);
+    CU_ASSERT_EQUAL(sent[0].info.budget_us, 40 * US_PER_MS);
+    CU_ASSERT_EQUAL(sent[0].info.retries, 2);
+    CU_ASSERT_EQUAL(retry_accounts_find(&accounts, id)->units, 1);
+    finish_attempt(0, ATTEMPT_ANSWERED, REASON_NONE, 2);
+    CU_ASSERT_EQUAL(retry_accounts_close(&accounts, id), 3);
+    child.customer = SLICE_LITERAL("c");
+    entry_request(&entry, &child);
+    CU_ASSERT_EQUAL(sent[1].info.retries, 0);
+    finish_attempt(1, ATTEMPT_CONNECT_FAILED, REASON_NONE, 0);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    CU_ASSERT_EQUAL(callers[0].answer.reason, REASON_NO_UPSTREAM);
+    stop_entry();
+}
+
+/// Guards against forwarded requests that go on and on, or get new units at
+/// the owner, and against "not run" of a key that another node owns.
+static void
+test_keys_of_other_nodes(void)
+{
+    static const char key[] =
+        "ik1.vm-2.9.1.1.00000000000000000000000000000000";
+    start_entry(3);
+    call_handle_t call = request(0, true, key);
+    CU_ASSERT_STRING_EQUAL(forwarded_to, "vm-2");
+    CU_ASSERT_EQUAL(forwarded_info.retries, 2);
+    CU_ASSERT_EQUAL(forwarded_info.worth, 90);
+    entry_forward_done(&entry, call, false, false);
+    check_answer(0, REASON_KEY_OWNER_UNREACHABLE, OUTCOME_UNKNOWN);
+    entry_request_t forwarded = request_of(1, true, key);
+    forwarded.from_peer = true;
+    entry_request(&entry, &forwarded);
+    check_answer(1, REASON_KEY_OWNER_UNREACHABLE, OUTCOME_UNKNOWN);
+    char own[KEY_TEXT_MAX + 1];
+    get_key(own);
+    forwarded = request_of(2, true, own);
+    forwarded.from_peer = true;
+    forwarded.budget_us = 30 * US_PER_MS;
+    forwarded.retries = 1;
+    entry_request(&entry, &forwarded);
+    CU_ASSERT_EQUAL(sent[0].info.budget_us, 30 * US_PER_MS);
+    CU_ASSERT_EQUAL(sent[0].info.retries, 1);
+    call = request(0, true, key);
+    entry_caller_gone(&entry, call);
+    CU_ASSERT_EQUAL(cancelled_forwards, 1);
+    CU_ASSERT_EQUAL(callers[0].answers, 1);
+    stop_entry();
+}
+
+/// Guards against refusals that claim more than the node knows: without the
+/// record of its key a request may have run.
+static void
+test_early_refusals(void)
+{
+    start_entry(0);
+    char key[KEY_TEXT_MAX + 1];
+    get_key(key);
+    entry_request_t unknown = request_of(0, true, key);
+    unknown.path = SLICE_LITERAL("/nowhere");
+    entry_request(&entry, &unknown);
+    check_answer(0, REASON_NO_SUCH_KIND, OUTCOME_UNKNOWN);
+    unknown.key = SLICE_LITERAL("");
+    callers[0].answers = 0;
+    entry_request(&entry, &unknown);
+    check_answer(0, REASON_NO_SUCH_KIND, OUTCOME_NOT_RUN);
+    entry_set_ready(&entry, false);
+    request(1, true, key);
+    check_answer(1, REASON_NOT_READY, OUTCOME_UNKNOWN);
+    entry_set_ready(&entry, true);
+    entry_set_leaving(&entry, true);
+    request(2, true, "");
+    check_answer(2, REASON_LEAVING, OUTCOME_NOT_RUN);
+    CU_ASSERT_STRING_EQUAL(callers[2].answer.fresh_key, "");
+    CU_ASSERT_NOT_EQUAL(request(3, true, key), 0);
+    stop_entry();
+}
+
+/// Guards against calls beyond the bound, and against a key that is refused
+/// for lack of a slot and runs later.
+static void
+test_full_entry(void)
+{
+    start_entry(0);
+    char key[KEY_TEXT_MAX + 1];
+    get_key(key);
+    for (uint32_t i = 0; i < 3; i++) {
+        CU_ASSERT_NOT_EQUAL(request(i, false, ""), 0);
+    }
+    callers[3].answers = 0;
+    request(3, true, key);
+    check_answer(3, REASON_OVERLOADED, OUTCOME_NOT_RUN);
+    finish_attempt(0, ATTEMPT_ANSWERED, REASON_NONE, 0);
+    callers[3].answers = 0;
+    request(3, true, key);
+    check_answer(3, REASON_OVERLOADED, OUTCOME_NOT_RUN);
+    stop_entry();
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"answered and replayed", test_booking_is_answered_and_replayed},
+        {"retry of a booking", test_booking_is_retried_only_if_not_run},
+        {"refused key", test_refused_key_is_final},
+        {"late answers", test_late_answers_of_keys},
+        {"units", test_units_of_a_call},
+        {"cancelled work", test_repeatable_work_is_cancelled},
+        {"egress", test_egress_draws_from_the_account},
+        {"keys of other nodes", test_keys_of_other_nodes},
+        {"early refusals", test_early_refusals},
+        {"full entry", test_full_entry},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("entry", tests);
+}
