--- a/test/common/config_cluster.c
+++ b/test/common/config_cluster.c
@@ -257,18 +257,22 @@
     return entry == NULL ? 0 : entry->version;
 }
 
-static void
-answer_watch(cluster_node_t *node, config_list_t list, uint64_t revision)
+/// Collects the newest visible change of each item above @p since.
+static GArray *
+visible_changes(config_cluster_t *cluster, const char *prefix, uint64_t since,
+                uint64_t revision)
 {
-    config_cluster_t *cluster = node->cluster;
-    const char *prefix = list == LIST_VMS ? "vm/" : "contract/";
-    uint64_t since = node->watches[list].since;
     GArray *items = g_array_new(FALSE, FALSE, sizeof(config_item_t));
-    for (guint i = 0; i < cluster->published->len; i++) {
+    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = cluster->published->len; i > 0; i--) {
         const published_t *entry =
-            &g_array_index(cluster->published, published_t, i);
-        if (entry->revision > since && entry->revision <= revision &&
-            g_str_has_prefix(entry->name, prefix))
+            &g_array_index(cluster->published, published_t, i - 1);
+        if (entry->revision <= since) {
+            break;
+        }
+        if (entry->revision <= revision &&
+            g_str_has_prefix(entry->name, prefix) &&
+            g_hash_table_add(seen, entry->name))
         {
             config_item_t item = {entry->name, entry->version,
                                   slice_from_string(entry->value)};
@@ -276,6 +280,16 @@
             g_array_append_val(items, item);
         }
     }
+    g_hash_table_destroy(seen);
+    return items;
+}
+
+static void
+answer_watch(cluster_node_t *node, config_list_t list, uint64_t revision)
+{
+    GArray *items =
+        visible_changes(node->cluster, list == LIST_VMS ? "vm/" : "contract/",
+                        node->watches[list].since, revision);
     list_answer_t answer = {true, revision,
                             (const config_item_t *)(void *)items->data,
                             items->len};
--- /dev/null
+++ b/test/fuzz/fuzz_config.c
@@ -0,0 +1,362 @@
+/// @file
+/// Stateful fuzzing of configuration distribution. The input is a list of
+/// operations on several replicators in one process. The oracle sees only what
+/// the platform published and what each node reports as in force:
+///
+/// * what is in force at a node was published and passes the checks;
+/// * the version in force never goes down within an incarnation;
+/// * a restarted node that could reach a reader of its data centre, which held
+///   at least what it held, is not below that when it is ready;
+/// * after healing and enough time all nodes agree, on the newest version
+///   published if that passes the checks.
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/config_cluster.h"
+#include "ibisfield/base/log.h"
+
+#define NODES 10
+#define DATA_CENTRES 2
+#define CONTRACTS 2
+#define HEAL_STEPS 100
+#define HEAL_STEP_US (500 * US_PER_MS)
+
+typedef struct {
+    uint64_t in_force[CONTRACTS]; ///< as reported in this incarnation
+    uint64_t floor[CONTRACTS];    ///< demanded when ready
+    uint64_t held[CONTRACTS];     ///< by the incarnation before
+    bool waits_for_ready;
+    uint32_t witness; ///< the reader that must stay reachable
+} observed_t;
+
+typedef struct {
+    const uint8_t *bytes;
+    size_t len;
+} input_t;
+
+static config_cluster_t cluster;
+static observed_t observed[NODES];
+static const char *const names[CONTRACTS] = {"contract/a", "contract/b"};
+
+#define DEMAND(condition, ...)                                                \
+    do {                                                                      \
+        if (!(condition)) {                                                   \
+            fprintf(stderr, __VA_ARGS__);                                     \
+            fputc('\n', stderr);                                              \
+            abort();                                                          \
+        }                                                                     \
+    } while (0)
+
+static int
+contract_index(const char *name)
+{
+    for (int i = 0; i < CONTRACTS; i++) {
+        if (strcmp(names[i], name) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static const published_t *
+find_version(const char *name, uint64_t version)
+{
+    for (guint i = 0; i < cluster.published->len; i++) {
+        const published_t *entry =
+            &g_array_index(cluster.published, published_t, i);
+        if (entry->version == version && strcmp(entry->name, name) == 0) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+static bool
+is_good(const published_t *entry)
+{
+    return strncmp(entry->value, "{\"bad\"", 6) != 0;
+}
+
+/// Each node reports here what has come into force.
+static void
+on_changed(cluster_node_t *node, const config_item_t *item)
+{
+    int contract = contract_index(item->name);
+    if (contract < 0) {
+        return;
+    }
+    uint64_t *in_force = &observed[node->index].in_force[contract];
+    const published_t *entry = find_version(item->name, item->version);
+    DEMAND(entry != NULL, "node %u: version was never published", node->index);
+    DEMAND(is_good(entry), "node %u: refused version in force", node->index);
+    DEMAND(slice_equal_string(item->value, entry->value),
+           "node %u: value of another version", node->index);
+    DEMAND(item->version > *in_force, "node %u: version went down",
+           node->index);
+    *in_force = item->version;
+}
+
+static void
+check_ready_nodes(void)
+{
+    for (uint32_t i = 0; i < NODES; i++) {
+        observed_t *node = &observed[i];
+        if (!cluster.nodes[i].up || !node->waits_for_ready ||
+            !replicator_is_ready(&cluster.nodes[i].replicator))
+        {
+            continue;
+        }
+        node->waits_for_ready = false;
+        for (int c = 0; c < CONTRACTS; c++) {
+            DEMAND(node->in_force[c] >= node->floor[c],
+                   "node %u: below what it held before its restart", i);
+        }
+    }
+}
+
+/// The demand on a restarted node holds only while nothing is lost between it
+/// and the reader.
+static void
+void_demands(uint32_t index)
+{
+    for (uint32_t i = 0; i < NODES; i++) {
+        if (i == index || observed[i].witness == index) {
+            memset(observed[i].floor, 0, sizeof(observed[i].floor));
+        }
+    }
+}
+
+/// Raises the demand to what the reader held, at most to what was held here.
+static void
+demand_from_reader(uint32_t index, uint32_t reader)
+{
+    observed_t *node = &observed[index];
+    node->witness = reader;
+    for (int c = 0; c < CONTRACTS; c++) {
+        node->floor[c] = MIN(node->held[c], observed[reader].in_force[c]);
+    }
+}
+
+static void
+restart_node(uint32_t index)
+{
+    observed_t *node = &observed[index];
+    void_demands(index);
+    if (cluster.nodes[index].up) {
+        if (replicator_is_ready(&cluster.nodes[index].replicator)) {
+            memcpy(node->held, node->in_force, sizeof(node->held));
+        }
+        cluster_stop_node(&cluster, index);
+    }
+    memset(node->in_force, 0, sizeof(node->in_force));
+    node->waits_for_ready = true;
+    node->witness = NODES;
+    for (uint32_t i = index % DATA_CENTRES; i < NODES; i += DATA_CENTRES) {
+        cluster_node_t *reader = &cluster.nodes[i];
+        if (i != index && reader->up && !cluster.cuts[index * NODES + i] &&
+            replicator_is_reader(&reader->replicator))
+        {
+            demand_from_reader(index, i);
+        }
+    }
+    cluster_start_node(&cluster, index);
+}
+
+static uint8_t
+next_byte(input_t *input)
+{
+    if (input->len == 0) {
+        return 0;
+    }
+    input->len--;
+    return *input->bytes++;
+}
+
+static void
+deliver_one(uint8_t choice, bool drop)
+{
+    if (cluster.queue->len == 0) {
+        return;
+    }
+    guint position = choice % cluster.queue->len;
+    const envelope_t *envelope =
+        &g_array_index(cluster.queue, envelope_t, position);
+    if (drop) {
+        void_demands(envelope->from);
+        void_demands(envelope->to);
+        cluster_drop(&cluster, position);
+    }
+    else {
+        cluster_deliver(&cluster, position);
+    }
+}
+
+static void
+publish(uint8_t choice, bool bad)
+{
+    char value[64];
+    g_snprintf(value, sizeof(value), "{\"%s\":%u}", bad ? "bad" : "n",
+               (unsigned)cluster.revision);
+    cluster_publish(&cluster, names[choice % CONTRACTS],
+                    choice >= 0xf0 && !bad ? "" : value);
+}
+
+static void
+cut_nodes(uint8_t a, uint8_t b, bool cut)
+{
+    uint32_t left = a % NODES;
+    uint32_t right = b % NODES;
+    void_demands(left);
+    void_demands(right);
+    cluster_cut(&cluster, left, right, cut && left != right);
+}
+
+static void
+change_list(uint8_t choice)
+{
+    static const char *const states[] = {"live", "leaving", "", "live"};
+    cluster_list_node(&cluster, choice % NODES, "booking",
+                      states[choice / NODES % 4]);
+}
+
+static void
+run_operation(input_t *input)
+{
+    uint8_t operation = next_byte(input);
+    uint8_t choice = next_byte(input);
+    switch (operation % 14) {
+    case 0:
+        publish(choice, false);
+        break;
+    case 1:
+        publish(choice, true);
+        break;
+    case 2:
+    case 3:
+        deliver_one(choice, false);
+        break;
+    case 4:
+        deliver_one(choice, true);
+        break;
+    case 5: /* old watch value, or the newest again */
+        cluster.visible_revision =
+            choice == 0 ? UINT64_MAX : cluster.revision * choice / 256;
+        break;
+    case 6:
+        restart_node(choice % NODES);
+        break;
+    case 7:
+        cut_nodes(choice, next_byte(input), true);
+        break;
+    case 8:
+        cut_nodes(choice, next_byte(input), false);
+        break;
+    case 9:
+        manual_clock_advance(&cluster.clock, (choice + 1) * (20 * US_PER_MS));
+        cluster_tick(&cluster);
+        break;
+    case 10:
+        cluster.mode = (platform_mode_t)(choice % 3);
+        break;
+    case 11:
+        change_list(choice);
+        break;
+    case 12:
+        cluster.nodes[choice % NODES].platform_cut = choice >= 128;
+        break;
+    default:
+        cluster_run(&cluster, (choice % 16 + 1) * REPLICATOR_TICK_US);
+        break;
+    }
+    check_ready_nodes();
+}
+
+static void
+heal(void)
+{
+    for (uint32_t i = 0; i < NODES; i++) {
+        cluster.nodes[i].platform_cut = false;
+        for (uint32_t j = 0; j < NODES; j++) {
+            cluster_cut(&cluster, i, j, false);
+        }
+    }
+    cluster.mode = PLATFORM_UP;
+    cluster.visible_revision = UINT64_MAX;
+    for (int step = 0; step < HEAL_STEPS; step++) {
+        cluster_deliver_all(&cluster);
+        manual_clock_advance(&cluster.clock, HEAL_STEP_US);
+        cluster_tick(&cluster);
+        check_ready_nodes();
+    }
+    cluster_deliver_all(&cluster);
+}
+
+static void
+check_agreement(const uint64_t *before)
+{
+    for (int c = 0; c < CONTRACTS; c++) {
+        uint64_t newest = cluster_published_version(&cluster, names[c]);
+        uint64_t agreed = observed[0].in_force[c];
+        for (uint32_t i = 0; i < NODES; i++) {
+            DEMAND(replicator_is_ready(&cluster.nodes[i].replicator),
+                   "node %u: not ready after healing", i);
+            DEMAND(observed[i].in_force[c] == agreed,
+                   "nodes 0 and %u differ after healing", i);
+        }
+        DEMAND(agreed >= before[c], "a version was lost by healing");
+        DEMAND(newest == 0 || !is_good(find_version(names[c], newest)) ||
+                   agreed == newest,
+               "the newest version is not in force after healing");
+    }
+}
+
+static void
+start(void)
+{
+    memset(observed, 0, sizeof(observed));
+    cluster_init(&cluster, NODES, DATA_CENTRES);
+    cluster.changed = on_changed;
+    cluster.seed_count = NODES / DATA_CENTRES;
+    publish(0, false);
+    for (uint32_t i = 0; i < NODES; i++) {
+        cluster_list_node(&cluster, i, "booking", "live");
+        observed[i].witness = NODES;
+    }
+    for (uint32_t i = 0; i < NODES; i++) {
+        cluster_start_node(&cluster, i);
+    }
+    cluster_run(&cluster, US_PER_S);
+}
+
+int LLVMFuzzerInitialize(int *argc, char ***argv);
+int LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len);
+
+int
+LLVMFuzzerInitialize(int *argc, char ***argv)
+{
+    (void)argc;
+    (void)argv;
+    log_init(G_LOG_LEVEL_CRITICAL);
+    return 0;
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *bytes, size_t len)
+{
+    input_t input = {bytes, len};
+    uint64_t before[CONTRACTS] = {0};
+    start();
+    while (input.len > 0) {
+        run_operation(&input);
+    }
+    for (int c = 0; c < CONTRACTS; c++) {
+        for (uint32_t i = 0; i < NODES; i++) {
+            before[c] = MAX(before[c], observed[i].in_force[c]);
+        }
+    }
+    heal();
+    check_agreement(before);
+    cluster_finish(&cluster);
+    return 0;
+}
