--- /dev/null
+++ b/test/standin/upstream.c
@@ -0,0 +1,441 @@
+/// @file
+/// Stand-in of an upstream. It runs requests in a bounded number of slots,
+/// first come first served, and echoes the header x-request-id, so that a
+/// client can tell whether an answer is its own.
+///
+///     GET /count            {"runs", "keys", "max_per_key", "max_per_id"}
+///     GET /health           {"status": "ok"} or {"status": "draining"}
+///     POST /test/drain      reports draining from now on
+///     POST /test/service/N  service time of all paths in microseconds
+///     POST /test/half/N     every Nth answer is cut in its middle; 0: none
+///     POST /test/shed/N     sheds while N requests are held; 0: never
+
+#include <argp.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/arguments.h"
+#include "ibisfield/io/http_server.h"
+#include "ibisfield/io/message.h"
+
+#define CONNECTIONS_MAX 8192
+#define REQUEST_BYTES_MAX (64 << 20)
+#define NEXT_TIMEOUT_US (30 * US_PER_S)
+#define PATHS_MAX 16
+
+typedef struct {
+    char *prefix;
+    int32_t service_us;
+} path_time_t;
+
+/// A request that waits, runs or calls the next service.
+typedef struct {
+    http_request_t *request; ///< NULL: the sender has gone
+    loop_timer_t timer;
+    http_exchange_t *next;
+} job_t;
+
+static struct {
+    endpoint_t listen;
+    endpoint_t next;
+    char *name;
+    char *next_path;
+    int32_t slots;
+    int32_t service_us;
+    int32_t cold_ms;
+    int32_t half_every;
+    int32_t shed_above;
+    int32_t answer_bytes;
+    path_time_t paths[PATHS_MAX];
+    int path_count;
+    clock_source_t clock;
+    loop_t loop;
+    http_server_t *server;
+    http_target_t *next_target;
+    int64_t start_us;
+    GQueue waiting;
+    int32_t running;
+    uint64_t runs;
+    uint64_t answers;
+    GHashTable *runs_by_key;
+    GHashTable *runs_by_id;
+    bool draining;
+} upstream = {.name = "upstream", .slots = 8};
+
+static void start_jobs(void);
+
+static void
+free_job(job_t *job)
+{
+    loop_timer_stop(&upstream.loop, &job->timer);
+    g_free(job);
+}
+
+static guint
+count_run(GHashTable *table, slice_t name)
+{
+    if (name.len == 0) {
+        return 0;
+    }
+    char *text = g_strndup(name.data, name.len);
+    guint runs = GPOINTER_TO_UINT(g_hash_table_lookup(table, text)) + 1;
+    g_hash_table_replace(table, text, GUINT_TO_POINTER(runs));
+    return runs;
+}
+
+static guint
+highest_count(GHashTable *table)
+{
+    guint highest = 0;
+    GHashTableIter iter;
+    void *runs = NULL;
+    g_hash_table_iter_init(&iter, table);
+    while (g_hash_table_iter_next(&iter, NULL, &runs)) {
+        highest = MAX(highest, GPOINTER_TO_UINT(runs));
+    }
+    return highest;
+}
+
+static void
+answer_text(http_request_t *request, int status, const char *text)
+{
+    http_request_answer(request, status, NULL, 0, slice_from_string(text));
+}
+
+/// Sends the head and a part of the body, then ends the connection.
+static void
+answer_half(const http_request_t *request)
+{
+    static const char half[] =
+        "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n{\"id\": ";
+    h2o_socket_t *socket =
+        request->h2o->conn->callbacks->get_socket(request->h2o->conn);
+    int fd = h2o_socket_get_fd(socket);
+    if (write(fd, half, sizeof(half) - 1) > 0) {
+        shutdown(fd, SHUT_RDWR);
+    }
+}
+
+static void
+answer_job(job_t *job, int status)
+{
+    http_request_t *request = job->request;
+    upstream.answers++;
+    if (upstream.half_every > 0 &&
+        upstream.answers % (uint64_t)upstream.half_every == 0)
+    {
+        // The server notices the closed connection and ends the job.
+        answer_half(request);
+        return;
+    }
+    slice_t id = http_request_header(request, "x-request-id");
+    GString *body = g_string_new(NULL);
+    g_string_append_printf(body, "{\"id\": \"%.*s\", \"by\": \"%s\"}\n",
+                           (int)id.len, id.data == NULL ? "" : id.data,
+                           upstream.name);
+    for (int32_t i = (int32_t)body->len; i < upstream.answer_bytes; i++) {
+        g_string_append_c(body, ' ');
+    }
+    const http_header_t headers[] = {
+        {SLICE_LITERAL("content-type"), SLICE_LITERAL("application/json")},
+        {SLICE_LITERAL("x-request-id"), id},
+    };
+    http_request_answer(request, status, headers, id.data == NULL ? 1 : 2,
+                        (slice_t){body->str, body->len});
+    g_string_free(body, TRUE);
+    free_job(job);
+}
+
+static void
+next_done(void *context, const http_answer_t *answer)
+{
+    job_t *job = context;
+    job->next = NULL;
+    bool whole = answer->result == HTTP_COMPLETE && answer->status == 200;
+    answer_job(job, whole ? 200 : 502);
+}
+
+/// Calls the next service through the egress of the own node. The slot is
+/// free meanwhile.
+static void
+call_next(job_t *job)
+{
+    static const char *const copied[] = {HEADER_REQUEST, HEADER_CUSTOMER,
+                                         HEADER_TRACEPARENT, "x-request-id"};
+    http_header_t headers[G_N_ELEMENTS(copied)];
+    size_t count = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(copied); i++) {
+        slice_t value = http_request_header(job->request, copied[i]);
+        if (value.data != NULL) {
+            headers[count++] =
+                (http_header_t){slice_from_string(copied[i]), value};
+        }
+    }
+    job->next = http_exchange_start(upstream.next_target, SLICE_LITERAL("GET"),
+                                    slice_from_string(upstream.next_path),
+                                    headers, count, (slice_t){NULL, 0},
+                                    NEXT_TIMEOUT_US, next_done, job);
+}
+
+static void
+finish_job(void *context)
+{
+    job_t *job = context;
+    upstream.running--;
+    if (job->request == NULL) {
+        free_job(job);
+    }
+    else if (upstream.next_target != NULL) {
+        call_next(job);
+    }
+    else {
+        answer_job(job, 200);
+    }
+    start_jobs();
+}
+
+static int64_t
+service_time_us(const http_request_t *request)
+{
+    int64_t time_us = upstream.service_us;
+    for (int i = 0; i < upstream.path_count; i++) {
+        if (slice_starts_with(request->path,
+                              slice_from_string(upstream.paths[i].prefix)))
+        {
+            time_us = upstream.paths[i].service_us;
+        }
+    }
+    int64_t age_us = clock_now_us(&upstream.clock) - upstream.start_us;
+    bool cold = age_us < upstream.cold_ms * US_PER_MS;
+    return cold ? time_us * 4 : time_us;
+}
+
+static void
+start_jobs(void)
+{
+    while (upstream.running < upstream.slots && upstream.waiting.length > 0) {
+        job_t *job = g_queue_pop_head(&upstream.waiting);
+        upstream.running++;
+        upstream.runs++;
+        count_run(upstream.runs_by_key,
+                  http_request_header(job->request, HEADER_KEY));
+        count_run(upstream.runs_by_id,
+                  http_request_header(job->request, "x-request-id"));
+        int64_t time_us = service_time_us(job->request);
+        if (time_us == 0) {
+            finish_job(job);
+            return;
+        }
+        loop_timer_start(&upstream.loop, &job->timer, time_us, finish_job,
+                         job);
+    }
+}
+
+static void
+answer_count(http_request_t *request)
+{
+    char *text = g_strdup_printf(
+        "{\"runs\": %" PRIu64 ", \"keys\": %u, \"max_per_key\": %u, "
+        "\"max_per_id\": %u}\n",
+        upstream.runs, g_hash_table_size(upstream.runs_by_key),
+        highest_count(upstream.runs_by_key),
+        highest_count(upstream.runs_by_id));
+    answer_text(request, 200, text);
+    g_free(text);
+}
+
+static int32_t
+number_after(slice_t path, const char *prefix)
+{
+    int64_t number = 0;
+    size_t len = strlen(prefix);
+    parse_number((slice_t){path.data + len, path.len - len}, INT32_MAX,
+                 &number);
+    return (int32_t)number;
+}
+
+static void
+change_behaviour(http_request_t *request)
+{
+    slice_t path = request->path;
+    if (slice_equal_string(path, "/test/drain")) {
+        upstream.draining = true;
+    }
+    else if (slice_starts_with(path, SLICE_LITERAL("/test/service/"))) {
+        upstream.service_us = number_after(path, "/test/service/");
+        upstream.path_count = 0;
+    }
+    else if (slice_starts_with(path, SLICE_LITERAL("/test/half/"))) {
+        upstream.half_every = number_after(path, "/test/half/");
+    }
+    else if (slice_starts_with(path, SLICE_LITERAL("/test/shed/"))) {
+        upstream.shed_above = number_after(path, "/test/shed/");
+    }
+    answer_text(request, 200, "{}\n");
+}
+
+static void
+shed(http_request_t *request)
+{
+    const http_header_t header = {SLICE_LITERAL(HEADER_SHED),
+                                  SLICE_LITERAL("1")};
+    http_request_answer(request, 503, &header, 1, (slice_t){NULL, 0});
+}
+
+static void
+take_request(void *context, http_request_t *request)
+{
+    (void)context;
+    if (slice_equal_string(request->path, "/count")) {
+        answer_count(request);
+        return;
+    }
+    if (slice_equal_string(request->path, "/health")) {
+        answer_text(request, 200,
+                    upstream.draining ? "{\"status\": \"draining\"}\n"
+                                      : "{\"status\": \"ok\"}\n");
+        return;
+    }
+    if (slice_starts_with(request->path, SLICE_LITERAL("/test/"))) {
+        change_behaviour(request);
+        return;
+    }
+    int32_t held = upstream.running + (int32_t)upstream.waiting.length;
+    if (upstream.shed_above > 0 && held >= upstream.shed_above) {
+        shed(request);
+        return;
+    }
+    job_t *job = g_new0(job_t, 1);
+    job->request = request;
+    request->user = job;
+    g_queue_push_tail(&upstream.waiting, job);
+    start_jobs();
+}
+
+/// A waiting job is dropped; a running one keeps its slot to its end, like
+/// work that can't be interrupted.
+static void
+request_gone(void *context, http_request_t *request)
+{
+    (void)context;
+    job_t *job = request->user;
+    if (job == NULL) {
+        return;
+    }
+    job->request = NULL;
+    if (g_queue_remove(&upstream.waiting, job)) {
+        free_job(job);
+    }
+    else if (job->next != NULL) {
+        http_exchange_cancel(job->next);
+        free_job(job);
+    }
+    else if (job->timer.position == NULL) {
+        free_job(job);
+    }
+}
+
+static void
+add_path_time(const char *text, const struct argp_state *state)
+{
+    char **parts = g_strsplit(text, "=", 2);
+    if (parts[1] == NULL || upstream.path_count == PATHS_MAX) {
+        argp_error(state, "found '%s', expected PREFIX=US", text);
+    }
+    upstream.paths[upstream.path_count++] = (path_time_t){
+        g_strdup(parts[0]), read_number_argument(parts[1], state)};
+    g_strfreev(parts);
+}
+
+static const struct argp_option options[] = {
+    {"listen", 'l', "ADDRESS:PORT", 0, "Address to serve", 0},
+    {"name", 'n', "NAME", 0, "Name in answers", 0},
+    {"slots", 's', "N", 0, "Requests that run at the same time", 0},
+    {"service-us", 't', "N", 0, "Service time", 0},
+    {"path", 'p', "PREFIX=US", 0, "Service time of paths", 0},
+    {"cold-ms", 'c', "N", 0, "Time after the start with 4 times slower", 0},
+    {"next", 'x', "ADDRESS:PORT", 0, "Egress to call the next service by", 0},
+    {"next-path", 'y', "PATH", 0, "Path at the next service", 0},
+    {"half-every", 'h', "N", 0, "Cut every Nth answer", 0},
+    {"shed-above", 'd', "N", 0, "Shed while N requests are held", 0},
+    {"answer-bytes", 'b', "N", 0, "Least size of answers", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+    switch (key) {
+    case 'l':
+        read_endpoint_argument(&upstream.listen, value, state);
+        return 0;
+    case 'x':
+        read_endpoint_argument(&upstream.next, value, state);
+        return 0;
+    case 'n':
+        upstream.name = value;
+        return 0;
+    case 'y':
+        upstream.next_path = value;
+        return 0;
+    case 'p':
+        add_path_time(value, state);
+        return 0;
+    case 's':
+        upstream.slots = read_number_argument(value, state);
+        return 0;
+    case 't':
+        upstream.service_us = read_number_argument(value, state);
+        return 0;
+    case 'c':
+        upstream.cold_ms = read_number_argument(value, state);
+        return 0;
+    case 'h':
+        upstream.half_every = read_number_argument(value, state);
+        return 0;
+    case 'd':
+        upstream.shed_above = read_number_argument(value, state);
+        return 0;
+    case 'b':
+        upstream.answer_bytes = read_number_argument(value, state);
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct argp argp = {
+        options, parse_option, NULL, "Stand-in of an upstream for tests.",
+        NULL,    NULL,         NULL};
+    argp_parse(&argp, argc, argv, 0, NULL, NULL);
+    boot_clock_init(&upstream.clock);
+    loop_init(&upstream.loop, &upstream.clock);
+    upstream.start_us = clock_now_us(&upstream.clock);
+    upstream.runs_by_key =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    upstream.runs_by_id =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    if (upstream.next.port != 0) {
+        upstream.next_target = http_target_new(&upstream.loop, &upstream.next,
+                                               1024, REQUEST_BYTES_MAX);
+    }
+    upstream.server =
+        http_server_new(&upstream.loop, CONNECTIONS_MAX, REQUEST_BYTES_MAX);
+    http_listener_options_t listener = {"upstream", upstream.listen,
+                                        take_request, request_gone, NULL};
+    GError *error = NULL;
+    if (!http_server_listen(upstream.server, &listener, &error)) {
+        fprintf(stderr, "%s\n", error->message);
+        return 1;
+    }
+    http_server_start(upstream.server);
+    puts("listening");
+    fflush(stdout);
+    loop_run(&upstream.loop);
+    return 0;
+}
