--- a/test/fuzz/fuzz_config.c
+++ b/test/fuzz/fuzz_config.c
@@ -272,6 +272,29 @@
     check_ready_nodes();
 }
 
+/// Returns whether all nodes are ready with the same contracts, among them the
+/// newest versions published that pass the checks.
+static bool
+has_agreed(void)
+{
+    for (int c = 0; c < CONTRACTS; c++) {
+        uint64_t newest = cluster_published_version(&cluster, names[c]);
+        bool must_have =
+            newest != 0 && is_good(find_version(names[c], newest));
+        for (uint32_t i = 0; i < NODES; i++) {
+            if (!replicator_is_ready(&cluster.nodes[i].replicator) ||
+                observed[i].in_force[c] != observed[0].in_force[c] ||
+                (must_have && observed[i].in_force[c] != newest))
+            {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/// Restores all paths and lets time pass until the nodes agree, for up to
+/// HEAL_STEPS steps.
 static void
 heal(void)
 {
@@ -283,7 +306,7 @@
     }
     cluster.mode = PLATFORM_UP;
     cluster.visible_revision = UINT64_MAX;
-    for (int step = 0; step < HEAL_STEPS; step++) {
+    for (int step = 0; step < HEAL_STEPS && !has_agreed(); step++) {
         cluster_deliver_all(&cluster);
         manual_clock_advance(&cluster.clock, HEAL_STEP_US);
         cluster_tick(&cluster);
@@ -295,19 +318,10 @@
 static void
 check_agreement(const uint64_t *before)
 {
+    DEMAND(has_agreed(), "the nodes do not agree after healing");
     for (int c = 0; c < CONTRACTS; c++) {
-        uint64_t newest = cluster_published_version(&cluster, names[c]);
-        uint64_t agreed = observed[0].in_force[c];
-        for (uint32_t i = 0; i < NODES; i++) {
-            DEMAND(replicator_is_ready(&cluster.nodes[i].replicator),
-                   "node %u: not ready after healing", i);
-            DEMAND(observed[i].in_force[c] == agreed,
-                   "nodes 0 and %u differ after healing", i);
-        }
-        DEMAND(agreed >= before[c], "a version was lost by healing");
-        DEMAND(newest == 0 || !is_good(find_version(names[c], newest)) ||
-                   agreed == newest,
-               "the newest version is not in force after healing");
+        DEMAND(observed[0].in_force[c] >= before[c],
+               "a version was lost by healing");
     }
 }
 
