--- /dev/null
+++ b/test/functional/common/testbed.c
@@ -0,0 +1,340 @@
+/// @file
+/// Nodes and stand-ins on loopback addresses with generated settings.
+
+#include "common/testbed.h"
+
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "common/suite.h"
+
+#define CALL_TIMEOUT_US (30 * US_PER_S)
+
+typedef struct {
+    loop_t loop;
+    answer_text_t answer;
+} call_t;
+
+static void
+call_done(void *context, const http_answer_t *answer)
+{
+    call_t *state = context;
+    GString *headers = g_string_new(NULL);
+    for (size_t i = 0; i < answer->header_count; i++) {
+        const http_header_t *header = &answer->headers[i];
+        g_string_append_printf(headers, "%.*s: %.*s\n", (int)header->name.len,
+                               header->name.data, (int)header->value.len,
+                               header->value.data);
+    }
+    state->answer.headers = g_string_free(headers, FALSE);
+    state->answer.body = g_strndup(
+        answer->body.len == 0 ? "" : answer->body.data, answer->body.len);
+    state->answer.status =
+        answer->result == HTTP_COMPLETE ? answer->status : 0;
+    loop_stop(&state->loop);
+}
+
+/// Sends one request and waits for its answer. @p header is "name: value" or
+/// NULL.
+answer_text_t
+call(const char *address, uint16_t port, const char *method, const char *path,
+     const char *header, const char *body)
+{
+    call_t state = {0};
+    clock_source_t clock;
+    boot_clock_init(&clock);
+    loop_init(&state.loop, &clock);
+    endpoint_t endpoint = {.port = port};
+    g_strlcpy(endpoint.address, address, sizeof(endpoint.address));
+    http_target_t *target =
+        http_target_new(&state.loop, &endpoint, 1, 64 << 20);
+    char **parts = g_strsplit(header == NULL ? "" : header, ": ", 2);
+    http_header_t sent = {
+        slice_from_string(parts[0]),
+        slice_from_string(parts[0] == NULL ? NULL : parts[1])};
+    http_exchange_start(target, slice_from_string(method),
+                        slice_from_string(path), &sent, header != NULL,
+                        slice_from_string(body), CALL_TIMEOUT_US, call_done,
+                        &state);
+    loop_run(&state.loop);
+    http_target_release(target);
+    loop_finish(&state.loop);
+    g_strfreev(parts);
+    return state.answer;
+}
+
+void
+answer_text_free(answer_text_t *answer)
+{
+    g_free(answer->headers);
+    g_free(answer->body);
+}
+
+int64_t
+json_number(struct json_object *object, const char *name)
+{
+    struct json_object *member = NULL;
+    if (!json_object_object_get_ex(object, name, &member)) {
+        return -1;
+    }
+    return json_object_get_int64(member);
+}
+
+/// Returns the value of a metric of a node, -1 if it can't be read.
+int64_t
+metric_of(const testbed_vm_t *vm, const char *name)
+{
+    answer_text_t answer =
+        call(vm->address, PORT_OPERATOR, "GET", "/metrics", NULL, NULL);
+    char *line = g_strdup_printf("\n%s ", name);
+    const char *found =
+        answer.status == 200 ? strstr(answer.body, line) : NULL;
+    int64_t value =
+        found == NULL ? -1 : g_ascii_strtoll(found + strlen(line), NULL, 10);
+    g_free(line);
+    answer_text_free(&answer);
+    return value;
+}
+
+static char *
+log_path(testbed_t *bed, const char *name)
+{
+    return g_strdup_printf("%s/%02d-%s.log", bed->directory, bed->logs++,
+                           name);
+}
+
+static bool
+start(testbed_t *bed, process_t *process, const char *name,
+      const char *const *arguments)
+{
+    char *log = log_path(bed, name);
+    bool started = process_start(process, log, arguments);
+    g_free(log);
+    return started;
+}
+
+/// Starts the platform. The addresses follow from the process id, so that
+/// tests that run at the same time don't meet.
+void
+testbed_init(testbed_t *bed)
+{
+    *bed = (testbed_t){0};
+    bed->directory = g_dir_make_tmp("ibisfield-test-XXXXXX", NULL);
+    int pid = (int)getpid();
+    g_snprintf(bed->address, sizeof(bed->address), "127.%d.%d.1",
+               16 + pid % 200, pid / 200 % 200);
+    char *listen = g_strdup_printf("%s:%d", bed->address, PORT_PLATFORM);
+    const char *const arguments[] = {IBISFIELD_BUILD_DIR
+                                     "/test/standin_platform",
+                                     "--listen", listen, NULL};
+    bool started = start(bed, &bed->platform, "platform", arguments) &&
+                   process_wait_log(&bed->platform, "listening");
+    g_free(listen);
+    CU_ASSERT_TRUE_FATAL(started);
+}
+
+/// Prints the logs of the nodes, for a failed test.
+static void
+print_logs(const testbed_t *bed)
+{
+    for (int i = 0; i < bed->vm_count; i++) {
+        char *log = process_log(&bed->vms[i].node);
+        size_t len = strlen(log);
+        fprintf(stderr, "--- %s\n%s\n", bed->vms[i].vm,
+                len > 3000 ? log + len - 3000 : log);
+        g_free(log);
+    }
+}
+
+static void
+remove_directory(const char *directory)
+{
+    GDir *dir = g_dir_open(directory, 0, NULL);
+    const char *name;
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        char *path = g_build_filename(directory, name, NULL);
+        g_unlink(path);
+        g_free(path);
+    }
+    if (dir != NULL) {
+        g_dir_close(dir);
+    }
+    g_rmdir(directory);
+}
+
+/// Ends every process of the test.
+void
+testbed_finish(testbed_t *bed)
+{
+    if (CU_get_number_of_failures() > 0) {
+        print_logs(bed);
+    }
+    for (int i = 0; i < bed->vm_count; i++) {
+        process_finish(&bed->vms[i].node);
+        process_finish(&bed->vms[i].upstream);
+    }
+    process_finish(&bed->platform);
+    remove_directory(bed->directory);
+    g_free(bed->directory);
+}
+
+/// Publishes a configuration item.
+bool
+testbed_publish(testbed_t *bed, const char *name, const char *value)
+{
+    char *path = g_strdup_printf("/test/items/%s", name);
+    answer_text_t answer =
+        call(bed->address, PORT_PLATFORM, "PUT", path, NULL, value);
+    bool published = answer.status == 200;
+    answer_text_free(&answer);
+    g_free(path);
+    return published;
+}
+
+static char *
+write_settings(testbed_t *bed, const testbed_vm_t *vm, const char *service,
+               const char *data_centre, const char *more)
+{
+    const char *a = vm->address;
+    char *text = g_strdup_printf(
+        "{\"vm\": \"%s\", \"data_centre\": \"%s\", \"service\": \"%s\",\n"
+        "\"caller_listen\": \"%s:%d\", \"egress_listen\": \"%s:%d\",\n"
+        "\"peer_listen\": \"%s:%d\", \"control_listen\": \"%s:%d\",\n"
+        "\"operator_listen\": \"%s:%d\", \"upstream\": \"%s:%d\",\n"
+        "\"upstream_slots\": 16, \"upstream_connections\": 64,\n"
+        "\"config_url\": \"http://%s:%d\", \"list_url\": \"http://%s:%d\"%s}",
+        vm->vm, data_centre, service, a, PORT_CALLER, a, PORT_EGRESS, a,
+        PORT_PEER, a, PORT_CONTROL, a, PORT_OPERATOR, a, PORT_UPSTREAM,
+        bed->address, PORT_PLATFORM, bed->address, PORT_PLATFORM, more);
+    char *path = g_strdup_printf("%s/%s.json", bed->directory, vm->vm);
+    g_file_set_contents(path, text, -1, NULL);
+    g_free(text);
+    return path;
+}
+
+static void
+publish_vm(testbed_t *bed, const testbed_vm_t *vm, const char *service,
+           const char *data_centre)
+{
+    char *name = g_strdup_printf("vm/%s", vm->vm);
+    char *value = g_strdup_printf(
+        "{\"data_centre\": \"%s\", \"service\": \"%s\", \"address\": \"%s\", "
+        "\"caller_port\": %d, \"peer_port\": %d, \"control_port\": %d, "
+        "\"state\": \"live\"}",
+        data_centre, service, vm->address, PORT_CALLER, PORT_PEER,
+        PORT_CONTROL);
+    CU_ASSERT_TRUE(testbed_publish(bed, name, value));
+    g_free(name);
+    g_free(value);
+}
+
+static bool
+start_upstream(testbed_t *bed, testbed_vm_t *vm, const char *const *more)
+{
+    GPtrArray *arguments = g_ptr_array_new();
+    char *listen = g_strdup_printf("%s:%d", vm->address, PORT_UPSTREAM);
+    char *egress = g_strdup_printf("%s:%d", vm->address, PORT_EGRESS);
+    g_ptr_array_add(arguments, IBISFIELD_BUILD_DIR "/test/standin_upstream");
+    g_ptr_array_add(arguments, "--listen");
+    g_ptr_array_add(arguments, listen);
+    for (int i = 0; more[i] != NULL; i++) {
+        bool is_egress = strcmp(more[i], "EGRESS") == 0;
+        g_ptr_array_add(arguments, is_egress ? egress : (char *)more[i]);
+    }
+    g_ptr_array_add(arguments, NULL);
+    bool started = start(bed, &vm->upstream, "upstream",
+                         (const char *const *)arguments->pdata) &&
+                   process_wait_log(&vm->upstream, "listening");
+    g_ptr_array_free(arguments, TRUE);
+    g_free(listen);
+    g_free(egress);
+    return started;
+}
+
+/// Starts a node and its upstream and publishes the VM. @p settings is more
+/// JSON (", \"name\": value") or "". An upstream argument "EGRESS" stands for
+/// the VM's egress address; without arguments no upstream is started.
+testbed_vm_t *
+testbed_add_vm(testbed_t *bed, const char *service, const char *data_centre,
+               const char *settings, const char *const *upstream_arguments)
+{
+    testbed_vm_t *vm = &bed->vms[bed->vm_count++];
+    g_snprintf(vm->vm, sizeof(vm->vm), "vm%d", bed->vm_count);
+    const char *dot = strrchr(bed->address, '.');
+    g_snprintf(vm->address, sizeof(vm->address), "%.*s.%d",
+               (int)(dot - bed->address), bed->address, 1 + bed->vm_count);
+    publish_vm(bed, vm, service, data_centre);
+    char *path = write_settings(bed, vm, service, data_centre, settings);
+    const char *const arguments[] = {IBISFIELD_BUILD_DIR "/ibisfield", "run",
+                                     path, NULL};
+    bool started = upstream_arguments == NULL ||
+                   start_upstream(bed, vm, upstream_arguments);
+    started = started && start(bed, &vm->node, vm->vm, arguments);
+    g_free(path);
+    CU_ASSERT_TRUE_FATAL(started);
+    return vm;
+}
+
+static bool
+all_ready(void *context)
+{
+    testbed_t *bed = context;
+    for (int i = 0; i < bed->vm_count; i++) {
+        const testbed_vm_t *vm = &bed->vms[i];
+        answer_text_t answer =
+            call(vm->address, PORT_OPERATOR, "GET", "/status", NULL, NULL);
+        struct json_object *status = json_tokener_parse(answer.body);
+        struct json_object *state = NULL;
+        bool ready = answer.status == 200 &&
+                     json_object_object_get_ex(status, "state", &state) &&
+                     strcmp(json_object_get_string(state), "ok") == 0 &&
+                     json_number(status, "vms_listed") == bed->vm_count;
+        json_object_put(status);
+        answer_text_free(&answer);
+        if (!ready) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Waits until every node serves and knows every VM.
+bool
+testbed_wait_ready(testbed_t *bed)
+{
+    return wait_until(all_ready, bed);
+}
+
+/// Starts a client; @p arguments ends with NULL.
+bool
+testbed_start_client(testbed_t *bed, process_t *client,
+                     const char *const *arguments)
+{
+    GPtrArray *all = g_ptr_array_new();
+    g_ptr_array_add(all, IBISFIELD_BUILD_DIR "/test/standin_client");
+    for (int i = 0; arguments[i] != NULL; i++) {
+        g_ptr_array_add(all, (char *)arguments[i]);
+    }
+    g_ptr_array_add(all, NULL);
+    bool started =
+        start(bed, client, "client", (const char *const *)all->pdata);
+    g_ptr_array_free(all, TRUE);
+    return started;
+}
+
+/// Waits for a client and returns its summary, NULL if it printed none.
+struct json_object *
+testbed_client_summary(process_t *client, int *exit_code)
+{
+    *exit_code = process_wait(client);
+    char *log = process_log(client);
+    const char *start_of_json = strstr(log, "{ \"requests\"");
+    struct json_object *summary =
+        start_of_json == NULL ? NULL : json_tokener_parse(start_of_json);
+    fprintf(stderr, "client: exit %d: %s\n", *exit_code, log);
+    g_free(log);
+    process_finish(client);
+    return summary;
+}
--- /dev/null
+++ b/test/functional/common/testbed.h
@@ -0,0 +1,63 @@
+#ifndef IBISFIELD_TEST_TESTBED_H
+#define IBISFIELD_TEST_TESTBED_H
+
+#include <json-c/json.h>
+
+#include "common/process.h"
+#include "ibisfield/io/http_client.h"
+
+#define TESTBED_VMS_MAX 16
+
+/// A VM of the test: a node and its upstream on one loopback address.
+typedef struct {
+    char vm[16];
+    char address[16];
+    process_t node;
+    process_t upstream;
+} testbed_vm_t;
+
+/// A platform and VMs on loopback addresses.
+typedef struct {
+    char *directory;
+    char address[16]; ///< of the platform
+    process_t platform;
+    testbed_vm_t vms[TESTBED_VMS_MAX];
+    int vm_count;
+    int logs;
+} testbed_t;
+
+/// Ports of every VM.
+enum {
+    PORT_UPSTREAM = 7000,
+    PORT_CALLER = 8000,
+    PORT_PEER,
+    PORT_CONTROL,
+    PORT_EGRESS,
+    PORT_OPERATOR,
+    PORT_PLATFORM = 9000,
+};
+
+typedef struct {
+    int status;    ///< 0: no whole answer
+    char *headers; ///< "name: value\n" each
+    char *body;
+} answer_text_t;
+
+void testbed_init(testbed_t *bed);
+void testbed_finish(testbed_t *bed);
+testbed_vm_t *testbed_add_vm(testbed_t *bed, const char *service,
+                             const char *data_centre, const char *settings,
+                             const char *const *upstream_arguments);
+bool testbed_publish(testbed_t *bed, const char *name, const char *value);
+bool testbed_wait_ready(testbed_t *bed);
+bool testbed_start_client(testbed_t *bed, process_t *client,
+                          const char *const *arguments);
+struct json_object *testbed_client_summary(process_t *client, int *exit_code);
+
+answer_text_t call(const char *address, uint16_t port, const char *method,
+                   const char *path, const char *header, const char *body);
+void answer_text_free(answer_text_t *answer);
+int64_t metric_of(const testbed_vm_t *vm, const char *name);
+int64_t json_number(struct json_object *object, const char *name);
+
+#endif
