Let a leaving node end without cutting a connection that is being opened

Closing a listener resets connections that the kernel has completed but the process hasn't accepted.

Ruled out: accepting until nothing is left before the close; a connection can complete between the two calls. Closing after the last answer; callers that connect then are cut all the same.

Now a socket filter drops new SYNs when the linger ends, connections under way complete for 200 ms, are accepted and get up to 1 s for their request, and then the listener closes. Callers that connect in the 200 ms find the address closed after the retransmission of their SYN (1 s).

--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
 #include <sys/socket.h>
 #include <xxhash.h>
 
@@ -24,6 +25,9 @@
 #define SWEEP_INTERVAL_US US_PER_S
 /// Interval of the check whether senders of requests in flight have gone.
 #define GONE_INTERVAL_US (20 * US_PER_MS)
+/// An accepted connection without a request may still bring one for this time
+/// when the server stops.
+#define FIRST_REQUEST_GRACE_US US_PER_S
 /// Connections beyond the table's bound that are accepted only to refuse
 /// their requests properly; further ones are closed at once.
 #define REFUSED_CONNECTIONS_MAX 64
@@ -56,7 +60,8 @@
     GList *link;
     http_request_t *request; ///< in flight
     bool answering;          ///< a handler's answer is being started
-    int64_t incomplete_us;   ///< when a part of a request was first seen
+    int64_t accepted_us;
+    int64_t incomplete_us; ///< when a part of a request was first seen
     bool had_request;
     bool refused; ///< beyond the bound of the table
 } connection_t;
@@ -304,6 +309,7 @@
         connection_t *connection = g_new0(connection_t, 1);
         connection->listener = listener;
         connection->socket = socket;
+        connection->accepted_us = clock_now_us(server->loop->clock);
         connection->refused = count >= server->connections_max;
         g_queue_push_tail(&server->connections, connection);
         connection->link = g_queue_peek_tail_link(&server->connections);
@@ -513,6 +519,34 @@
     server->draining = true;
 }
 
+/// Makes the kernel drop requests for new connections, while those under way
+/// still complete. Closing a listener resets connections that have not been
+/// accepted, and such a caller may already have sent its request.
+void
+http_server_refuse_connections(http_server_t *server)
+{
+    // Byte 13 of the TCP header holds the flags; a SYN opens a connection.
+    static struct sock_filter drop_syn[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, 0x02, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    const struct sock_fprog program = {
+        .len = G_N_ELEMENTS(drop_syn),
+        .filter = drop_syn,
+    };
+    for (guint i = 0; i < server->listeners->len; i++) {
+        http_listener_t *listener = server->listeners->pdata[i];
+        if (setsockopt(h2o_socket_get_fd(listener->socket), SOL_SOCKET,
+                       SO_ATTACH_FILTER, &program, sizeof(program)) != 0)
+        {
+            log_warning("listener_filter_failed", "listener=%s error=\"%s\"",
+                        listener->options.name, g_strerror(errno));
+        }
+    }
+}
+
 /// Accepts what has already connected and closes the listeners.
 void
 http_server_stop_listening(http_server_t *server)
@@ -535,15 +569,25 @@
     return server->requests.length;
 }
 
-/// Returns whether answers are still being written or requests being read.
+static bool
+may_bring_request(const connection_t *connection, int64_t now_us)
+{
+    return !connection->had_request &&
+           now_us - connection->accepted_us < FIRST_REQUEST_GRACE_US;
+}
+
+/// Returns whether no answer is being written, no request being read and no
+/// new connection is still to bring one.
 bool
 http_server_is_idle(const http_server_t *server)
 {
+    int64_t now_us = clock_now_us(server->loop->clock);
     for (const GList *link = server->connections.head; link != NULL;
          link = link->next)
     {
         const connection_t *connection = link->data;
         if (connection->socket->input->size > 0 ||
+            may_bring_request(connection, now_us) ||
             h2o_socket_is_writing(connection->socket))
         {
             return false;
--- a/src/ibisfield/io/http_server.h
+++ b/src/ibisfield/io/http_server.h
@@ -48,6 +48,7 @@
                         GError **error);
 void http_server_start(http_server_t *server);
 void http_server_set_draining(http_server_t *server);
+void http_server_refuse_connections(http_server_t *server);
 void http_server_stop_listening(http_server_t *server);
 uint32_t http_server_in_flight(const http_server_t *server);
 bool http_server_is_idle(const http_server_t *server);
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -17,6 +17,8 @@
 #define BUSY_TICK_US (LOOP_TICK_MS * US_PER_MS)
 #define IDLE_TICK_US (50 * US_PER_MS)
 #define SHUTDOWN_CHECK_US (20 * US_PER_MS)
+/// Connections being opened when the linger ends complete in this time.
+#define HANDSHAKE_GRACE_US (200 * US_PER_MS)
 /// Keys of one node that are issued or kept at a time.
 #define KEY_RECORDS_MAX 65536
 #define CONTRACT_PREFIX "contract/"
@@ -375,6 +377,26 @@
     return MAX(calls, http_server_in_flight(node->server));
 }
 
+/// Refuses new connections, and closes the listeners after those under way
+/// have been accepted. Returns whether they are closed.
+static bool
+end_listening(node_t *node)
+{
+    int64_t now_us = clock_now_us(&node->clock);
+    if (node->linger_over_us == 0) {
+        node->linger_over_us = now_us;
+        http_server_refuse_connections(node->server);
+        log_info("linger_over", "unfinished=%u", unfinished_calls(node));
+    }
+    else if (!node->stopped_listening &&
+             now_us - node->linger_over_us >= HANDSHAKE_GRACE_US)
+    {
+        node->stopped_listening = true;
+        http_server_stop_listening(node->server);
+    }
+    return node->stopped_listening;
+}
+
 static void
 check_shutdown(void *context)
 {
@@ -389,16 +411,11 @@
         loop_stop(&node->loop);
         return;
     }
-    if (passed_ms >= node->settings->key_linger_ms) {
-        if (!node->stopped_listening) {
-            node->stopped_listening = true;
-            http_server_stop_listening(node->server);
-            log_info("linger_over", "unfinished=%u", unfinished);
-        }
-        else if (unfinished == 0 && http_server_is_idle(node->server)) {
-            loop_stop(&node->loop);
-            return;
-        }
+    if (passed_ms >= node->settings->key_linger_ms && end_listening(node) &&
+        unfinished == 0 && http_server_is_idle(node->server))
+    {
+        loop_stop(&node->loop);
+        return;
     }
     loop_timer_start(&node->loop, &node->shutdown_timer, SHUTDOWN_CHECK_US,
                      check_shutdown, node);
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -48,7 +48,8 @@
     bool ready;
     bool stopped_listening;
     int64_t start_us;
-    int64_t shutdown_us; ///< when SIGTERM came
+    int64_t shutdown_us;    ///< when SIGTERM came
+    int64_t linger_over_us; ///< when no more connections were wanted
     int exit_code;
 } node_t;
 
