--- a/test/functional/test_docs.c
+++ b/test/functional/test_docs.c
@@ -1,6 +1,6 @@
 /// @file
 /// The tables of the pages against the code, in both directions: settings,
-/// contract fields, log events, metrics and refusals.
+/// contract fields, log events, metrics, refusals and headers.
 
 #include <glib.h>
 #include <stdio.h>
@@ -328,6 +328,34 @@
                 "docs/callers.md");
 }
 
+static void
+add_header(facts_t *facts, const char *path, GMatchInfo *match)
+{
+    (void)path;
+    char *name = g_match_info_fetch(match, 1);
+    facts_add(facts, name, "");
+    g_free(name);
+}
+
+static void
+find_headers(facts_t *facts, const char *path, const char *text)
+{
+    if (strstr(path, "/cli/") == NULL) {
+        each_match("\"(ibisfield-[a-z-]+)[:\"]", facts, path, text,
+                   add_header);
+    }
+}
+
+/// Guards against headers on the wire that no page explains.
+static void
+test_headers_are_documented(void)
+{
+    facts_t *code = facts_new();
+    visit_sources("src", find_headers, code);
+    assert_same(code, read_section("docs/callers.md", "Headers", NULL, 0),
+                "docs/callers.md");
+}
+
 int
 main(void)
 {
@@ -337,6 +365,7 @@
         {"log events", test_log_events_are_documented},
         {"metrics", test_metrics_are_documented},
         {"refusals", test_refusals_are_documented},
+        {"headers", test_headers_are_documented},
         CU_TEST_INFO_NULL,
     };
     return run_suite("docs", tests);
