--- a/src/ibisfield/cli/cmd_status.c
+++ b/src/ibisfield/cli/cmd_status.c
@@ -9,6 +9,7 @@
 #include "ibisfield/cli/commands.h"
 #include "ibisfield/cli/http_fetch.h"
 #include "ibisfield/cli/input.h"
+#include "ibisfield/cli/status_summary.h"
 #include "ibisfield/cli/status_text.h"
 #include "ibisfield/contract/settings.h"
 
@@ -26,6 +27,7 @@
 
 typedef struct {
     bool json;
+    bool full;
     GArray *nodes; ///< node_t
 } status_arguments_t;
 
@@ -38,6 +40,9 @@
     case 'j':
         arguments->json = true;
         return 0;
+    case 'f':
+        arguments->full = true;
+        return 0;
     case ARGP_KEY_ARG:
         if (!endpoint_parse(&endpoint, argument)) {
             argp_error(state,
@@ -124,9 +129,11 @@
 }
 
 static void
-print_text(const GArray *nodes)
+print_text(const GArray *nodes, bool full)
 {
     GString *text = g_string_new(NULL);
+    contract_versions_t versions;
+    contract_versions_init(&versions);
     const char *data_centre = "";
     for (guint i = 0; i < nodes->len; i++) {
         const node_t *node = &g_array_index(nodes, node_t, i);
@@ -142,8 +149,18 @@
             data_centre = node->data_centre;
         }
         g_string_append_printf(text, "node %s\n", node->address);
-        status_text_append(node->status, 2, text);
+        if (full) {
+            status_text_append(node->status, 2, text);
+        }
+        else {
+            status_summary_append(node->status, text);
+        }
+        contract_versions_add(&versions, node->status);
+    }
+    if (nodes->len > 1) {
+        contract_versions_append(&versions, text);
     }
+    contract_versions_finish(&versions);
     fputs(text->str, stdout);
     g_string_free(text, TRUE);
 }
@@ -173,6 +190,7 @@
 command_status(int argc, char **argv)
 {
     static const struct argp_option options[] = {
+        {"full", 'f', NULL, 0, "Print every field of the status pages", 0},
         {"json", 'j', NULL, 0, "Print one JSON object", 0},
         {0},
     };
@@ -183,7 +201,8 @@
         .doc = "Show the state of running nodes: versions in force, refused "
                "items, live peers, limits, what is shed and why, role.\v"
                "ADDRESS is the operator_listen address of a node, by default "
-               "127.0.0.1:8084. Several nodes are shown by data centre. Exit "
+               "127.0.0.1:8084. Several nodes are shown by data centre, and "
+               "the versions of their contracts are compared. Exit "
                "code 0: every node was read, 1: at least one was not, 2: bad "
                "usage.",
     };
@@ -199,7 +218,7 @@
         print_json(arguments.nodes);
     }
     else {
-        print_text(arguments.nodes);
+        print_text(arguments.nodes, arguments.full);
     }
     for (guint i = 0; i < arguments.nodes->len; i++) {
         json_object_put(g_array_index(arguments.nodes, node_t, i).status);
--- /dev/null
+++ b/src/ibisfield/cli/status_summary.c
@@ -0,0 +1,249 @@
+/// @file
+/// What operators look for first on a node's /status page, and the versions in
+/// force compared between data centres. A page without some field is shown
+/// without it.
+
+#include "ibisfield/cli/status_summary.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define CONTRACT_PREFIX "contract/"
+
+static struct json_object *
+member(struct json_object *object, const char *name)
+{
+    struct json_object *value = NULL;
+    json_object_object_get_ex(object, name, &value);
+    return value;
+}
+
+static int64_t
+number(struct json_object *object, const char *name)
+{
+    return json_object_get_int64(member(object, name));
+}
+
+/// Returns a member's text without control characters; the caller frees it.
+static char *
+safe_text(struct json_object *object, const char *name)
+{
+    const char *text = json_object_get_string(member(object, name));
+    return g_strescape(text == NULL ? "unknown" : text, "\"");
+}
+
+static const char *
+contract_name(const char *name)
+{
+    return g_str_has_prefix(name, CONTRACT_PREFIX)
+               ? name + strlen(CONTRACT_PREFIX)
+               : name;
+}
+
+static void
+append_identity(struct json_object *status, GString *out)
+{
+    static const char *const names[] = {"vm", "service", "version", "state"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        char *text = safe_text(status, names[i]);
+        g_string_append_printf(out, "%s%s %s", i == 0 ? "  " : ", ", names[i],
+                               text);
+        g_free(text);
+    }
+    struct json_object *configuration = member(status, "configuration");
+    g_string_append_printf(
+        out, ", role %s, up %" PRId64 " s\n",
+        json_object_get_boolean(member(configuration, "reader")) ? "reader"
+                                                                 : "member",
+        number(status, "uptime_s"));
+}
+
+static void
+append_contracts(struct json_object *configuration, GString *out)
+{
+    struct json_object *contracts = member(configuration, "contracts");
+    g_string_append(out, "  contracts in force:");
+    const char *separator = " ";
+    if (json_object_is_type(contracts, json_type_object)) {
+        json_object_object_foreach(contracts, name, version)
+        {
+            char *text = g_strescape(contract_name(name), NULL);
+            g_string_append_printf(out, "%s%s version %s", separator, text,
+                                   json_object_get_string(version));
+            g_free(text);
+            separator = ", ";
+        }
+    }
+    g_string_append(out, separator[0] == ' ' ? " none\n" : "\n");
+}
+
+static void
+append_refused(struct json_object *configuration, GString *out)
+{
+    struct json_object *refused = member(configuration, "refused");
+    size_t count = json_object_is_type(refused, json_type_array)
+                       ? json_object_array_length(refused)
+                       : 0;
+    if (count == 0) {
+        g_string_append(out, "  refused items: none\n");
+    }
+    for (size_t i = 0; i < count; i++) {
+        struct json_object *item = json_object_array_get_idx(refused, i);
+        char *name = safe_text(item, "name");
+        char *problems = safe_text(item, "problems");
+        g_string_append_printf(out,
+                               "  refused item: %s version %" PRId64
+                               ", in force %" PRId64 ": %s\n",
+                               name, number(item, "version"),
+                               number(item, "in_force"), problems);
+        g_free(problems);
+        g_free(name);
+    }
+}
+
+static void
+append_shed(struct json_object *status, GString *out)
+{
+    const char *state = json_object_get_string(member(status, "state"));
+    int64_t min_worth = number(member(status, "guard"), "min_worth");
+    if (g_strcmp0(state, "draining") == 0) {
+        g_string_append(out, "  shed: all new work, the node is leaving\n");
+    }
+    else if (g_strcmp0(state, "not-ready") == 0) {
+        g_string_append(out, "  shed: all requests, no configuration yet\n");
+    }
+    else if (min_worth > 0) {
+        g_string_append_printf(out,
+                               "  shed: worth below %" PRId64
+                               ", the guard has no room for it\n",
+                               min_worth);
+    }
+    else {
+        g_string_append(out, "  shed: nothing\n");
+    }
+}
+
+/// Appends the lines that operators look for first.
+void
+status_summary_append(struct json_object *status, GString *out)
+{
+    struct json_object *configuration = member(status, "configuration");
+    struct json_object *guard = member(status, "guard");
+    append_identity(status, out);
+    append_contracts(configuration, out);
+    append_refused(configuration, out);
+    g_string_append_printf(
+        out, "  live peers: %" PRId64 " known, %" PRId64 " VMs listed\n",
+        number(configuration, "peers"), number(status, "vms_listed"));
+    g_string_append_printf(
+        out,
+        "  limit: %" PRId64 " at once; %" PRId64 " run, %" PRId64
+        " wait, service time %" PRId64 " us\n",
+        number(guard, "limit"), number(guard, "in_flight"),
+        number(guard, "queue"), number(guard, "service_us"));
+    append_shed(status, out);
+}
+
+static gint
+compare_text(gconstpointer a, gconstpointer b, gpointer user_data)
+{
+    (void)user_data;
+    return strcmp(a, b);
+}
+
+static GTree *
+text_tree_new(GDestroyNotify free_value)
+{
+    return g_tree_new_full(compare_text, NULL, g_free, free_value);
+}
+
+static void
+free_tree(void *tree)
+{
+    g_tree_unref(tree);
+}
+
+static GTree *
+obtain_tree(GTree *parent, const char *key, GDestroyNotify free_value)
+{
+    GTree *child = g_tree_lookup(parent, key);
+    if (child == NULL) {
+        child = text_tree_new(free_value);
+        g_tree_insert(parent, g_strdup(key), child);
+    }
+    return child;
+}
+
+/// Initialises an empty comparison.
+void
+contract_versions_init(contract_versions_t *versions)
+{
+    versions->contracts = text_tree_new(free_tree);
+}
+
+/// Frees the comparison.
+void
+contract_versions_finish(contract_versions_t *versions)
+{
+    g_tree_unref(versions->contracts);
+}
+
+/// Adds the contracts that one node has in force.
+void
+contract_versions_add(contract_versions_t *versions,
+                      struct json_object *status)
+{
+    struct json_object *contracts =
+        member(member(status, "configuration"), "contracts");
+    if (!json_object_is_type(contracts, json_type_object)) {
+        return;
+    }
+    char *data_centre = safe_text(status, "data_centre");
+    json_object_object_foreach(contracts, name, version)
+    {
+        char *text = g_strescape(contract_name(name), NULL);
+        GTree *by_version = obtain_tree(versions->contracts, text, free_tree);
+        GTree *centres =
+            obtain_tree(by_version, json_object_get_string(version), NULL);
+        g_tree_insert(centres, g_strdup(data_centre), data_centre);
+        g_free(text);
+    }
+    g_free(data_centre);
+}
+
+static gboolean
+append_centre(gpointer key, gpointer value, gpointer out)
+{
+    (void)value;
+    g_string_append_printf(out, " %s", (const char *)key);
+    return FALSE;
+}
+
+static gboolean
+append_version(gpointer key, gpointer value, gpointer out)
+{
+    g_string_append_printf(out, " version %s in", (const char *)key);
+    g_tree_foreach(value, append_centre, out);
+    g_string_append_c(out, ';');
+    return FALSE;
+}
+
+static gboolean
+append_contract(gpointer key, gpointer value, gpointer out)
+{
+    GString *text = out;
+    g_string_append_printf(text, "contract %s:", (const char *)key);
+    g_tree_foreach(value, append_version, text);
+    g_string_truncate(text, text->len - 1);
+    g_string_append(text,
+                    g_tree_nnodes(value) > 1 ? " (versions differ)\n" : "\n");
+    return FALSE;
+}
+
+/// Appends a line for each contract: its versions, and the data centres whose
+/// nodes have them in force.
+void
+contract_versions_append(const contract_versions_t *versions, GString *out)
+{
+    g_tree_foreach(versions->contracts, append_contract, out);
+}
--- a/src/ibisfield/cli/status_text.c
+++ b/src/ibisfield/cli/status_text.c
@@ -78,8 +78,9 @@
 {
     for (size_t i = 0; i < json_object_array_length(array); i++) {
         struct json_object *item = json_object_array_get_idx(array, i);
-        g_string_append_printf(out, "%*s- ", indent, "");
+        g_string_append_printf(out, "%*s-", indent, "");
         if (is_flat(item)) {
+            g_string_append_c(out, ' ');
             append_flat(item, out);
             g_string_append_c(out, '\n');
         }
