--- a/src/ibisfield/cli/status_summary.c
+++ b/src/ibisfield/cli/status_summary.c
@@ -133,7 +133,7 @@
     append_contracts(configuration, out);
     append_refused(configuration, out);
     g_string_append_printf(
-        out, "  live peers: %" PRId64 " known, %" PRId64 " VMs listed\n",
+        out, "  peers contacted: %" PRId64 ", VMs listed: %" PRId64 "\n",
         number(configuration, "peers"), number(status, "vms_listed"));
     g_string_append_printf(
         out,
--- a/test/functional/test_cli.c
+++ b/test/functional/test_cli.c
@@ -220,7 +220,7 @@
                   "  contracts in force: c version 7\n"
                   "  refused item: contract/d version 8, in force 7: "
                   "why\\033\n"
-                  "  live peers: 3 known, 4 VMs listed\n"
+                  "  peers contacted: 3, VMs listed: 4\n"
                   "  limit: 85 at once; 3 run, 2 wait, service time 1200 us\n"
                   "  shed: worth below 60, the guard has no room for it\n",
                   "");
