Give a host that two contracts name to the same customer on all nodes

Cause: the index of hosts was filled in the order of a hash table, so the customer of a shared host depended on the order in which a node had learned the contracts. Ruled out: refusing the second contract, since nodes that learn both in another order would refuse different ones.

--- a/src/ibisfield/cli/cmd_check.c
+++ b/src/ibisfield/cli/cmd_check.c
@@ -87,34 +87,57 @@
     return document;
 }
 
-static bool
-check_contract(const char *file, slice_t text, GPtrArray *problems)
+/// Reports a name that another contract of the same run holds already.
+static void
+check_unique(GHashTable *seen, const char *what, const char *name,
+             const char *file, GPtrArray *problems)
+{
+    char *key = g_strdup_printf("%s %s", what, name);
+    const char *holder = g_hash_table_lookup(seen, key);
+    if (holder == NULL) {
+        g_hash_table_insert(seen, key, (void *)file);
+        return;
+    }
+    g_ptr_array_add(problems,
+                    g_strdup_printf("%s: found %s, which %s has as well, "
+                                    "expected different contracts to differ "
+                                    "in it",
+                                    file, key, holder));
+    g_free(key);
+}
+
+static void
+check_contract(const char *file, slice_t text, GHashTable *seen,
+               GPtrArray *problems)
 {
     contract_t contract;
     if (!contract_parse(&contract, file, text, problems)) {
-        return false;
+        return;
+    }
+    check_unique(seen, "customer", contract.customer, file, problems);
+    for (uint32_t i = 0; i < contract.host_count; i++) {
+        check_unique(seen, "host", contract.hosts[i], file, problems);
     }
     printf("%s: valid contract of customer %s, %u kinds\n", file,
            contract.customer, contract.kind_count);
     contract_finish(&contract);
-    return true;
 }
 
-static bool
+static void
 check_settings_file(const char *file, slice_t text, GPtrArray *problems)
 {
     settings_t settings;
     if (!settings_parse(&settings, file, text, problems)) {
-        return false;
+        return;
     }
     printf("%s: valid settings of VM %s, service %s, data centre %s\n", file,
            settings.vm, settings.service, settings.data_centre);
     settings_finish(&settings);
-    return true;
 }
 
+/// @param seen  customers and hosts of the contracts checked before
 static bool
-check_file(const char *file, document_t document)
+check_file(const char *file, document_t document, GHashTable *seen)
 {
     GPtrArray *problems = problems_new();
     size_t len = 0;
@@ -124,7 +147,7 @@
         document = find_document(file, text, problems);
     }
     if (problems->len == 0 && document == DOCUMENT_CONTRACT) {
-        check_contract(file, text, problems);
+        check_contract(file, text, seen, problems);
     }
     else if (problems->len == 0) {
         check_settings_file(file, text, problems);
@@ -151,15 +174,21 @@
                "an option says which they are. Every problem is listed on "
                "standard error with file, line, field, what was found and "
                "what was expected. A node applies the same checks when it "
-               "starts and when a contract is published. Exit code 0: all "
+               "starts and when a contract is published. Contracts named "
+               "together must also differ in customer and hosts. Exit code "
+               "0: all "
                "valid, 2: at least one problem.",
     };
     check_arguments_t arguments = {DOCUMENT_BY_FIELDS, g_ptr_array_new()};
     parse_arguments(&argp, argc, argv, &arguments);
+    GHashTable *seen =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     bool valid = true;
     for (guint i = 0; i < arguments.files->len; i++) {
-        valid &= check_file(arguments.files->pdata[i], arguments.document);
+        valid &=
+            check_file(arguments.files->pdata[i], arguments.document, seen);
     }
+    g_hash_table_destroy(seen);
     g_ptr_array_free(arguments.files, TRUE);
     return valid ? EXIT_CODE_OK : EXIT_CODE_BAD_INPUT;
 }
--- a/src/ibisfield/io/customers.c
+++ b/src/ibisfield/io/customers.c
@@ -28,6 +28,9 @@
     g_hash_table_destroy(customers->contracts);
 }
 
+/// Indexes the hosts of all contracts. Contracts are published one by one, so
+/// two of them may name one host; the customer whose name sorts first gets it,
+/// so that all nodes agree whatever the order of arrival.
 static void
 index_hosts(customers_t *customers)
 {
@@ -38,9 +41,16 @@
     while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
         contract_t *contract = pointer;
         for (uint32_t i = 0; i < contract->host_count; i++) {
-            g_hash_table_insert(customers->by_host,
-                                g_ascii_strdown(contract->hosts[i], -1),
-                                contract);
+            char *host = g_ascii_strdown(contract->hosts[i], -1);
+            const contract_t *holder =
+                g_hash_table_lookup(customers->by_host, host);
+            if (holder == NULL ||
+                strcmp(contract->customer, holder->customer) < 0) {
+                g_hash_table_insert(customers->by_host, host, contract);
+            }
+            else {
+                g_free(host);
+            }
         }
     }
 }
--- a/test/functional/test_cli.c
+++ b/test/functional/test_cli.c
@@ -117,6 +117,17 @@
         "customer: unknown field");
 }
 
+/// Guards against two contracts that claim the same requests.
+static void
+test_contracts_are_compared(void)
+{
+    const char *file = EXAMPLES "tasman/contract.json";
+    assert_result(RUN("check", file, file), 2, "",
+                  "contract.json: found host depots.tasman.example, which ");
+    assert_result(RUN("check", file, file), 2, "",
+                  "contract.json: found customer tasman, which ");
+}
+
 /// Guards against files that hang the program or fill its memory.
 static void
 test_unusable_files_are_refused(void)
@@ -275,6 +286,7 @@
         {"examples", test_examples_are_valid},
         {"explain", test_explain_prints_order_of_shedding},
         {"check", test_check_lists_problems},
+        {"contracts together", test_contracts_are_compared},
         {"unusable files", test_unusable_files_are_refused},
         {"run", test_run_refuses_invalid_settings},
         {"usage errors", test_usage_errors_give_2},
