--- a/test/unit/test_guard.c
+++ b/test/unit/test_guard.c
@@ -231,8 +231,9 @@
             guard_load_parse(&read, slice_from_string(invalid[i])));
     }
     for (int i = REASON_NONE + 1; i < REASON_COUNT; i++) {
-        CU_ASSERT_EQUAL(reason_from_token(slice_from_string(reason_token(i))),
-                        i);
+        reason_t reason = (reason_t)i;
+        slice_t token = slice_from_string(reason_token(reason));
+        CU_ASSERT_EQUAL(reason_from_token(token), reason);
     }
     CU_ASSERT_EQUAL(reason_from_token(SLICE_LITERAL("")), REASON_NONE);
 }
