Adapt the limit, drop hopeless requests and bound long kinds at the guard

Cause: expired work fills the slots, and one queue lets long requests keep short ones out. The guard now learns service times by kind; refuses what can't start in time (latest start = deadline less the learned time, and at most half of the deadline in the queue); gives long kinds half of the slots and a queue of their own; and tries whether a lower limit makes a slow upstream faster. The reported minimum worth is the lowest worth that still starts, so that senders don't hold back a worth that is partly served. A failed raise of the limit was not taken back; test_limiter found it.

--- a/bench/common/clients.c
+++ b/bench/common/clients.c
@@ -115,6 +115,7 @@
     if (ok) {
         if (in_window(world, now_us(world))) {
             add_useful_time(world, root, root->kind);
+            sums->answered[root->kind]++;
         }
         if (in_window(world, root->start_us)) {
             sums->served[root->kind]++;
--- a/bench/common/measure.c
+++ b/bench/common/measure.c
@@ -44,7 +44,10 @@
         double fits = service->servers * service->slots * window_us /
                       deployment_hold_us(deployment, i);
         double offered = (double)world->sums.offered[i];
-        return ratio((double)world->sums.served[i], MIN(offered, fits));
+        // What doesn't fit is judged by answers in the window: requests that
+        // still wait at its end would be served by idle slots afterwards.
+        return offered <= fits ? ratio((double)world->sums.served[i], offered)
+                               : (double)world->sums.answered[i] / fits;
     }
     return 1;
 }
@@ -141,4 +144,12 @@
         .p99 = p99(sums->short_latency),
     };
     measure_classes(world, measures);
+    for (uint32_t i = 0; i < world->deployment->service_count; i++) {
+        const service_spec_t *service = &world->deployment->services[i];
+        double capacity_us =
+            service->servers * service->slots *
+            (double)(world->scenario->end_us - world->scenario->from_us);
+        measures->service[i] = sums->goodput[i] / capacity_us;
+        measures->busy[i] = sums->busy_us[i] / capacity_us;
+    }
 }
--- a/bench/common/measure.h
+++ b/bench/common/measure.h
@@ -15,7 +15,9 @@
     double recovery_s;    ///< -1: not within the run
     double p99;           ///< of short kinds, over the time without waiting
     double crest[CLASS_COUNT]; ///< served share in the first second of a surge
-    double served[KINDS_MAX];  ///< share by kind
+    double busy[SERVICES_MAX]; ///< share of the slot time in use
+    double service[SERVICES_MAX]; ///< goodput by service
+    double served[KINDS_MAX];     ///< share by kind
 } measures_t;
 
 void measure(const world_t *world, measures_t *measures);
--- a/bench/common/upstream.c
+++ b/bench/common/upstream.c
@@ -78,6 +78,12 @@
     server_t *server = &world->servers[attempt->node];
     world_root(world, attempt->root)->work_us +=
         (double)(world->clock.now_us - attempt->run_us);
+    if (attempt->run_us >= world->scenario->from_us &&
+        attempt->run_us < world->scenario->end_us)
+    {
+        world->sums.busy_us[server->service] +=
+            (double)(world->clock.now_us - attempt->run_us);
+    }
     attempt->state = ATTEMPT_ENDED;
     server->running--;
     if (!g_queue_is_empty(&server->waiting)) {
--- a/bench/common/world.h
+++ b/bench/common/world.h
@@ -143,13 +143,15 @@
 /// Sums of one run.
 typedef struct {
     double goodput[SERVICES_MAX]; ///< useful slot time in the window
+    double busy_us[SERVICES_MAX]; ///< of work started in the window
     double work_us;
     double failed_work_us;
     uint64_t roots;
     uint64_t attempts;      ///< that ran at an upstream
     uint64_t most_attempts; ///< sent to one service for one root
     uint64_t offered[KINDS_MAX];
-    uint64_t served[KINDS_MAX];
+    uint64_t served[KINDS_MAX];   ///< by arrival in the window
+    uint64_t answered[KINDS_MAX]; ///< by answer in the window
     uint64_t bucket_offered[BUCKETS_MAX];
     uint64_t bucket_served[BUCKETS_MAX];
     uint64_t crest_offered[KINDS_MAX];
--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -5,10 +5,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ibisfield/admission/limiter.h"
+#include "ibisfield/admission/service_time.h"
 #include "ibisfield/admission/wait_queue.h"
 #include "ibisfield/base/clock.h"
 #include "ibisfield/base/slice.h"
 #include "ibisfield/call/call_defs.h"
+#include "ibisfield/contract/contract_defs.h"
 
 /// Rules that the comparison can switch off, as bits.
 typedef enum {
@@ -49,23 +52,25 @@
     NEXT_EVICTED, ///< a request of higher worth took its place: refuse it
 } next_t;
 
-#define ADMISSION_KINDS_MAX 64
+#define ADMISSION_KINDS_MAX SERVICE_TIME_KINDS_MAX
 
 /// Decides which requests run at the upstream, wait or are refused.
 typedef struct {
     const clock_source_t *clock;
-    uint32_t slots;
-    uint32_t limit; ///< requests that may run at the same time
     uint32_t queue_max;
+    uint32_t off;
     uint32_t in_flight;
     uint32_t kind_count;
     uint64_t kind_hashes[ADMISSION_KINDS_MAX];
-    double service_us; ///< moving average over all kinds
-    wait_queue_t queue;
-    GArray *evicted;       ///< tickets (uint64_t) not yet handed out
-    int64_t shed_until_us; ///< min_worth is reported until then
-    int32_t shed_worth;    ///< highest worth that was shed lately
-    GRand *random;         ///< of the jitter
+    uint32_t running[ADMISSION_KINDS_MAX]; ///< by kind
+    service_time_t times;
+    limiter_t limiter;
+    wait_queue_t queues[2]; ///< short kinds, long kinds
+    GArray *evicted;        ///< tickets (uint64_t) not yet handed out
+    double waiting_us[2][CONTRACT_WORTH_MAX + 1]; ///< expected, by worth
+    int64_t last_run_us[CONTRACT_WORTH_MAX + 1];  ///< by worth
+    int64_t last_shed_us[CONTRACT_WORTH_MAX + 1]; ///< by worth
+    GRand *random;                                ///< of the jitter
 } admission_t;
 
 void admission_init(admission_t *admission, const clock_source_t *clock,
--- /dev/null
+++ b/src/ibisfield/admission/service_time.h
@@ -0,0 +1,34 @@
+#ifndef IBISFIELD_ADMISSION_SERVICE_TIME_H
+#define IBISFIELD_ADMISSION_SERVICE_TIME_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define SERVICE_TIME_KINDS_MAX 64
+
+/// Learned times of one kind, in microseconds.
+typedef struct {
+    double mean_us;      ///< moving average; 0: nothing learned
+    double deviation_us; ///< moving average of the distance from the mean
+    double usual_us;     ///< lowest mean of a period; rises slowly
+    double period_sum_us;
+    uint32_t period_count;
+} kind_time_t;
+
+/// Service times at one upstream, by kind.
+typedef struct {
+    kind_time_t kinds[SERVICE_TIME_KINDS_MAX];
+    double mean_us;   ///< moving average over all requests
+    double median_us; ///< moving estimate over all arrivals
+} service_time_t;
+
+void service_time_learn(service_time_t *times, uint32_t kind,
+                        int64_t service_us);
+void service_time_arrived(service_time_t *times, uint32_t kind);
+double service_time_expected_us(const service_time_t *times, uint32_t kind);
+double service_time_needed_us(const service_time_t *times, uint32_t kind);
+double service_time_usual_us(const service_time_t *times, uint32_t kind);
+bool service_time_is_long(const service_time_t *times, uint32_t kind);
+void service_time_end_period(service_time_t *times);
+
+#endif
--- a/src/ibisfield/admission/wait_queue.c
+++ b/src/ibisfield/admission/wait_queue.c
@@ -1,5 +1,6 @@
 /// @file
-/// Requests that wait for a slot, sorted by worth and order, and by deadline.
+/// Requests that wait for a slot, sorted by worth and order, and by latest
+/// start.
 
 #include "ibisfield/admission/wait_queue.h"
 
@@ -18,8 +19,8 @@
     if (left->worth != right->worth) {
         return compare_numbers(right->worth, left->worth);
     }
-    if (order == ORDER_DEADLINE && left->deadline_us != right->deadline_us) {
-        return compare_numbers(left->deadline_us, right->deadline_us);
+    if (order == ORDER_DEADLINE && left->start_by_us != right->start_by_us) {
+        return compare_numbers(left->start_by_us, right->start_by_us);
     }
     if (order == ORDER_LIFO) {
         return compare_numbers((int64_t)right->sequence,
@@ -29,11 +30,11 @@
 }
 
 static gint
-compare_deadline(gconstpointer a, gconstpointer b, gpointer user_data)
+compare_start(gconstpointer a, gconstpointer b, gpointer user_data)
 {
     (void)user_data;
-    return compare_numbers(((const waiting_t *)a)->deadline_us,
-                           ((const waiting_t *)b)->deadline_us);
+    return compare_numbers(((const waiting_t *)a)->start_by_us,
+                           ((const waiting_t *)b)->start_by_us);
 }
 
 static const waiting_t *
@@ -49,7 +50,7 @@
 {
     queue->order = order;
     queue->by_order = g_sequence_new(NULL);
-    queue->by_deadline = g_sequence_new(NULL);
+    queue->by_start = g_sequence_new(NULL);
     queue->by_ticket =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     queue->next_sequence = 0;
@@ -60,7 +61,7 @@
 wait_queue_finish(wait_queue_t *queue)
 {
     g_sequence_free(queue->by_order);
-    g_sequence_free(queue->by_deadline);
+    g_sequence_free(queue->by_start);
     g_hash_table_destroy(queue->by_ticket);
 }
 
@@ -73,8 +74,8 @@
     item->sequence = queue->next_sequence++;
     item->by_order =
         g_sequence_insert_sorted(queue->by_order, item, compare_order, queue);
-    item->by_deadline = g_sequence_insert_sorted(queue->by_deadline, item,
-                                                 compare_deadline, queue);
+    item->by_start =
+        g_sequence_insert_sorted(queue->by_start, item, compare_start, queue);
     g_hash_table_insert(queue->by_ticket, &item->ticket, item);
 }
 
@@ -96,11 +97,18 @@
     return g_sequence_get(g_sequence_iter_prev(end));
 }
 
-/// Returns the request with the earliest deadline, NULL if empty.
+/// Returns the request with the earliest latest start, NULL if empty.
 const waiting_t *
 wait_queue_most_urgent(const wait_queue_t *queue)
 {
-    return first_of(queue->by_deadline);
+    return first_of(queue->by_start);
+}
+
+/// Returns the request with this ticket, NULL if it isn't in the queue.
+const waiting_t *
+wait_queue_find(const wait_queue_t *queue, uint64_t ticket)
+{
+    return g_hash_table_lookup(queue->by_ticket, &ticket);
 }
 
 /// Removes a request; false if it isn't in the queue.
@@ -112,7 +120,7 @@
         return false;
     }
     g_sequence_remove(item->by_order);
-    g_sequence_remove(item->by_deadline);
+    g_sequence_remove(item->by_start);
     g_hash_table_remove(queue->by_ticket, &item->ticket);
     return true;
 }
