--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 
 build:
 	@cmake -S . -B $(BUILD) >/dev/null
-	@cmake --build $(BUILD) -j $(JOBS) | grep -v 'Built target' || true
-	@cmake --build $(BUILD) -j $(JOBS) >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) >$(BUILD)/build.log 2>&1 || \
+		{ cat $(BUILD)/build.log; exit 1; }
 
 format:
 	@./tools/sources | xargs clang-format -i
