--- a/test/fuzz/common/call_adapters.c
+++ b/test/fuzz/common/call_adapters.c
@@ -410,10 +410,7 @@
         .root = request->root,
         .parent = run,
         .node = run->node,
-        // The upstream names another customer; the account's holds.
-        .customer = run->account_open
-                        ? (request->root->customer + 1) % CUSTOMERS
-                        : request->root->customer,
+        .customer = request->root->customer,
         .kind = (service + 1) * KINDS_PER_SERVICE + once,
         .body = request->body,
         .follows_keys = true,
--- a/test/fuzz/common/call_world.c
+++ b/test/fuzz/common/call_world.c
@@ -254,9 +254,12 @@
     const kind_t *kind = &world->kinds[submission->kind];
     submission->once = kind->run == RUN_ONCE;
     const exchange_t *via = submission->via;
+    // An upstream names another customer; that of its account holds.
+    uint32_t named = submission->parent != NULL && submission->counted
+                         ? (submission->customer + 1) % CUSTOMERS
+                         : submission->customer;
     const char *customer =
-        via == NULL ? world->contracts[submission->customer].customer
-                    : via->info.customer;
+        via == NULL ? world->contracts[named].customer : via->info.customer;
     entry_request_t request = {
         .customer = slice_from_string(customer),
         .method = SLICE_LITERAL("GET"),
