--- a/test/fuzz/fuzz_calls.c
+++ b/test/fuzz/fuzz_calls.c
@@ -220,6 +220,19 @@
     }
 }
 
+/// Makes a hedge due for each call of a node that may be hedged; the picker
+/// has learned too little here to ask for one.
+static void
+op_hedge(world_t *world, input_t *input)
+{
+    node_t *node = &world->nodes[take(input) % NODES];
+    for (uint32_t i = 0; i < node->entry.slots.count; i++) {
+        entry_call_t *call =
+            &node->entry.calls[slot_table_at(&node->entry.slots, i)];
+        call->hedge_due_us = call->hedge ? node->clock.now_us : 0;
+    }
+}
+
 static void
 run_operation(world_t *world, input_t *input)
 {
@@ -273,6 +286,9 @@
     case 17:
         op_contract(world, input);
         break;
+    case 19:
+        op_hedge(world, input);
+        break;
     default:
         how = take(input);
         if (how % 2 == 0) {
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -357,6 +357,35 @@
     stop_entry();
 }
 
+/// Guards against hedges that cost nothing, and against a second answer when
+/// both attempts are answered.
+static void
+test_hedge_costs_one_unit(void)
+{
+    start_entry(2);
+    call_handle_t call = request(0, false, "");
+    CU_ASSERT_EQUAL(sent[0].info.retries, 1);
+    uint32_t slot = slot_table_find(&entry.slots, call);
+    entry.calls[slot].hedge_due_us = clock_now_us(&manual.base);
+    entry_tick(&entry);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    CU_ASSERT_EQUAL(sent[1].info.retries, 0);
+    entry.calls[slot].hedge_due_us = clock_now_us(&manual.base);
+    entry_tick(&entry);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    finish_attempt(1, ATTEMPT_ANSWERED, REASON_NONE, 0);
+    check_answer(0, REASON_NONE, OUTCOME_ANSWERED);
+    CU_ASSERT_EQUAL(callers[0].answer.attempt, 2);
+    CU_ASSERT_TRUE(sent[0].cancelled);
+    finish_attempt(0, ATTEMPT_ANSWERED, REASON_NONE, 1);
+    CU_ASSERT_EQUAL(callers[0].answers, 1);
+    char key[KEY_TEXT_MAX + 1];
+    get_key(key);
+    call = request(1, true, key);
+    CU_ASSERT_FALSE(entry.calls[slot_table_find(&entry.slots, call)].hedge);
+    stop_entry();
+}
+
 /// Guards against a child call that outlives or outranks its root, names
 /// another customer, or brings units of its own.
 static void
@@ -484,6 +513,7 @@
         {"late answers", test_late_answers_of_keys},
         {"units", test_units_of_a_call},
         {"cancelled work", test_repeatable_work_is_cancelled},
+        {"hedge", test_hedge_costs_one_unit},
         {"egress", test_egress_draws_from_the_account},
         {"keys of other nodes", test_keys_of_other_nodes},
         {"early refusals", test_early_refusals},
