Refuse requests for another service at the guard

A sender with an old list may hold an address that belongs to a VM of another service now; its upstream would answer a request that isn't its own. Attempts name the service they mean (ibisfield-service); a guard of another service refuses them as not run. Requests without the header are accepted. The call fuzzer sends attempts to the wrong node and the oracle checks the service of each run.

The oracle also checks that only keys run that were issued to the sender's customer.

--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -33,6 +33,22 @@
     slot_table_finish(&guard->slots);
 }
 
+/// Sets the service of the upstream.
+void
+guard_set_service(guard_t *guard, const char *service)
+{
+    g_strlcpy(guard->service, service, sizeof(guard->service));
+}
+
+/// Returns whether the sender means another service: its list is old, and the
+/// address that it has belongs to another VM now.
+static bool
+is_misdirected(const guard_t *guard, const guard_request_t *request)
+{
+    return request->service.len > 0 && guard->service[0] != '\0' &&
+           !slice_equal_string(request->service, guard->service);
+}
+
 static guarded_request_t *
 find_request(guard_t *guard, call_handle_t handle)
 {
@@ -173,6 +189,9 @@
     if (guard->leaving) {
         reason = REASON_LEAVING;
     }
+    else if (is_misdirected(guard, request)) {
+        reason = REASON_NO_UPSTREAM;
+    }
     else if (request->budget_us <= 0) {
         reason = REASON_DEADLINE;
     }
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -11,6 +11,7 @@
 typedef struct {
     slice_t customer;
     slice_t kind;      ///< name of the kind in the customer's contract
+    slice_t service;   ///< that the sender means; "" if it names none
     int32_t worth;     ///< of the root request
     int64_t budget_us; ///< rest of the deadline at arrival
     uint32_t retries;  ///< units lent to this call
@@ -80,6 +81,7 @@
     guard_io_t *io;
     retry_accounts_t *accounts;
     admission_t admission;
+    char service[64]; ///< of the upstream; "" accepts every service
     slot_table_t slots;
     guarded_request_t *requests;
     bool leaving;
@@ -89,6 +91,7 @@
                 retry_accounts_t *accounts,
                 const admission_options_t *options);
 void guard_finish(guard_t *guard);
+void guard_set_service(guard_t *guard, const char *service);
 call_handle_t guard_request(guard_t *guard, const guard_request_t *request);
 void guard_upstream_done(guard_t *guard, call_handle_t handle,
                          upstream_result_t result);
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -261,6 +261,7 @@
     message_add_string(message, HEADER_PROTOCOL, PROTOCOL_VERSION);
     message_add_string(message, HEADER_CUSTOMER, info->customer);
     message_add_string(message, HEADER_KIND, info->kind);
+    message_add_string(message, HEADER_SERVICE, info->service);
     message_add_number(message, HEADER_WORTH, info->worth);
     message_add_number(message, HEADER_BUDGET_US, info->budget_us);
     message_add_number(message, HEADER_RETRIES, info->retries);
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -23,6 +23,7 @@
 #define HEADER_RETRIES "ibisfield-retries"
 #define HEADER_RETRIES_LEFT "ibisfield-retries-left"
 #define HEADER_RETRY_AFTER_MS "ibisfield-retry-after-ms"
+#define HEADER_SERVICE "ibisfield-service"
 #define HEADER_SHED "ibisfield-shed"
 #define HEADER_TRACEPARENT "traceparent"
 #define HEADER_WORTH "ibisfield-worth"
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -260,6 +260,7 @@
                    .slots = (uint32_t)settings->upstream_slots,
                    .seed = seeds[3],
                });
+    guard_set_service(&node->guard, settings->service);
 }
 
 static void
--- a/test/fuzz/common/call_adapters.c
+++ b/test/fuzz/common/call_adapters.c
@@ -35,7 +35,9 @@
     exchange->info = *info;
     g_strlcpy(exchange->customer, info->customer, sizeof(exchange->customer));
     g_strlcpy(exchange->kind, info->kind, sizeof(exchange->kind));
+    g_strlcpy(exchange->service, info->service, sizeof(exchange->service));
     exchange->info.customer = exchange->customer;
+    exchange->info.service = exchange->service;
     exchange->info.kind = exchange->kind;
     exchange->fault = world->send_fault;
     world->send_fault = SEND_NORMAL;
@@ -53,6 +55,14 @@
     return exchange;
 }
 
+/// The sender's list is old: the address belongs to another VM.
+static void
+go_to_next_node(exchange_t *exchange, const world_t *world)
+{
+    exchange->to = (exchange->to + 1) % NODES;
+    exchange->to_incarnation = world->nodes[exchange->to].incarnation;
+}
+
 static void
 fake_send(entry_io_t *io, call_handle_t call, void *user, uint32_t attempt,
           vm_handle_t vm, const attempt_info_t *info)
@@ -63,6 +73,9 @@
     exchange_t *exchange = start_exchange(node, call, user, to, info);
     exchange->attempt = attempt;
     oracle_attempt(node->world, exchange);
+    if (exchange->fault == SEND_WRONG_NODE) {
+        go_to_next_node(exchange, node->world);
+    }
 }
 
 static void
@@ -77,9 +90,7 @@
     exchange->forward = true;
     oracle_forward(exchange);
     if (exchange->fault == SEND_WRONG_NODE) {
-        exchange->to = (to + 1) % NODES;
-        exchange->to_incarnation =
-            node->world->nodes[exchange->to].incarnation;
+        go_to_next_node(exchange, node->world);
         return;
     }
     if (strcmp(node->world->nodes[to].name, vm_name) != 0) {
@@ -131,6 +142,7 @@
                    answer->reason == REASON_KEY_REQUIRED &&
                    answer->fresh_key[0] != '\0';
     if (answer->fresh_key[0] != '\0') {
+        oracle_issued(world, answer->fresh_key, submission->customer);
         submission_t *issued = g_new(submission_t, 1);
         *issued = *submission;
         g_strlcpy(issued->key, answer->fresh_key, sizeof(issued->key));
@@ -326,6 +338,7 @@
     guard_request_t request = {
         .customer = slice_from_string(exchange->info.customer),
         .kind = slice_from_string(exchange->info.kind),
+        .service = slice_from_string(exchange->info.service),
         .worth = exchange->info.worth,
         .budget_us = exchange->info.budget_us,
         .retries = exchange->info.retries,
--- a/test/fuzz/common/call_oracle.c
+++ b/test/fuzz/common/call_oracle.c
@@ -11,6 +11,8 @@
 typedef struct {
     uint32_t runs;
     bool told_not_run;
+    bool issued;
+    uint32_t customer; ///< to which it was issued
 } key_fact_t;
 
 G_GNUC_PRINTF(2, 3)
@@ -37,6 +39,18 @@
     return fact;
 }
 
+/// A caller has got a fresh key.
+void
+oracle_issued(world_t *world, const char *key, uint32_t customer)
+{
+    key_fact_t *fact = fact_of(world, key);
+    if (fact->issued) {
+        fail("P5", "key was issued twice: %s", key);
+    }
+    fact->issued = true;
+    fact->customer = customer;
+}
+
 /// P1: attempts sent to each service for one caller request. Requests of an
 /// upstream whose account had ended carry no units but are first attempts.
 void
@@ -80,6 +94,11 @@
     if (budget_us <= 0) {
         fail("deadline", "started with a budget of %ld us", (long)budget_us);
     }
+    if (world->kinds[request->kind].service[1] !=
+        (char)('0' + (int)service_of_node(run->node)))
+    {
+        fail("P3", "run %u started at another service", run->id);
+    }
     if (run->exchange->after_leaving) {
         fail("P6", "run %u started at a leaving upstream", run->id);
     }
@@ -97,6 +116,10 @@
         return;
     }
     key_fact_t *fact = fact_of(world, request->key);
+    if (!fact->issued || fact->customer != request->customer) {
+        fail("P5", "key ran that was not issued to its sender: %s",
+             request->key);
+    }
     if (++fact->runs > 1) {
         fail("P5", "key ran %u times: %s", fact->runs, request->key);
     }
--- a/test/fuzz/common/call_world.c
+++ b/test/fuzz/common/call_world.c
@@ -88,6 +88,9 @@
     admission_options_t admission = {.slots = 2, .queue_max = 3, .seed = 5};
     guard_init(&node->guard, &node->clock.base, &node->guard_io,
                &node->accounts, &admission);
+    guard_set_service(
+        &node->guard,
+        world->kinds[service_of_node(number) * KINDS_PER_SERVICE].service);
     entry_options_t options = {
         .clock = &node->clock.base,
         .io = &node->entry_io,
--- a/test/fuzz/common/call_world.h
+++ b/test/fuzz/common/call_world.h
@@ -98,7 +98,7 @@
     call_handle_t call;
     uint32_t attempt;
     attempt_info_t info;
-    char customer[16], kind[16];
+    char customer[16], kind[16], service[16];
     send_fault_t fault;
     stage_t stage;
     bool reached;     ///< the receiver has accepted the connection
@@ -170,6 +170,7 @@
 const submission_t *origin_of(const submission_t *submission);
 
 // call_oracle.c: counts from outside.
+void oracle_issued(world_t *world, const char *key, uint32_t customer);
 void oracle_attempt(world_t *world, const exchange_t *exchange);
 void oracle_forward(const exchange_t *exchange);
 void oracle_run(world_t *world, run_t *run, int64_t budget_us);
--- a/test/unit/test_guard.c
+++ b/test/unit/test_guard.c
@@ -142,6 +142,29 @@
     stop_guard();
 }
 
+/// Guards against a request that runs at another service's upstream because
+/// its sender's list is old.
+static void
+test_misdirected_request(void)
+{
+    start_guard(1, 2);
+    guard_set_service(&guard, "booking");
+    guard_request_t taken = {
+        .customer = SLICE_LITERAL("c"),
+        .kind = SLICE_LITERAL("k"),
+        .service = SLICE_LITERAL("info"),
+        .budget_us = 100 * US_PER_MS,
+        .user = &senders[0],
+    };
+    CU_ASSERT_EQUAL(guard_request(&guard, &taken), 0);
+    CU_ASSERT_EQUAL(senders[0].starts, 0);
+    CU_ASSERT_EQUAL(senders[0].answer.outcome, OUTCOME_NOT_RUN);
+    taken.service = SLICE_LITERAL("booking");
+    taken.user = &senders[1];
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &taken), 0);
+    stop_guard();
+}
+
 /// Guards against work that is started for nobody.
 static void
 test_expired_and_abandoned_requests_do_not_start(void)
@@ -244,6 +267,7 @@
     CU_TestInfo tests[] = {
         {"result mapping", test_result_mapping},
         {"leaving", test_leaving},
+        {"misdirected", test_misdirected_request},
         {"expired and abandoned",
          test_expired_and_abandoned_requests_do_not_start},
         {"cancellation", test_only_repeatable_work_is_cancelled},
