Mark a key unknown when the wait for its answer ends without a caller

A key whose caller had gone stayed in the state running when no answer came, so the caller was told in-progress until the key expired. The record moves to unknown when the entry stops waiting. The unit test failed before the fix (162 of 163 asserts) and passes with it (163 of 163).

--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -444,7 +444,7 @@
     }
 }
 
-/// Ends the wait for a late answer; the key's outcome stays unknown. The
+/// Ends the wait for a late answer; the key's outcome is unknown. The
 /// adapter stops by itself after wait_us.
 static void
 stop_waiting(entry_t *entry, entry_call_t *call)
@@ -455,6 +455,10 @@
                           call->kind_hash, REPORT_CANCELLED, 0, NULL);
         }
     }
+    if (call->key != 0) {
+        key_table_unknown(entry->options.keys, call->key,
+                          REASON_UPSTREAM_FAILED);
+    }
     entry_end_call(entry, call);
 }
 
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -314,6 +314,9 @@
     CU_ASSERT_EQUAL(entry_in_flight(&entry), 0);
     finish_attempt(1, ATTEMPT_ANSWERED, REASON_NONE, 0);
     CU_ASSERT_EQUAL(callers[0].answers, 1);
+    callers[1].answers = 0;
+    request(1, true, key);
+    check_answer(1, REASON_UPSTREAM_FAILED, OUTCOME_UNKNOWN);
     stop_entry();
 }
 
