Choose by expected time, eject slow VMs, hedge and hold back what is shed

Cause: the first picker compared latencies of different kinds with each other and knew nothing of reports, failures and other data centres. Expected time = mean latency of the kind x slowness of the VM x own crowd, plus the reported queue (fading over 500 ms) and the cost of other data centres. Hedges start at the 95th percentile and stop after refusals. Subset by rendezvous hashing.

--- /dev/null
+++ b/src/ibisfield/routing/kind_latency.c
@@ -0,0 +1,85 @@
+/// @file
+/// Latencies by kind: the scale on which VMs are compared, and when a second
+/// attempt is worth its cost.
+
+#include "ibisfield/routing/kind_latency.h"
+
+#include <glib.h>
+
+#include "ibisfield/base/clock.h"
+
+/// Weight of one sample in the mean.
+#define MEAN_WEIGHT 0.02
+#define HIGH_QUANTILE 0.95
+/// Step of the percentile estimate, as a share of the mean.
+#define HIGH_STEP 0.1
+#define SAMPLES_MIN 20
+/// A hedge starts after the 95th percentile, and not before this many mean
+/// latencies, so that few requests cost a second attempt.
+#define HEDGE_MEANS_MIN 1.5
+/// No hedges for this long after a refusal: they would add to an overload.
+#define HEDGE_PAUSE_US US_PER_S
+
+static kind_latency_t *
+slot_of(kind_latencies_t *latencies, uint64_t kind)
+{
+    kind_latency_t *slot = &latencies->slots[kind % KIND_LATENCY_SLOTS];
+    if (slot->kind != kind) {
+        *slot = (kind_latency_t){.kind = kind, .refused_us = INT64_MIN / 2};
+    }
+    return slot;
+}
+
+static const kind_latency_t *
+find(const kind_latencies_t *latencies, uint64_t kind)
+{
+    const kind_latency_t *slot = &latencies->slots[kind % KIND_LATENCY_SLOTS];
+    return slot->kind == kind && slot->samples > 0 ? slot : NULL;
+}
+
+/// Learns the latency of one answer.
+void
+kind_latency_learn(kind_latencies_t *latencies, uint64_t kind,
+                   int64_t latency_us)
+{
+    kind_latency_t *slot = slot_of(latencies, kind);
+    double sample_us = (double)MAX(latency_us, 1);
+    slot->samples++;
+    double weight = MAX(MEAN_WEIGHT, 1.0 / slot->samples);
+    slot->mean_us += weight * (sample_us - slot->mean_us);
+    double step_us = HIGH_STEP * slot->mean_us;
+    slot->high_us = MAX(slot->high_us, slot->mean_us);
+    slot->high_us += sample_us > slot->high_us
+                         ? step_us * HIGH_QUANTILE
+                         : -step_us * (1 - HIGH_QUANTILE);
+}
+
+/// Notes that a guard refused the kind for overload.
+void
+kind_latency_refused(kind_latencies_t *latencies, uint64_t kind,
+                     int64_t now_us)
+{
+    slot_of(latencies, kind)->refused_us = now_us;
+}
+
+/// Mean latency of the kind, 0 if nothing was learned.
+double
+kind_latency_mean_us(const kind_latencies_t *latencies, uint64_t kind)
+{
+    const kind_latency_t *slot = find(latencies, kind);
+    return slot == NULL ? 0 : slot->mean_us;
+}
+
+/// After how long a second attempt is worth its cost; 0: not now.
+int64_t
+kind_latency_hedge_us(const kind_latencies_t *latencies, uint64_t kind,
+                      int64_t now_us)
+{
+    const kind_latency_t *slot = find(latencies, kind);
+    if (slot == NULL || slot->samples < SAMPLES_MIN ||
+        now_us - slot->refused_us < HEDGE_PAUSE_US)
+    {
+        return 0;
+    }
+    return (int64_t)MAX(slot->high_us, HEDGE_MEANS_MIN * slot->mean_us);
+}
--- /dev/null
+++ b/src/ibisfield/routing/kind_latency.h
@@ -0,0 +1,31 @@
+#ifndef IBISFIELD_ROUTING_KIND_LATENCY_H
+#define IBISFIELD_ROUTING_KIND_LATENCY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define KIND_LATENCY_SLOTS 1024
+
+/// Learned latency of one kind over all its VMs.
+typedef struct {
+    uint64_t kind;
+    double mean_us;
+    double high_us; ///< about the 95th percentile
+    uint32_t samples;
+    int64_t refused_us; ///< last refusal for overload
+} kind_latency_t;
+
+/// Direct-mapped by the kind's hash; a kind may replace another.
+typedef struct {
+    kind_latency_t slots[KIND_LATENCY_SLOTS];
+} kind_latencies_t;
+
+void kind_latency_learn(kind_latencies_t *latencies, uint64_t kind,
+                        int64_t latency_us);
+void kind_latency_refused(kind_latencies_t *latencies, uint64_t kind,
+                          int64_t now_us);
+double kind_latency_mean_us(const kind_latencies_t *latencies, uint64_t kind);
+int64_t kind_latency_hedge_us(const kind_latencies_t *latencies, uint64_t kind,
+                              int64_t now_us);
+
+#endif
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -1,24 +1,54 @@
 /// @file
-/// Choice of the VM for each attempt.
+/// Choice of the VM for each attempt: two random choices by expected time
+/// among the VMs of a bounded subset, and the simpler rules it is compared
+/// with.
 
 #include "ibisfield/routing/picker.h"
 
-/// Weight of one sample in the moving average of the latency.
-#define LATENCY_WEIGHT 0.1
+#include "ibisfield/routing/shed_hint.h"
+#include "ibisfield/routing/subset.h"
+#include "ibisfield/routing/vm_health.h"
+
+#define SUBSET_SIZE_DEFAULT 12
+/// A load report loses its meaning within this time.
+#define LOAD_LIFE_US (500 * US_PER_MS)
+/// One in this many requests is sent although all candidates shed its worth,
+/// so that the end of the shedding is seen.
+#define SHED_PROBE_ONE_IN 32
+/// Kinds without a learned latency are taken to need this long.
+#define LATENCY_UNKNOWN_US (10.0 * US_PER_MS)
+/// Attempts in flight that double the expected time, if the VM reported no
+/// limit.
+#define LIMIT_UNKNOWN 100.0
+/// How long a VM that answered "leaving" is avoided although its list item
+/// says that it is live.
+#define LEAVING_LIFE_US (10 * US_PER_S)
+#define PROBE_DELAY_PER_WORTH_US (5 * US_PER_MS)
+/// A probe succeeds when it takes at most this many mean latencies.
+#define PROBE_GOOD_RATIO 3.0
+
+typedef struct service_entry service_entry_t;
 
 typedef struct {
-    char *name; ///< NULL: the handle is free
-    char *data_centre;
-    char *service;
+    char *name;              ///< NULL: the handle is free
+    const char *data_centre; ///< interned
+    service_entry_t *service;
     bool leaving;
-    uint32_t outstanding;
-    double latency_us; ///< moving average; 0 before the first answer
+    int64_t said_leaving_until_us;
+    vm_health_t health;
+    guard_load_t load;
+    int64_t load_until_us;
+    shed_hint_t shed;
+    double expected_us; ///< of the attempts outstanding
 } vm_entry_t;
 
-typedef struct {
-    GArray *vms; ///< of vm_handle_t
-    uint32_t next;
-} service_entry_t;
+struct service_entry {
+    char *name;
+    GArray *vms;    ///< of vm_handle_t: all listed
+    GArray *subset; ///< of vm_handle_t: in use
+    bool changed;   ///< the subset is out of date
+    uint32_t next;  ///< round robin
+};
 
 static vm_entry_t *
 vm_at(const picker_t *picker, vm_handle_t vm)
@@ -30,11 +60,20 @@
     return entry->name == NULL ? NULL : entry;
 }
 
+static bool
+is_on(const picker_t *picker, picker_rule_t rule)
+{
+    return picker->options.rule == PICK_IBISFIELD &&
+           (picker->options.off & rule) == 0;
+}
+
 static void
 free_service(gpointer data)
 {
     service_entry_t *service = data;
     g_array_free(service->vms, TRUE);
+    g_array_free(service->subset, TRUE);
+    g_free(service->name);
     g_free(service);
 }
 
@@ -44,41 +83,70 @@
     service_entry_t *service = g_hash_table_lookup(picker->services, name);
     if (service == NULL) {
         service = g_new0(service_entry_t, 1);
+        service->name = g_strdup(name);
         service->vms = g_array_new(FALSE, FALSE, sizeof(vm_handle_t));
-        g_hash_table_insert(picker->services, g_strdup(name), service);
+        service->subset = g_array_new(FALSE, FALSE, sizeof(vm_handle_t));
+        g_hash_table_insert(picker->services, service->name, service);
     }
     return service;
 }
 
 static void
-leave_service(picker_t *picker, const vm_entry_t *entry, vm_handle_t vm)
+leave_service(const vm_entry_t *entry, vm_handle_t vm)
 {
-    service_entry_t *service = service_for(picker, entry->service);
-    for (guint i = 0; i < service->vms->len; i++) {
-        if (g_array_index(service->vms, vm_handle_t, i) == vm) {
-            g_array_remove_index(service->vms, i);
+    GArray *vms = entry->service->vms;
+    entry->service->changed = true;
+    for (guint i = 0; i < vms->len; i++) {
+        if (g_array_index(vms, vm_handle_t, i) == vm) {
+            g_array_remove_index_fast(vms, i);
             return;
         }
     }
 }
 
-static void
-clear_entry(vm_entry_t *entry)
-{
-    g_free(entry->name);
-    g_free(entry->data_centre);
-    g_free(entry->service);
-    *entry = (vm_entry_t){0};
-}
-
 static vm_handle_t
 new_handle(picker_t *picker)
 {
+    GArray *free_handles = picker->free_handles;
+    if (free_handles->len > 0) {
+        vm_handle_t handle =
+            g_array_index(free_handles, vm_handle_t, free_handles->len - 1);
+        g_array_set_size(free_handles, free_handles->len - 1);
+        return handle;
+    }
     vm_entry_t none = {0};
     g_array_append_val(picker->vms, none);
     return picker->vms->len - 1;
 }
 
+static void
+update_subset(picker_t *picker, service_entry_t *service)
+{
+    subset_member_t *members = g_new(subset_member_t, service->vms->len + 1);
+    uint32_t count = 0;
+    for (guint i = 0; i < service->vms->len; i++) {
+        vm_handle_t vm = g_array_index(service->vms, vm_handle_t, i);
+        const vm_entry_t *entry = vm_at(picker, vm);
+        if (!entry->leaving) {
+            members[count++] = (subset_member_t){
+                .name_hash = subset_name_hash(entry->name),
+                .vm = vm,
+                .near = entry->data_centre == picker->own_data_centre,
+            };
+        }
+    }
+    uint32_t size = picker->options.subset_size == 0
+                        ? SUBSET_SIZE_DEFAULT
+                        : picker->options.subset_size;
+    uint32_t chosen = subset_choose(picker->own_hash, members, count, size);
+    g_array_set_size(service->subset, 0);
+    for (uint32_t i = 0; i < chosen; i++) {
+        g_array_append_val(service->subset, members[i].vm);
+    }
+    service->changed = false;
+    g_free(members);
+}
+
 static bool
 was_tried(vm_handle_t vm, const vm_handle_t *tried, uint32_t tried_count)
 {
@@ -90,43 +158,165 @@
     return false;
 }
 
+/// Collects the VMs of the subset that may be used. Ejected ones are left out
+/// unless @p with_ejected.
 static void
 collect(picker_t *picker, const service_entry_t *service,
-        const vm_handle_t *tried, uint32_t tried_count)
+        const vm_handle_t *tried, uint32_t tried_count, bool with_ejected)
 {
+    int64_t now_us = clock_now_us(picker->clock);
     g_array_set_size(picker->candidates, 0);
-    for (guint i = 0; i < service->vms->len; i++) {
-        vm_handle_t vm = g_array_index(service->vms, vm_handle_t, i);
-        if (!vm_at(picker, vm)->leaving && !was_tried(vm, tried, tried_count))
+    for (guint i = 0; i < service->subset->len; i++) {
+        vm_handle_t vm = g_array_index(service->subset, vm_handle_t, i);
+        const vm_entry_t *entry = vm_at(picker, vm);
+        if (now_us >= entry->said_leaving_until_us &&
+            (with_ejected || !entry->health.ejected) &&
+            !was_tried(vm, tried, tried_count))
         {
             g_array_append_val(picker->candidates, vm);
         }
     }
 }
 
+/// Time to an answer of the VM, for a kind that usually needs @p latency_us.
 static double
-expected_time(const picker_t *picker, vm_handle_t vm)
+expected_time(const picker_t *picker, vm_handle_t vm, double latency_us)
 {
+    int64_t now_us = clock_now_us(picker->clock);
     const vm_entry_t *entry = vm_at(picker, vm);
-    return (entry->latency_us + 1) * (entry->outstanding + 1);
+    double limit = LIMIT_UNKNOWN;
+    double wait_us = 0;
+    if (is_on(picker, PICKER_LOAD) && now_us < entry->load_until_us &&
+        entry->load.limit > 0)
+    {
+        limit = entry->load.limit;
+        double freshness =
+            (double)(entry->load_until_us - now_us) / LOAD_LIFE_US;
+        wait_us =
+            freshness * entry->load.queue * entry->load.service_us / limit;
+    }
+    double crowd = 1 + entry->health.outstanding / limit;
+    double own_us =
+        latency_us * vm_health_slowness(&entry->health, now_us) * crowd;
+    if (is_on(picker, PICKER_SLOW_START)) {
+        own_us *= vm_health_start_factor(&entry->health, now_us);
+    }
+    bool near = entry->data_centre == picker->own_data_centre;
+    return own_us + wait_us + (near ? 0 : picker->options.remote_cost_us);
 }
 
 static vm_handle_t
-random_candidate(picker_t *picker)
+candidate(const picker_t *picker, guint index)
 {
-    guint index = (guint)g_rand_int_range(picker->random, 0,
-                                          (gint32)picker->candidates->len);
     return g_array_index(picker->candidates, vm_handle_t, index);
 }
 
+static guint
+random_index(picker_t *picker, guint count)
+{
+    return (guint)g_rand_int_range(picker->random, 0, (gint32)count);
+}
+
+static vm_handle_t
+choose_of_two(picker_t *picker, double latency_us)
+{
+    guint count = picker->candidates->len;
+    guint first = random_index(picker, count);
+    if (count == 1) {
+        return candidate(picker, first);
+    }
+    guint second = random_index(picker, count - 1);
+    second += second >= first ? 1 : 0;
+    vm_handle_t a = candidate(picker, first);
+    vm_handle_t b = candidate(picker, second);
+    return expected_time(picker, b, latency_us) <
+                   expected_time(picker, a, latency_us)
+               ? b
+               : a;
+}
+
+static double
+outstanding_of(const picker_t *picker, vm_handle_t vm)
+{
+    const vm_entry_t *entry = vm_at(picker, vm);
+    return picker->options.rule == PICK_LEAST_CONNECTIONS
+               ? entry->health.outstanding
+               : entry->expected_us;
+}
+
+/// The candidate with the least outstanding attempts or execution time; the
+/// search starts at a random one, so that equals share.
 static vm_handle_t
-choose(picker_t *picker)
+choose_least(picker_t *picker)
 {
-    vm_handle_t first = random_candidate(picker);
-    vm_handle_t second = random_candidate(picker);
-    return expected_time(picker, second) < expected_time(picker, first)
-               ? second
-               : first;
+    guint count = picker->candidates->len;
+    guint start = random_index(picker, count);
+    vm_handle_t best = candidate(picker, start);
+    for (guint i = 1; i < count; i++) {
+        vm_handle_t vm = candidate(picker, (start + i) % count);
+        if (outstanding_of(picker, vm) < outstanding_of(picker, best)) {
+            best = vm;
+        }
+    }
+    return best;
+}
+
+static vm_handle_t
+choose(picker_t *picker, service_entry_t *service, double latency_us)
+{
+    guint count = picker->candidates->len;
+    switch (picker->options.rule) {
+    case PICK_RANDOM:
+        return candidate(picker, random_index(picker, count));
+    case PICK_ROUND_ROBIN:
+        return candidate(picker, service->next++ % count);
+    case PICK_LEAST_CONNECTIONS:
+    case PICK_LEAST_EXECUTION_TIME:
+        return choose_least(picker);
+    default:
+        return choose_of_two(picker, latency_us);
+    }
+}
+
+static bool
+all_shed(picker_t *picker, int32_t worth)
+{
+    if (!is_on(picker, PICKER_SHED_HINT)) {
+        return false;
+    }
+    int64_t now_us = clock_now_us(picker->clock);
+    for (guint i = 0; i < picker->candidates->len; i++) {
+        const vm_entry_t *entry = vm_at(picker, candidate(picker, i));
+        if (!shed_hint_blocks(&entry->shed, worth, now_us)) {
+            return false;
+        }
+    }
+    return random_index(picker, SHED_PROBE_ONE_IN) != 0;
+}
+
+/// A VM whose probe is due, VM_NONE if there is none. The higher the worth,
+/// the later it probes, so that requests of low worth take the risk.
+static vm_handle_t
+probe_due(const picker_t *picker, const service_entry_t *service,
+          int32_t worth)
+{
+    int64_t now_us =
+        clock_now_us(picker->clock) - worth * PROBE_DELAY_PER_WORTH_US;
+    for (guint i = 0; i < service->subset->len; i++) {
+        vm_handle_t vm = g_array_index(service->subset, vm_handle_t, i);
+        if (vm_health_probe_due(&vm_at(picker, vm)->health, now_us)) {
+            return vm;
+        }
+    }
+    return VM_NONE;
+}
+
+static void
+count_pick(picker_t *picker, vm_handle_t vm, double latency_us)
+{
+    vm_entry_t *entry = vm_at(picker, vm);
+    vm_health_picked(&entry->health, clock_now_us(picker->clock));
+    entry->expected_us += latency_us;
 }
 
 /// Initialises a picker without VMs.
@@ -137,11 +327,16 @@
     *picker = (picker_t){
         .clock = clock,
         .options = *options,
+        .own_data_centre = g_intern_string(options->own_data_centre),
+        .own_hash =
+            subset_name_hash(options->own_vm == NULL ? "" : options->own_vm),
         .vms = g_array_new(FALSE, FALSE, sizeof(vm_entry_t)),
+        .free_handles = g_array_new(FALSE, FALSE, sizeof(vm_handle_t)),
         .by_name = g_hash_table_new(g_str_hash, g_str_equal),
-        .services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                          free_service),
+        .services =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service),
         .candidates = g_array_new(FALSE, FALSE, sizeof(vm_handle_t)),
+        .latencies = g_new0(kind_latencies_t, 1),
         .random = g_rand_new_with_seed(options->seed),
     };
 }
@@ -151,15 +346,43 @@
 picker_finish(picker_t *picker)
 {
     for (guint i = 0; i < picker->vms->len; i++) {
-        clear_entry(&g_array_index(picker->vms, vm_entry_t, i));
+        g_free(g_array_index(picker->vms, vm_entry_t, i).name);
     }
     g_array_free(picker->vms, TRUE);
+    g_array_free(picker->free_handles, TRUE);
     g_array_free(picker->candidates, TRUE);
     g_hash_table_destroy(picker->by_name);
     g_hash_table_destroy(picker->services);
+    g_free(picker->latencies);
     g_rand_free(picker->random);
 }
 
+static bool
+is_same_vm(const vm_entry_t *entry, const picker_vm_t *vm)
+{
+    return g_str_equal(entry->service->name, vm->service) &&
+           g_str_equal(entry->data_centre, vm->data_centre);
+}
+
+static vm_handle_t
+add_vm(picker_t *picker, const picker_vm_t *vm)
+{
+    vm_handle_t handle = new_handle(picker);
+    vm_entry_t *entry = &g_array_index(picker->vms, vm_entry_t, handle);
+    *entry = (vm_entry_t){
+        .name = g_strdup(vm->vm),
+        .data_centre = g_intern_string(vm->data_centre),
+        .service = service_for(picker, vm->service),
+        .leaving = vm->leaving,
+    };
+    vm_health_init(&entry->health, clock_now_us(picker->clock));
+    g_hash_table_insert(picker->by_name, entry->name,
+                        GUINT_TO_POINTER(handle + 1));
+    g_array_append_val(entry->service->vms, handle);
+    entry->service->changed = true;
+    return handle;
+}
+
 /// Adds or updates a VM of the published list; returns its handle, which is
 /// stable while the VM is listed.
 vm_handle_t
@@ -167,29 +390,23 @@
 {
     vm_handle_t handle =
         GPOINTER_TO_UINT(g_hash_table_lookup(picker->by_name, vm->vm)) - 1;
-    if (handle != VM_NONE) {
-        vm_entry_t *known = vm_at(picker, handle);
-        if (g_str_equal(known->service, vm->service) &&
-            g_str_equal(known->data_centre, vm->data_centre))
-        {
-            known->leaving = vm->leaving;
-            return handle;
-        }
+    vm_entry_t *known = vm_at(picker, handle);
+    if (known == NULL) {
+        return add_vm(picker, vm);
+    }
+    if (!is_same_vm(known, vm)) {
         picker_remove_vm(picker, vm->vm);
+        return add_vm(picker, vm);
+    }
+    if (known->leaving != vm->leaving) {
+        known->leaving = vm->leaving;
+        known->service->changed = true;
     }
-    handle = new_handle(picker);
-    vm_entry_t *entry = &g_array_index(picker->vms, vm_entry_t, handle);
-    entry->name = g_strdup(vm->vm);
-    entry->data_centre = g_strdup(vm->data_centre);
-    entry->service = g_strdup(vm->service);
-    entry->leaving = vm->leaving;
-    g_hash_table_insert(picker->by_name, entry->name,
-                        GUINT_TO_POINTER(handle + 1));
-    g_array_append_val(service_for(picker, vm->service)->vms, handle);
     return handle;
 }
 
-/// Removes a VM; its handle is invalid afterwards.
+/// Removes a VM; its handle is invalid afterwards. The handle of a VM with
+/// attempts outstanding isn't used again, because their reports still come.
 void
 picker_remove_vm(picker_t *picker, const char *vm)
 {
@@ -199,9 +416,14 @@
     if (entry == NULL) {
         return;
     }
+    bool idle = entry->health.outstanding == 0;
     g_hash_table_remove(picker->by_name, vm);
-    leave_service(picker, entry, handle);
-    clear_entry(entry);
+    leave_service(entry, handle);
+    g_free(entry->name);
+    *entry = (vm_entry_t){0};
+    if (idle) {
+        g_array_append_val(picker->free_handles, handle);
+    }
 }
 
 /// Returns the VM's name, NULL if the handle names no VM.
@@ -212,54 +434,165 @@
     return entry == NULL ? NULL : entry->name;
 }
 
+/// Collects untried healthy VMs, else untried ones, else any.
+static void
+collect_best(picker_t *picker, service_entry_t *service,
+             const vm_handle_t *tried, uint32_t tried_count)
+{
+    if (service->changed) {
+        update_subset(picker, service);
+    }
+    collect(picker, service, tried, tried_count, false);
+    if (picker->candidates->len == 0) {
+        collect(picker, service, tried, tried_count, true);
+    }
+    if (picker->candidates->len == 0) {
+        collect(picker, service, NULL, 0, true);
+    }
+}
+
 /// Chooses a VM for one attempt and counts it as in flight there. @p tried
 /// lists VMs to avoid if another is usable. @p kind is a hash of customer and
 /// kind name.
 pick_t
-picker_pick(picker_t *picker, const char *service, uint64_t kind,
+picker_pick(picker_t *picker, const char *service_name, uint64_t kind,
             int32_t worth, const vm_handle_t *tried, uint32_t tried_count,
             vm_handle_t *vm)
 {
-    (void)kind;
-    (void)worth;
-    service_entry_t *entry = g_hash_table_lookup(picker->services, service);
-    if (entry == NULL) {
+    service_entry_t *service =
+        g_hash_table_lookup(picker->services, service_name);
+    if (service == NULL) {
         return PICK_NO_UPSTREAM;
     }
-    collect(picker, entry, tried, tried_count);
-    if (picker->candidates->len == 0) {
-        collect(picker, entry, NULL, 0);
-    }
+    collect_best(picker, service, tried, tried_count);
     if (picker->candidates->len == 0) {
         return PICK_NO_UPSTREAM;
     }
-    *vm = choose(picker);
-    vm_at(picker, *vm)->outstanding++;
+    if (all_shed(picker, worth)) {
+        return PICK_SHED;
+    }
+    double latency_us = kind_latency_mean_us(picker->latencies, kind);
+    if (latency_us == 0) {
+        latency_us = LATENCY_UNKNOWN_US;
+    }
+    // A probe that fails must leave a chance for another attempt elsewhere.
+    vm_handle_t probe =
+        tried_count == 0 ? probe_due(picker, service, worth) : VM_NONE;
+    if (probe != VM_NONE) {
+        vm_health_start_probe(&vm_at(picker, probe)->health,
+                              clock_now_us(picker->clock));
+        *vm = probe;
+    }
+    else {
+        *vm = choose(picker, service, latency_us);
+    }
+    count_pick(picker, *vm, latency_us);
     return PICK_OK;
 }
 
+/// Ejects the VM if it is bad and no more than half of the subset is ejected.
+static void
+check_health(picker_t *picker, vm_entry_t *entry)
+{
+    if (!is_on(picker, PICKER_EJECT) || entry->health.ejected) {
+        return;
+    }
+    int64_t now_us = clock_now_us(picker->clock);
+    const GArray *subset = entry->service->subset;
+    double best = vm_health_slowness(&entry->health, now_us);
+    uint32_t ejected = 0;
+    for (guint i = 0; i < subset->len; i++) {
+        const vm_entry_t *other =
+            vm_at(picker, g_array_index(subset, vm_handle_t, i));
+        if (other == NULL) {
+            continue;
+        }
+        ejected += other->health.ejected ? 1 : 0;
+        if (!other->health.ejected) {
+            best = MIN(best, vm_health_slowness(&other->health, now_us));
+        }
+    }
+    if (2 * (ejected + 1) <= subset->len &&
+        vm_health_is_bad(&entry->health, best, now_us))
+    {
+        vm_health_eject(&entry->health, now_us);
+    }
+}
+
+static void
+note_load(picker_t *picker, vm_entry_t *entry, const guard_load_t *load)
+{
+    int64_t now_us = clock_now_us(picker->clock);
+    entry->load = *load;
+    entry->load_until_us = now_us + LOAD_LIFE_US;
+    shed_hint_note(&entry->shed, load->min_worth, now_us);
+}
+
+static void
+learn(picker_t *picker, vm_entry_t *entry, uint64_t kind, report_t report,
+      int64_t latency_us)
+{
+    int64_t now_us = clock_now_us(picker->clock);
+    double mean_us = kind_latency_mean_us(picker->latencies, kind);
+    switch (report) {
+    case REPORT_ANSWERED:
+        vm_health_answered(&entry->health, latency_us, mean_us);
+        if (!entry->health.ejected) {
+            kind_latency_learn(picker->latencies, kind, latency_us);
+        }
+        break;
+    case REPORT_REFUSED:
+        kind_latency_refused(picker->latencies, kind, now_us);
+        break;
+    case REPORT_LEAVING:
+        entry->said_leaving_until_us = now_us + LEAVING_LIFE_US;
+        break;
+    case REPORT_FAILED:
+        vm_health_failed(&entry->health);
+        break;
+    case REPORT_CANCELLED:
+        vm_health_stopped(&entry->health, latency_us, mean_us);
+        break;
+    }
+}
+
+static void
+end_probe(picker_t *picker, vm_entry_t *entry, uint64_t kind, report_t report,
+          int64_t latency_us)
+{
+    double mean_us = kind_latency_mean_us(picker->latencies, kind);
+    bool good = report == REPORT_ANSWERED &&
+                (double)latency_us <= PROBE_GOOD_RATIO * mean_us;
+    vm_health_end_probe(&entry->health, good, clock_now_us(picker->clock));
+}
+
 /// Ends an attempt that picker_pick() began. @p latency_us is from send to
 /// answer; @p load may be NULL.
 void
 picker_report(picker_t *picker, vm_handle_t vm, uint64_t kind, report_t report,
               int64_t latency_us, const guard_load_t *load)
 {
-    (void)kind;
-    (void)load;
     vm_entry_t *entry = vm_at(picker, vm);
     if (entry == NULL) {
         return;
     }
-    if (entry->outstanding > 0) {
-        entry->outstanding--;
+    double mean_us = kind_latency_mean_us(picker->latencies, kind);
+    entry->expected_us -= mean_us == 0 ? LATENCY_UNKNOWN_US : mean_us;
+    if (entry->health.outstanding > 0) {
+        entry->health.outstanding--;
+    }
+    if (entry->health.outstanding == 0 || entry->expected_us < 0) {
+        entry->expected_us = 0;
     }
-    if (report == REPORT_LEAVING) {
-        entry->leaving = true;
+    if (load != NULL) {
+        note_load(picker, entry, load);
     }
-    if (report == REPORT_ANSWERED) {
-        entry->latency_us +=
-            LATENCY_WEIGHT * ((double)latency_us - entry->latency_us);
+    learn(picker, entry, kind, report, latency_us);
+    int64_t sent_us = clock_now_us(picker->clock) - latency_us;
+    if (vm_health_was_probe(&entry->health, sent_us)) {
+        end_probe(picker, entry, kind, report, latency_us);
     }
+    check_health(picker, entry);
 }
 
 /// After how long a second attempt is worth its cost, by recent latencies of
@@ -267,7 +600,8 @@
 int64_t
 picker_hedge_delay_us(const picker_t *picker, uint64_t kind)
 {
-    (void)picker;
-    (void)kind;
-    return 0;
+    return is_on(picker, PICKER_HEDGE)
+               ? kind_latency_hedge_us(picker->latencies, kind,
+                                       clock_now_us(picker->clock))
+               : 0;
 }
--- a/src/ibisfield/routing/picker.h
+++ b/src/ibisfield/routing/picker.h
@@ -7,6 +7,7 @@
 
 #include "ibisfield/base/clock.h"
 #include "ibisfield/call/call_defs.h"
+#include "ibisfield/routing/kind_latency.h"
 
 /// Handle of a VM in the picker's table; stable while the VM is listed.
 typedef uint32_t vm_handle_t;
@@ -65,10 +66,14 @@
 typedef struct {
     const clock_source_t *clock;
     picker_options_t options;
+    const char *own_data_centre; ///< interned
+    uint64_t own_hash;
     GArray *vms;          ///< of vm_entry_t, by handle
+    GArray *free_handles; ///< of vm_handle_t
     GHashTable *by_name;  ///< VM name to handle + 1
     GHashTable *services; ///< service name to service_entry_t
     GArray *candidates;   ///< of vm_handle_t; scratch of one choice
+    kind_latencies_t *latencies;
     GRand *random;
 } picker_t;
 
--- /dev/null
+++ b/src/ibisfield/routing/subset.h
@@ -0,0 +1,19 @@
+#ifndef IBISFIELD_ROUTING_SUBSET_H
+#define IBISFIELD_ROUTING_SUBSET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/// A VM that may be chosen for the subset.
+typedef struct {
+    uint64_t name_hash;
+    uint64_t rank; ///< set by subset_choose()
+    uint32_t vm;   ///< the caller's own number
+    bool near;     ///< in the data centre of the chooser
+} subset_member_t;
+
+uint64_t subset_name_hash(const char *name);
+uint32_t subset_choose(uint64_t chooser_hash, subset_member_t *members,
+                       uint32_t count, uint32_t size);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/routing/vm_health.h
@@ -0,0 +1,41 @@
+#ifndef IBISFIELD_ROUTING_VM_HEALTH_H
+#define IBISFIELD_ROUTING_VM_HEALTH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/// What an entry has seen of one VM by its own attempts.
+typedef struct {
+    uint32_t outstanding;
+    uint32_t samples;
+    uint32_t failures;   ///< in a row
+    double slowness;     ///< moving average of latency over the kind's mean
+    double recent_picks; ///< decays; over its time constant: picks per time
+    double latency_us;   ///< moving average
+    int64_t decayed_us;  ///< when recent_picks was brought up to date
+    bool ejected;
+    bool probing;
+    uint32_t ejections; ///< in a row
+    int64_t probe_due_us;
+    int64_t probe_sent_us;
+    int64_t slow_start_us; ///< start of the slow start
+} vm_health_t;
+
+void vm_health_init(vm_health_t *health, int64_t now_us);
+void vm_health_picked(vm_health_t *health, int64_t now_us);
+void vm_health_answered(vm_health_t *health, int64_t latency_us,
+                        double mean_us);
+void vm_health_stopped(vm_health_t *health, int64_t latency_us,
+                       double mean_us);
+void vm_health_failed(vm_health_t *health);
+double vm_health_slowness(const vm_health_t *health, int64_t now_us);
+bool vm_health_is_bad(const vm_health_t *health, double best_slowness,
+                      int64_t now_us);
+void vm_health_eject(vm_health_t *health, int64_t now_us);
+void vm_health_start_probe(vm_health_t *health, int64_t now_us);
+bool vm_health_was_probe(const vm_health_t *health, int64_t sent_us);
+void vm_health_end_probe(vm_health_t *health, bool good, int64_t now_us);
+bool vm_health_probe_due(const vm_health_t *health, int64_t now_us);
+double vm_health_start_factor(const vm_health_t *health, int64_t now_us);
+
+#endif
