--- a/test/functional/common/testbed.c
+++ b/test/functional/common/testbed.c
@@ -125,6 +125,7 @@
     int pid = (int)getpid();
     g_snprintf(bed->address, sizeof(bed->address), "127.%d.%d.1",
                16 + pid % 200, pid / 200 % 200);
+    g_strlcpy(bed->node_platform, bed->address, sizeof(bed->node_platform));
     char *listen = g_strdup_printf("%s:%d", bed->address, PORT_PLATFORM);
     const char *const arguments[] = {IBISFIELD_BUILD_DIR
                                      "/test/standin_platform",
@@ -207,7 +208,8 @@
         "\"config_url\": \"http://%s:%d\", \"list_url\": \"http://%s:%d\"%s}",
         vm->vm, data_centre, service, a, PORT_CALLER, a, PORT_EGRESS, a,
         PORT_PEER, a, PORT_CONTROL, a, PORT_OPERATOR, a, PORT_UPSTREAM,
-        bed->address, PORT_PLATFORM, bed->address, PORT_PLATFORM, more);
+        bed->node_platform, PORT_PLATFORM, bed->node_platform, PORT_PLATFORM,
+        more);
     char *path = g_strdup_printf("%s/%s.json", bed->directory, vm->vm);
     g_file_set_contents(path, text, -1, NULL);
     g_free(text);
--- a/test/functional/common/testbed.h
+++ b/test/functional/common/testbed.h
@@ -20,6 +20,8 @@
 typedef struct {
     char *directory;
     char address[16]; ///< of the platform
+    /// Where VMs added from now on look for the platform.
+    char node_platform[16];
     process_t platform;
     testbed_vm_t vms[TESTBED_VMS_MAX];
     int vm_count;
--- /dev/null
+++ b/test/functional/test_config.c
@@ -0,0 +1,303 @@
+/// @file
+/// Configuration distribution between nodes as processes.
+
+#include <signal.h>
+#include <stdio.h>
+
+#include "common/suite.h"
+#include "common/testbed.h"
+
+#define CONTRACT "contract/acme"
+#define RACING_CHANGES 40
+
+/// What a test waits for: a contract at a version on the VMs from @p first.
+typedef struct {
+    testbed_t *bed;
+    const char *name;
+    int64_t version;
+    int first;
+} expectation_t;
+
+static char *
+contract_text(int worth)
+{
+    return g_strdup_printf(
+        "{\"customer\": \"acme\", \"hosts\": [\"acme.example\"],"
+        " \"retries\": 1, \"client_retry_percent\": 10, \"kinds\": ["
+        "{\"name\": \"status\", \"service\": \"order-tracking\","
+        " \"method\": \"GET\", \"path\": \"/status\", \"worth\": %d,"
+        " \"deadline_ms\": 1000, \"run\": \"repeatable\"}]}",
+        worth);
+}
+
+static void
+publish(testbed_t *bed, int worth)
+{
+    char *text = contract_text(worth);
+    CU_ASSERT_TRUE(testbed_publish(bed, CONTRACT, text));
+    g_free(text);
+}
+
+static void
+tell_platform(testbed_t *bed, const char *path)
+{
+    answer_text_t answer =
+        call(bed->address, PORT_PLATFORM, "POST", path, NULL, "");
+    CU_ASSERT_EQUAL(answer.status, 200);
+    answer_text_free(&answer);
+}
+
+static int64_t
+platform_stat(testbed_t *bed, const char *name)
+{
+    answer_text_t answer =
+        call(bed->address, PORT_PLATFORM, "GET", "/test/stats", NULL, NULL);
+    struct json_object *stats = json_tokener_parse(answer.body);
+    int64_t value = json_number(stats, name);
+    json_object_put(stats);
+    answer_text_free(&answer);
+    return value;
+}
+
+/// Returns the object "configuration" of a node's status; NULL if the node
+/// doesn't answer. The caller puts it.
+static struct json_object *
+configuration_of(const testbed_vm_t *vm)
+{
+    answer_text_t answer =
+        call(vm->address, PORT_OPERATOR, "GET", "/status", NULL, NULL);
+    struct json_object *status =
+        answer.status == 200 ? json_tokener_parse(answer.body) : NULL;
+    struct json_object *configuration = NULL;
+    if (json_object_object_get_ex(status, "configuration", &configuration)) {
+        json_object_get(configuration);
+    }
+    json_object_put(status);
+    answer_text_free(&answer);
+    return configuration;
+}
+
+/// Returns the version in force, -1 if there is none or the node isn't ready.
+static int64_t
+version_at(const testbed_vm_t *vm, const char *name)
+{
+    struct json_object *configuration = configuration_of(vm);
+    struct json_object *contracts = NULL;
+    struct json_object *ready = NULL;
+    int64_t version = -1;
+    if (json_object_object_get_ex(configuration, "ready", &ready) &&
+        json_object_get_boolean(ready) &&
+        json_object_object_get_ex(configuration, "contracts", &contracts))
+    {
+        version = json_number(contracts, name);
+    }
+    json_object_put(configuration);
+    return version;
+}
+
+static int
+count_refusing(testbed_t *bed)
+{
+    int count = 0;
+    for (int i = 0; i < bed->vm_count; i++) {
+        struct json_object *refused = NULL;
+        struct json_object *configuration = configuration_of(&bed->vms[i]);
+        json_object_object_get_ex(configuration, "refused", &refused);
+        count += json_object_array_length(refused) > 0;
+        json_object_put(configuration);
+    }
+    return count;
+}
+
+static bool
+has_version(void *context)
+{
+    const expectation_t *expected = context;
+    for (int i = expected->first; i < expected->bed->vm_count; i++) {
+        if (version_at(&expected->bed->vms[i], expected->name) !=
+            expected->version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+wait_version(testbed_t *bed, int64_t version)
+{
+    expectation_t expected = {bed, CONTRACT, version, 0};
+    return wait_until(has_version, &expected);
+}
+
+/// The nodes of each data centre come one after the other.
+static void
+start_nodes(testbed_t *bed, int per_data_centre)
+{
+    testbed_init(bed);
+    publish(bed, 10);
+    for (int i = 0; i < 2 * per_data_centre; i++) {
+        testbed_add_vm(bed, "order-tracking",
+                       i < per_data_centre ? "north" : "south", "", NULL);
+    }
+    CU_ASSERT_TRUE_FATAL(testbed_wait_ready(bed));
+    CU_ASSERT_TRUE_FATAL(wait_version(bed, 1));
+}
+
+static void
+restart_node(testbed_t *bed, testbed_vm_t *vm)
+{
+    process_stop(&vm->node, SIGKILL);
+    process_finish(&vm->node);
+    char *settings = g_strdup_printf("%s/%s.json", bed->directory, vm->vm);
+    char *log =
+        g_strdup_printf("%s/%02d-%s.log", bed->directory, bed->logs++, vm->vm);
+    const char *const arguments[] = {IBISFIELD_BUILD_DIR "/ibisfield", "run",
+                                     settings, NULL};
+    CU_ASSERT_TRUE_FATAL(process_start(&vm->node, log, arguments));
+    g_free(settings);
+    g_free(log);
+}
+
+static bool
+has_all_watches(void *context)
+{
+    return platform_stat(context, "waiting") == 2 * 3 * 2;
+}
+
+/// Guards against a change that misses a node, against nodes that all watch
+/// the platform, and against a bad contract that comes into force, goes unseen
+/// or blocks the next good one.
+static void
+test_change_and_refusal(void)
+{
+    testbed_t bed;
+    start_nodes(&bed, 5);
+    CU_ASSERT_TRUE(wait_until(has_all_watches, &bed));
+    publish(&bed, 20);
+    CU_ASSERT_TRUE(wait_version(&bed, 2));
+    CU_ASSERT_TRUE(testbed_publish(&bed, CONTRACT, "{\"customer\": 5}"));
+    for (int i = 0; i < 600 && count_refusing(&bed) < 2 * 3; i++) {
+        g_usleep(100000);
+    }
+    CU_ASSERT_EQUAL(count_refusing(&bed), 2 * 3);
+    CU_ASSERT_TRUE(wait_version(&bed, 2));
+    publish(&bed, 30);
+    CU_ASSERT_TRUE(wait_version(&bed, 4));
+    CU_ASSERT_EQUAL(count_refusing(&bed), 0);
+    testbed_finish(&bed);
+}
+
+/// Guards against nodes that drop their configuration, or miss later changes,
+/// when the platform fails or hangs.
+static void
+test_platform_fails_and_hangs(void)
+{
+    static const char *const modes[] = {"/test/mode?mode=fail",
+                                        "/test/mode?mode=hang"};
+    testbed_t bed;
+    start_nodes(&bed, 3);
+    for (int i = 0; i < 2; i++) {
+        int64_t reads = platform_stat(&bed, "reads");
+        tell_platform(&bed, modes[i]);
+        publish(&bed, 20 + i);
+        for (int j = 0; j < 600; j++) {
+            if (platform_stat(&bed, "reads") >= reads + 24) {
+                break;
+            }
+            g_usleep(100000);
+        }
+        CU_ASSERT_TRUE(wait_version(&bed, 1 + i));
+        tell_platform(&bed, "/test/mode?mode=up");
+        CU_ASSERT_TRUE(wait_version(&bed, 2 + i));
+    }
+    testbed_finish(&bed);
+}
+
+/// Guards against a restarted node that goes below the version it held when
+/// the platform is stale, and against a fleet that does not follow the
+/// platform any more after it went back in time.
+static void
+test_restart_while_platform_is_stale(void)
+{
+    testbed_t bed;
+    start_nodes(&bed, 3);
+    char *stale = g_strdup_printf("/test/visible?prefix=contract/&revision=1");
+    publish(&bed, 20);
+    CU_ASSERT_TRUE(wait_version(&bed, 2));
+    tell_platform(&bed, stale);
+    for (int i = 0; i < bed.vm_count; i++) {
+        testbed_vm_t *vm = &bed.vms[i];
+        restart_node(&bed, vm);
+        int64_t version = -1;
+        for (int j = 0; j < 600 && version == -1; j++) {
+            version = version_at(vm, CONTRACT);
+            g_usleep(version == -1 ? 100000 : 0);
+        }
+        CU_ASSERT_EQUAL(version, 2);
+    }
+    tell_platform(&bed, "/test/visible?prefix=contract/&revision=0");
+    publish(&bed, 30);
+    CU_ASSERT_TRUE(wait_version(&bed, 3));
+    g_free(stale);
+    testbed_finish(&bed);
+}
+
+/// Guards against a data centre that learns nothing while only its path to the
+/// platform is cut, and against one that can't start there.
+static void
+test_cut_off_data_centre(void)
+{
+    testbed_t bed;
+    testbed_init(&bed);
+    publish(&bed, 10);
+    for (int i = 0; i < 3; i++) {
+        testbed_add_vm(&bed, "order-tracking", "north", "", NULL);
+    }
+    char *seeds = g_strdup_printf(", \"seeds\": [\"%s:%d\"]",
+                                  bed.vms[0].address, PORT_CONTROL);
+    g_strlcpy(bed.node_platform, bed.vms[0].address,
+              sizeof(bed.node_platform));
+    for (int i = 0; i < 4; i++) {
+        testbed_add_vm(&bed, "order-tracking", "south", seeds, NULL);
+    }
+    CU_ASSERT_TRUE(testbed_wait_ready(&bed));
+    CU_ASSERT_TRUE(wait_version(&bed, 1));
+    publish(&bed, 20);
+    CU_ASSERT_TRUE(wait_version(&bed, 2));
+    g_free(seeds);
+    testbed_finish(&bed);
+}
+
+/// Guards against changes that overtake each other so that an older version
+/// stays in force, or a version that goes down on the way.
+static void
+test_racing_changes(void)
+{
+    testbed_t bed;
+    start_nodes(&bed, 3);
+    int64_t seen[TESTBED_VMS_MAX] = {0};
+    for (int i = 0; i < RACING_CHANGES; i++) {
+        publish(&bed, 1 + i);
+        publish(&bed, 2 + i);
+        testbed_vm_t *vm = &bed.vms[i % bed.vm_count];
+        int64_t version = version_at(vm, CONTRACT);
+        CU_ASSERT_TRUE(version >= seen[i % bed.vm_count]);
+        seen[i % bed.vm_count] = version;
+    }
+    CU_ASSERT_TRUE(wait_version(&bed, 1 + 2 * RACING_CHANGES));
+    testbed_finish(&bed);
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"change and refusal", test_change_and_refusal},
+        {"platform fails and hangs", test_platform_fails_and_hangs},
+        {"restart, stale platform", test_restart_while_platform_is_stale},
+        {"cut-off data centre", test_cut_off_data_centre},
+        {"racing changes", test_racing_changes},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("config", tests);
+}
