Let waiting watches of the platform stand-in fail and hang with it

A watch that waited when the mode changed still answered at its end, so a change published while the service failed was seen.

--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -320,6 +320,32 @@
     platform.revision = MIN(platform.revision, revision);
 }
 
+static void
+fail_watch(watch_t *watch)
+{
+    g_queue_unlink(&platform.watches, watch->link);
+    loop_timer_stop(&platform.loop, &watch->timer);
+    send_text(watch->req, 503, "{}");
+}
+
+/// A waiting watch fails with the service, or hangs with it until its client
+/// gives up.
+static void
+apply_mode_to_watches(void)
+{
+    GList *next = NULL;
+    for (GList *node = platform.watches.head; node != NULL; node = next) {
+        watch_t *watch = node->data;
+        next = node->next;
+        if (platform.mode == MODE_FAIL) {
+            fail_watch(watch);
+        }
+        else if (platform.mode == MODE_HANG) {
+            loop_timer_stop(&platform.loop, &watch->timer);
+        }
+    }
+}
+
 static void
 set_mode(h2o_req_t *req)
 {
@@ -328,6 +354,7 @@
                     : g_strcmp0(mode, "hang") == 0 ? MODE_HANG
                                                    : MODE_UP;
     g_free(mode);
+    apply_mode_to_watches();
 }
 
 static void
