Ask few VMs of other data centres in a start-up round

With 16,000 VMs listed a node asked three random remote VMs after another and was not ready after 29 s, because each pass found VMs that were not asked yet. Now it asks three at most once in a round, and only when neither the platform nor a peer has answered. The new test fails without the fix.

--- a/src/ibisfield/config/replicator.h
+++ b/src/ibisfield/config/replicator.h
@@ -129,6 +129,7 @@
     uint32_t probes;   ///< first comparisons without a reply yet
     bool found_ready_peer;
     bool platform_asked;
+    bool remote_asked;
 
     replicator_list_t lists[LIST_COUNT];
     pull_t pulls[PULLS_MAX];
--- a/src/ibisfield/config/replicator_start.c
+++ b/src/ibisfield/config/replicator_start.c
@@ -12,7 +12,8 @@
 /// come back.
 #define ROUND_DELAY_MIN_US US_PER_S
 #define ROUND_DELAY_MAX_US (16 * US_PER_S)
-/// VMs of other data centres to ask when the own one has no ready reader.
+/// VMs of other data centres to ask, once in a round, when neither the
+/// platform nor a reader of the own one has answered.
 #define REMOTE_CANDIDATES 3
 
 static bool
@@ -69,6 +70,7 @@
     g_hash_table_remove_all(replicator->asked);
     replicator->found_ready_peer = false;
     replicator->platform_asked = false;
+    replicator->remote_asked = false;
     replicator->phase = PHASE_PEERS;
     ask_candidates(replicator);
     replicator_start_advance(replicator);
@@ -89,13 +91,25 @@
     }
 }
 
+static bool
+platform_answered(const replicator_t *replicator)
+{
+    return replicator->lists[LIST_CONTRACTS].answered &&
+           replicator->lists[LIST_VMS].answered;
+}
+
+static bool
+has_source(const replicator_t *replicator)
+{
+    return platform_answered(replicator) || replicator->found_ready_peer;
+}
+
 static void
 finish_round(replicator_t *replicator)
 {
     int64_t now_us = clock_now_us(replicator->clock);
-    bool platform = replicator->lists[LIST_CONTRACTS].answered &&
-                    replicator->lists[LIST_VMS].answered;
-    if (platform || replicator->found_ready_peer) {
+    bool platform = platform_answered(replicator);
+    if (has_source(replicator)) {
         replicator->phase = PHASE_RUNNING;
         replicator_relay_running(replicator);
         log_info("configuration_ready", "platform=%d peers=%d items=%u",
@@ -129,13 +143,16 @@
     if (ask_candidates(replicator)) {
         return;
     }
-    if (!replicator->found_ready_peer && ask_remote_vms(replicator)) {
-        return;
-    }
     if (!replicator->platform_asked) {
         ask_platform(replicator);
         return;
     }
+    if (!has_source(replicator) && !replicator->remote_asked) {
+        replicator->remote_asked = true;
+        if (ask_remote_vms(replicator)) {
+            return;
+        }
+    }
     finish_round(replicator);
 }
 
--- a/test/unit/test_replicator.c
+++ b/test/unit/test_replicator.c
@@ -213,6 +213,24 @@
     cluster_finish(&cluster);
 }
 
+/// Guards against a start-up round that goes on for as long as the list has
+/// VMs of other data centres that were not asked.
+static void
+test_round_asks_few_remote_vms(void)
+{
+    config_cluster_t cluster;
+    cluster_init(&cluster, 100, 2);
+    cluster_list_node(&cluster, 0, "booking", "live");
+    for (uint32_t i = 1; i < 100; i += 2) {
+        cluster_list_node(&cluster, i, "booking", "live");
+    }
+    cluster_start_node(&cluster, 0);
+    cluster_run(&cluster, US_PER_S);
+    CU_ASSERT_TRUE(replicator_is_ready(&cluster.nodes[0].replicator));
+    CU_ASSERT_TRUE(cluster.nodes[0].messages_sent <= 10);
+    cluster_finish(&cluster);
+}
+
 /// Guards against start-up reads of the whole list from the platform when a
 /// peer has it already, which would overload the platform after a restart of a
 /// data centre.
@@ -372,6 +390,7 @@
         {"cut-off data centre", test_cut_off_data_centre_learns_from_another},
         {"take-over", test_ranks_take_over_for_silent_readers},
         {"ready", test_ready_needs_a_source},
+        {"few remote VMs", test_round_asks_few_remote_vms},
         {"restart reads changes", test_restart_reads_only_changes},
         {"quiet", test_quiet_cluster_moves_no_items},
         {"unlisted node", test_unlisted_node_learns_changes},
