Test invalid input, failing upstreams and half-open connections

Cause: the robustness list of the data path had no test.

h2o answers bytes it can't parse with a fixed 400 that no filter sees, so it was neither counted nor logged. It is now told by bytes written that belong to no request.

--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -54,16 +54,19 @@
     h2o_accept_ctx_t accept;
 };
 
-typedef struct {
+typedef struct http_connection {
     http_listener_t *listener;
     h2o_socket_t *socket;
     GList *link;
-    http_request_t *request; ///< in flight
-    bool answering;          ///< a handler's answer is being started
+    http_request_t *request;      ///< in flight
+    bool answering;               ///< a handler's answer is being started
+    http_request_t *last_request; ///< whose memory h2o hasn't released
+    size_t bytes_answered;        ///< written up to the end of its answer
     int64_t accepted_us;
     int64_t incomplete_us; ///< when a part of a request was first seen
     bool had_request;
-    bool refused; ///< beyond the bound of the table
+    bool error_rewritten; ///< h2o's own error answer was counted
+    bool refused;         ///< beyond the bound of the table
 } connection_t;
 
 typedef struct {
@@ -110,6 +113,11 @@
 dispose_request(void *memory)
 {
     http_request_t *request = memory;
+    connection_t *connection = request->connection;
+    if (connection != NULL) {
+        connection->bytes_answered = connection->socket->bytes_written;
+        connection->last_request = NULL;
+    }
     if (!request->answered) {
         request->answered = true;
         report_gone(request);
@@ -192,6 +200,8 @@
     http_server_t *server = listener->server;
     connection_t *connection = connection_of(h2o);
     http_request_t *request = wrap_request(listener, h2o);
+    request->connection = connection;
+    connection->last_request = request;
     connection->request = request;
     connection->had_request = true;
     connection->incomplete_us = 0;
@@ -242,6 +252,17 @@
     }
 }
 
+static void
+count_refusal(const connection_t *connection, int status, reason_t reason)
+{
+    metric_increment(reason == REASON_REQUEST_TOO_LARGE
+                         ? METRIC_REQUESTS_TOO_LARGE_TOTAL
+                         : METRIC_REQUESTS_MALFORMED_TOTAL);
+    log_warning("request_refused", "listener=%s status=%d reason=%s",
+                connection->listener->options.name, status,
+                reason_token(reason));
+}
+
 /// Gives an error answer of h2o itself the project's headers and body. The
 /// request never reached a handler, so it was not run.
 static void
@@ -254,12 +275,8 @@
         return;
     }
     reason_t reason = reason_of_h2o_status(h2o->res.status);
-    metric_increment(reason == REASON_REQUEST_TOO_LARGE
-                         ? METRIC_REQUESTS_TOO_LARGE_TOTAL
-                         : METRIC_REQUESTS_MALFORMED_TOTAL);
-    log_warning("request_refused", "listener=%s status=%d reason=%s",
-                connection->listener->options.name, h2o->res.status,
-                reason_token(reason));
+    connection->error_rewritten = true;
+    count_refusal(connection, h2o->res.status, reason);
     refusal_t refusal = {.reason = reason, .outcome = OUTCOME_NOT_RUN};
     if (h2o_find_header_by_str(&h2o->headers, HEADER_KEY, strlen(HEADER_KEY),
                                -1) != -1)
@@ -280,10 +297,20 @@
     h2o_setup_next_ostream(h2o, &ostream->base.next);
 }
 
+/// h2o answers bytes that it can't parse with a fixed 400 that no filter sees.
+/// It shows as bytes written that belong to no request.
 static void
 on_connection_closed(void *data)
 {
     connection_t *connection = data;
+    if (connection->last_request != NULL) {
+        connection->last_request->connection = NULL;
+    }
+    else if (connection->socket->bytes_written > connection->bytes_answered &&
+             !connection->error_rewritten)
+    {
+        count_refusal(connection, 400, REASON_MALFORMED);
+    }
     http_server_t *server = connection->listener->server;
     g_queue_delete_link(&server->connections, connection->link);
     metric_set(METRIC_CONNECTIONS, server->connections.length);
@@ -310,7 +337,8 @@
         connection->listener = listener;
         connection->socket = socket;
         connection->accepted_us = clock_now_us(server->loop->clock);
-        connection->refused = count >= server->connections_max;
+        connection->refused = count >= server->connections_max &&
+                              !listener->options.always_accepts;
         g_queue_push_tail(&server->connections, connection);
         connection->link = g_queue_peek_tail_link(&server->connections);
         metric_set(METRIC_CONNECTIONS, server->connections.length);
--- a/src/ibisfield/io/http_server.h
+++ b/src/ibisfield/io/http_server.h
@@ -23,7 +23,8 @@
     bool answered;       ///< the answer is being written
     int64_t received_us; ///< when it was complete
     GList *link;
-    void *user; ///< the handler's own object
+    struct http_connection *connection; ///< NULL: closed
+    void *user;                         ///< the handler's own object
 } http_request_t;
 
 /// Takes a request; it is answered by http_request_answer(), at once or later.
@@ -35,6 +36,7 @@
 typedef struct {
     const char *name; ///< for logs
     endpoint_t endpoint;
+    bool always_accepts; ///< even when the connection table is full
     http_handler_t handle;
     http_gone_t gone;
     void *context;
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -293,10 +293,12 @@
 {
     const settings_t *settings = node->settings;
     const http_listener_options_t listeners[] = {
-        {"caller", settings->caller_listen, handle_caller, caller_gone, node},
-        {"egress", settings->egress_listen, handle_egress, caller_gone, node},
-        {"peer", settings->peer_listen, handle_peer, peer_gone, node},
-        {"operator", settings->operator_listen, operator_server_handle,
+        {"caller", settings->caller_listen, false, handle_caller, caller_gone,
+         node},
+        {"egress", settings->egress_listen, false, handle_egress, caller_gone,
+         node},
+        {"peer", settings->peer_listen, false, handle_peer, peer_gone, node},
+        {"operator", settings->operator_listen, true, operator_server_handle,
          operator_server_gone, node},
     };
     node->server =
--- /dev/null
+++ b/test/functional/test_robustness.c
@@ -0,0 +1,373 @@
+/// @file
+/// Invalid, oversized and unfinished input, and upstreams that fail. Each case
+/// must be refused truthfully, counted and logged, and must not end the node.
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/suite.h"
+#include "common/testbed.h"
+
+#define MAX_CONNECTIONS 32
+#define CUSTOMER "ibisfield-customer: acme"
+
+static const char contract[] =
+    "{\"customer\": \"acme\", \"retries\": 0, \"client_retry_percent\": 100,"
+    " \"kinds\": [{\"name\": \"look\", \"service\": \"solo\","
+    " \"method\": \"GET\", \"path\": \"/look\", \"worth\": 10,"
+    " \"deadline_ms\": 20000, \"run\": \"repeatable\"},"
+    " {\"name\": \"send\", \"service\": \"solo\", \"method\": \"PUT\","
+    " \"path\": \"/send\", \"worth\": 10, \"deadline_ms\": 20000,"
+    " \"run\": \"repeatable\"}]}";
+
+static const char settings[] = ", \"max_connections\": " G_STRINGIFY(
+    MAX_CONNECTIONS) ","
+                     " \"max_request_bytes\": 2000, \"max_answer_bytes\": "
+                     "4000,"
+                     " \"key_linger_ms\": 0";
+
+static testbed_t bed;
+static testbed_vm_t *vm;
+
+typedef struct {
+    const char *metric;
+    int64_t above;
+} metric_wait_t;
+
+static bool
+is_above(void *context)
+{
+    const metric_wait_t *wait = context;
+    return metric_of(vm, wait->metric) > wait->above;
+}
+
+/// Waits until a metric of the node is above a value.
+static bool
+wait_metric(const char *metric, int64_t above)
+{
+    metric_wait_t wait = {metric, above};
+    return wait_until(is_above, &wait);
+}
+
+static int
+connect_to(uint16_t port)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(port)};
+    inet_pton(AF_INET, vm->address, &address.sin_addr);
+    struct timeval limit = {.tv_sec = TEST_LIMIT_MS / 1000};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    CU_ASSERT_EQUAL_FATAL(
+        connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+    return fd;
+}
+
+static void
+send_text(int fd, const char *text)
+{
+    size_t len = strlen(text);
+    CU_ASSERT_EQUAL(send(fd, text, len, MSG_NOSIGNAL), (ssize_t)len);
+}
+
+/// Sends raw bytes and returns what comes back until the connection ends.
+static char *
+exchange_raw(uint16_t port, const char *text)
+{
+    int fd = connect_to(port);
+    GString *answer = g_string_new(NULL);
+    char bytes[4096];
+    ssize_t got;
+    send(fd, text, strlen(text), MSG_NOSIGNAL);
+    while ((got = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+        g_string_append_len(answer, bytes, got);
+    }
+    close(fd);
+    return g_string_free(answer, FALSE);
+}
+
+static void
+assert_answer(answer_text_t answer, int status, const char *headers)
+{
+    CU_ASSERT_EQUAL(answer.status, status);
+    if (strstr(answer.headers, headers) == NULL) {
+        printf("\nfound: %d %s\nexpected: %d %s\n", answer.status,
+               answer.headers, status, headers);
+        CU_FAIL("headers differ");
+    }
+    answer_text_free(&answer);
+}
+
+static answer_text_t
+look(void)
+{
+    return call(vm->address, PORT_CALLER, "GET", "/look", CUSTOMER, NULL);
+}
+
+static void
+assert_serves(void)
+{
+    assert_answer(look(), 200, "ibisfield-outcome: answered\n");
+}
+
+static void
+configure_upstream(const char *path)
+{
+    answer_text_t answer =
+        call(vm->address, PORT_UPSTREAM, "POST", path, NULL, NULL);
+    CU_ASSERT_EQUAL(answer.status, 200);
+    answer_text_free(&answer);
+}
+
+/// Guards against a node that ends or misleads on bytes that aren't HTTP.
+static void
+test_malformed_requests(void)
+{
+    int64_t before = metric_of(vm, "ibisfield_requests_malformed_total");
+    char *answer = exchange_raw(PORT_CALLER, "GET  nonsense\r\n\r\n");
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, " 400 "));
+    g_free(answer);
+    answer = exchange_raw(PORT_CALLER, "PUT /send HTTP/1.1\r\nhost: a\r\n"
+                                       "content-length: x\r\n\r\n");
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, " 400 "));
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, "ibisfield-reason: malformed"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, "ibisfield-outcome: not-run"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, "\"reason\":\"malformed\""));
+    g_free(answer);
+    CU_ASSERT_TRUE(
+        wait_metric("ibisfield_requests_malformed_total", before + 1));
+    CU_ASSERT_TRUE(process_wait_log(&vm->node, "reason=malformed"));
+    assert_serves();
+    CU_ASSERT_EQUAL(metric_of(vm, "ibisfield_requests_malformed_total"),
+                    before + 2);
+}
+
+/// Guards against unbounded request heads.
+static void
+test_oversized_headers(void)
+{
+    int64_t before = metric_of(vm, "ibisfield_requests_malformed_total");
+    GString *many = g_string_new("GET /look HTTP/1.1\r\nhost: a\r\n");
+    for (int i = 0; i < 200; i++) {
+        g_string_append_printf(many, "h%d: v\r\n", i);
+    }
+    g_string_append(many, "\r\n");
+    char *answer = exchange_raw(PORT_CALLER, many->str);
+    CU_ASSERT_PTR_NULL(strstr(answer, " 200 "));
+    g_free(answer);
+    g_string_free(many, TRUE);
+    char *long_value = g_strnfill(1 << 20, 'v');
+    char *large = g_strconcat(
+        "GET /look HTTP/1.1\r\nhost: a\r\nh: ", long_value, "\r\n\r\n", NULL);
+    answer = exchange_raw(PORT_CALLER, large);
+    CU_ASSERT_PTR_NULL(strstr(answer, " 200 "));
+    g_free(answer);
+    g_free(large);
+    g_free(long_value);
+    CU_ASSERT_TRUE(
+        wait_metric("ibisfield_requests_malformed_total", before + 1));
+    assert_serves();
+}
+
+/// Guards against bodies above max_request_bytes.
+static void
+test_body_over_the_limit(void)
+{
+    int64_t before = metric_of(vm, "ibisfield_requests_too_large_total");
+    char *body = g_strnfill(3000, 'b');
+    char *request =
+        g_strdup_printf("PUT /send HTTP/1.1\r\nhost: a\r\n" CUSTOMER
+                        "\r\ncontent-length: 3000\r\n\r\n%s",
+                        body);
+    char *answer = exchange_raw(PORT_CALLER, request);
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, " 413 "));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(answer, "ibisfield-reason: request-too-large"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer, "ibisfield-outcome: not-run"));
+    g_free(answer);
+    g_free(request);
+    g_free(body);
+    CU_ASSERT_TRUE(wait_metric("ibisfield_requests_too_large_total", before));
+    CU_ASSERT_TRUE(process_wait_log(&vm->node, "reason=request-too-large"));
+    assert_serves();
+}
+
+/// Guards against two versions of the node protocol that misread each other.
+static void
+test_wrong_protocol_version(void)
+{
+    int64_t before = metric_of(vm, "ibisfield_protocol_refusals_total");
+    assert_answer(call(vm->address, PORT_PEER, "GET", "/look",
+                       "ibisfield-protocol: 2", NULL),
+                  505, "ibisfield-reason: protocol-version\n");
+    assert_answer(call(vm->address, PORT_PEER, "GET", "/look", NULL, NULL),
+                  505, "ibisfield-outcome: not-run\n");
+    CU_ASSERT_TRUE(
+        wait_metric("ibisfield_protocol_refusals_total", before + 1));
+    CU_ASSERT_TRUE(
+        process_wait_log(&vm->node, "event=protocol_version_refused found"));
+    assert_serves();
+}
+
+/// Guards against requests of nodes without the fields of the protocol.
+static void
+test_peer_request_without_fields(void)
+{
+    assert_answer(call(vm->address, PORT_PEER, "GET", "/look",
+                       "ibisfield-protocol: 1", NULL),
+                  400, "ibisfield-reason: malformed\n");
+    CU_ASSERT_TRUE(
+        process_wait_log(&vm->node, "event=peer_request_malformed"));
+}
+
+/// Guards against callers that can't be told from a dead node when the
+/// connection table is full.
+static void
+test_full_connection_table(void)
+{
+    int64_t before = metric_of(vm, "ibisfield_connections_refused_total");
+    int held[MAX_CONNECTIONS];
+    for (int i = 0; i < MAX_CONNECTIONS; i++) {
+        held[i] = connect_to(PORT_CALLER);
+    }
+    CU_ASSERT_TRUE(wait_metric("ibisfield_connections", MAX_CONNECTIONS - 1));
+    assert_answer(look(), 503, "ibisfield-outcome: not-run\n");
+    CU_ASSERT_TRUE(wait_metric("ibisfield_connections_refused_total", before));
+    CU_ASSERT_TRUE(process_wait_log(&vm->node, "event=connection_refused"));
+    for (int i = 0; i < MAX_CONNECTIONS; i++) {
+        close(held[i]);
+    }
+    while (metric_of(vm, "ibisfield_connections") > MAX_CONNECTIONS / 2) {
+        usleep(10000);
+    }
+    assert_serves();
+}
+
+/// Guards against passing on a part of an answer, and against a wrong "not
+/// run" for it.
+static void
+test_half_answer_of_the_upstream(void)
+{
+    int64_t before = metric_of(vm, "ibisfield_upstream_answers_lost_total");
+    configure_upstream("/test/half/1");
+    assert_answer(look(), 502, "ibisfield-outcome: unknown\n");
+    configure_upstream("/test/half/0");
+    CU_ASSERT_TRUE(
+        wait_metric("ibisfield_upstream_answers_lost_total", before));
+    CU_ASSERT_TRUE(process_wait_log(&vm->node, "event=upstream_answer_lost"));
+    assert_serves();
+}
+
+/// Guards against a shed request that is called unknown.
+static void
+test_upstream_sheds(void)
+{
+    int64_t before = metric_of(vm, "ibisfield_upstream_shed_total");
+    configure_upstream("/test/service/1000000");
+    int busy = connect_to(PORT_UPSTREAM);
+    send_text(busy, "GET /direct HTTP/1.1\r\nhost: a\r\n\r\n");
+    configure_upstream("/test/shed/1");
+    assert_answer(look(), 503, "ibisfield-outcome: not-run\n");
+    CU_ASSERT_TRUE(wait_metric("ibisfield_upstream_shed_total", before));
+    configure_upstream("/test/shed/0");
+    configure_upstream("/test/service/0");
+    close(busy);
+}
+
+/// Guards against work for callers that don't wait any more.
+static void
+test_gone_caller_cancels_the_upstream(void)
+{
+    int64_t gone = metric_of(vm, "ibisfield_senders_gone_total");
+    int64_t cancels = metric_of(vm, "ibisfield_upstream_cancels_total");
+    configure_upstream("/test/service/15000000");
+    int caller = connect_to(PORT_CALLER);
+    send_text(caller, "GET /look HTTP/1.1\r\nhost: a\r\n" CUSTOMER "\r\n\r\n");
+    CU_ASSERT_TRUE(wait_metric("ibisfield_guard_in_flight", 0));
+    close(caller);
+    CU_ASSERT_TRUE(wait_metric("ibisfield_senders_gone_total", gone + 1));
+    CU_ASSERT_TRUE(wait_metric("ibisfield_upstream_cancels_total", cancels));
+    configure_upstream("/test/service/0");
+    assert_serves();
+}
+
+/// Guards against connections that are held by peers that never finish a
+/// request.
+static void
+test_half_open_connection_is_closed(void)
+{
+    int64_t before = metric_of(vm, "ibisfield_connections_half_open_total");
+    int fd = connect_to(PORT_PEER);
+    send_text(fd, "GET /look HT");
+    char byte;
+    CU_ASSERT_EQUAL(recv(fd, &byte, 1, 0), 0);
+    close(fd);
+    CU_ASSERT_TRUE(
+        wait_metric("ibisfield_connections_half_open_total", before));
+    CU_ASSERT_TRUE(
+        process_wait_log(&vm->node, "event=half_open_connection_closed"));
+    assert_serves();
+}
+
+/// Guards against calling a request unknown when no byte of it was sent.
+static void
+test_upstream_down(void)
+{
+    int64_t before =
+        metric_of(vm, "ibisfield_upstream_connect_failures_total");
+    process_stop(&vm->upstream, SIGKILL);
+    assert_answer(look(), 503, "ibisfield-outcome: not-run\n");
+    CU_ASSERT_TRUE(
+        wait_metric("ibisfield_upstream_connect_failures_total", before));
+    CU_ASSERT_TRUE(process_wait_log(&vm->node, "event=upstream_unreachable"));
+}
+
+/// Guards against a node that didn't survive the cases before, and against
+/// stops that aren't graceful.
+static void
+test_node_still_stops_gracefully(void)
+{
+    CU_ASSERT_EQUAL(process_stop(&vm->node, SIGTERM), 0);
+}
+
+static void
+start_bed(void)
+{
+    static const char *const upstream[] = {"--slots", "4", NULL};
+    testbed_init(&bed);
+    CU_ASSERT_TRUE(testbed_publish(&bed, "contract/acme", contract));
+    vm = testbed_add_vm(&bed, "solo", "north", settings, upstream);
+    CU_ASSERT_TRUE_FATAL(testbed_wait_ready(&bed));
+    assert_serves();
+}
+
+static void
+finish_bed(void)
+{
+    testbed_finish(&bed);
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"start", start_bed},
+        {"malformed", test_malformed_requests},
+        {"oversized headers", test_oversized_headers},
+        {"body over the limit", test_body_over_the_limit},
+        {"wrong protocol", test_wrong_protocol_version},
+        {"peer request without fields", test_peer_request_without_fields},
+        {"full connection table", test_full_connection_table},
+        {"half answer", test_half_answer_of_the_upstream},
+        {"upstream sheds", test_upstream_sheds},
+        {"gone caller", test_gone_caller_cancels_the_upstream},
+        {"half-open connection", test_half_open_connection_is_closed},
+        {"upstream down", test_upstream_down},
+        {"graceful stop", test_node_still_stops_gracefully},
+        {"end", finish_bed},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("robustness", tests);
+}
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -325,16 +325,14 @@
         return;
     }
     job->request = NULL;
-    if (g_queue_remove(&upstream.waiting, job)) {
-        free_job(job);
+    if (job->timer.position != NULL) {
+        return;
     }
-    else if (job->next != NULL) {
+    g_queue_remove(&upstream.waiting, job);
+    if (job->next != NULL) {
         http_exchange_cancel(job->next);
-        free_job(job);
-    }
-    else if (job->timer.position == NULL) {
-        free_job(job);
     }
+    free_job(job);
 }
 
 static void
@@ -426,8 +424,12 @@
     }
     upstream.server =
         http_server_new(&upstream.loop, CONNECTIONS_MAX, REQUEST_BYTES_MAX);
-    http_listener_options_t listener = {"upstream", upstream.listen,
-                                        take_request, request_gone, NULL};
+    http_listener_options_t listener = {
+        .name = "upstream",
+        .endpoint = upstream.listen,
+        .handle = take_request,
+        .gone = request_gone,
+    };
     GError *error = NULL;
     if (!http_server_listen(upstream.server, &listener, &error)) {
         fprintf(stderr, "%s\n", error->message);
