Check worth only along an unbroken chain of accounts

With worths that fall along the chain the oracle saw a child of a run whose own request had no account any more, and took the root's worth for it.

--- a/test/fuzz/common/call_adapters.c
+++ b/test/fuzz/common/call_adapters.c
@@ -114,6 +114,14 @@
     }
 }
 
+/// Returns whether a call of the run belongs to an unbroken chain of accounts
+/// up to the root, so that customer and worth of the root hold for it.
+static bool
+has_whole_chain(const run_t *run)
+{
+    return run->account_open && origin_of(run->exchange->submission)->counted;
+}
+
 /// Sends a request again with the key that its refusal carried.
 void
 send_again_with_key(world_t *world, submission_t *submission)
@@ -127,7 +135,7 @@
         again.root = NULL;
     }
     else {
-        again.counted = again.parent->account_open;
+        again.counted = has_whole_chain(again.parent);
     }
     world_submit(world, &again);
 }
@@ -429,7 +437,7 @@
         .kind = (service + 1) * KINDS_PER_SERVICE + once,
         .body = request->body,
         .follows_keys = true,
-        .counted = run->account_open,
+        .counted = has_whole_chain(run),
     };
     run->child_sent = true;
     run->waits_for_child = true;
