Judge the speed of VMs only while their service isn't overloaded

Cause: under overload latencies show the queues, so slow and healthy VMs were taken out in turn, and local VMs were preferred although their queues were longer for the calls concerned. Now nothing is learned from, and no VM is ejected for, latencies while a VM of the service refuses; overloaded VMs are chosen by attempts in flight. The minimum worth counts only with a refusal.

--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -24,6 +24,8 @@
 /// says that it is live.
 #define LEAVING_LIFE_US (10 * US_PER_S)
 #define PROBE_DELAY_PER_WORTH_US (5 * US_PER_MS)
+/// How long a refusal shows that a service is overloaded.
+#define OVERLOAD_LIFE_US (500 * US_PER_MS)
 /// A probe succeeds when it takes at most this many mean latencies.
 #define PROBE_GOOD_RATIO 3.0
 
@@ -44,10 +46,11 @@
 
 struct service_entry {
     char *name;
-    GArray *vms;    ///< of vm_handle_t: all listed
-    GArray *subset; ///< of vm_handle_t: in use
-    bool changed;   ///< the subset is out of date
-    uint32_t next;  ///< round robin
+    GArray *vms;        ///< of vm_handle_t: all listed
+    GArray *subset;     ///< of vm_handle_t: in use
+    bool changed;       ///< the subset is out of date
+    uint32_t next;      ///< round robin
+    int64_t refused_us; ///< last refusal for overload by any VM
 };
 
 static vm_entry_t *
@@ -84,6 +87,7 @@
     if (service == NULL) {
         service = g_new0(service_entry_t, 1);
         service->name = g_strdup(name);
+        service->refused_us = INT64_MIN / 2;
         service->vms = g_array_new(FALSE, FALSE, sizeof(vm_handle_t));
         service->subset = g_array_new(FALSE, FALSE, sizeof(vm_handle_t));
         g_hash_table_insert(picker->services, service->name, service);
@@ -195,7 +199,9 @@
         wait_us =
             freshness * entry->load.queue * entry->load.service_us / limit;
     }
-    double crowd = 1 + entry->health.outstanding / limit;
+    // Under overload every queue is full and what counts is to spread evenly.
+    bool overloaded = vm_health_is_overloaded(&entry->health, now_us);
+    double crowd = 1 + entry->health.outstanding / (overloaded ? 1.0 : limit);
     double own_us =
         latency_us * vm_health_slowness(&entry->health, now_us) * crowd;
     if (is_on(picker, PICKER_SLOW_START)) {
@@ -490,6 +496,14 @@
     return PICK_OK;
 }
 
+/// Whether any VM of the service refused lately. Latencies then show the
+/// queues, and taking a VM out would add to the overload of the others.
+static bool
+is_overloaded(const service_entry_t *service, int64_t now_us)
+{
+    return now_us - service->refused_us < OVERLOAD_LIFE_US;
+}
+
 /// Ejects the VM if it is bad and no more than half of the subset is ejected.
 static void
 check_health(picker_t *picker, vm_entry_t *entry)
@@ -513,19 +527,26 @@
         }
     }
     if (2 * (ejected + 1) <= subset->len &&
-        vm_health_is_bad(&entry->health, best, now_us))
+        (vm_health_is_failing(&entry->health) ||
+         (!is_overloaded(entry->service, now_us) &&
+          vm_health_is_slow(&entry->health, best, now_us))))
     {
         vm_health_eject(&entry->health, now_us);
     }
 }
 
+/// Notes a load report. The minimum worth counts only together with a refusal:
+/// a report that lags would otherwise hold back what the VM takes again.
 static void
-note_load(picker_t *picker, vm_entry_t *entry, const guard_load_t *load)
+note_load(picker_t *picker, vm_entry_t *entry, report_t report,
+          const guard_load_t *load)
 {
     int64_t now_us = clock_now_us(picker->clock);
     entry->load = *load;
     entry->load_until_us = now_us + LOAD_LIFE_US;
-    shed_hint_note(&entry->shed, load->min_worth, now_us);
+    if (report == REPORT_REFUSED) {
+        shed_hint_note(&entry->shed, load->min_worth, now_us);
+    }
 }
 
 static void
@@ -536,13 +557,15 @@
     double mean_us = kind_latency_mean_us(picker->latencies, kind);
     switch (report) {
     case REPORT_ANSWERED:
-        vm_health_answered(&entry->health, latency_us, mean_us);
+        vm_health_answered(&entry->health, latency_us, mean_us, now_us);
         if (!entry->health.ejected) {
             kind_latency_learn(picker->latencies, kind, latency_us);
         }
         break;
     case REPORT_REFUSED:
         kind_latency_refused(picker->latencies, kind, now_us);
+        vm_health_refused(&entry->health, now_us);
+        entry->service->refused_us = now_us;
         break;
     case REPORT_LEAVING:
         entry->said_leaving_until_us = now_us + LEAVING_LIFE_US;
@@ -551,7 +574,7 @@
         vm_health_failed(&entry->health);
         break;
     case REPORT_CANCELLED:
-        vm_health_stopped(&entry->health, latency_us, mean_us);
+        vm_health_stopped(&entry->health, latency_us, mean_us, now_us);
         break;
     }
 }
@@ -585,7 +608,7 @@
         entry->expected_us = 0;
     }
     if (load != NULL) {
-        note_load(picker, entry, load);
+        note_load(picker, entry, report, load);
     }
     learn(picker, entry, kind, report, latency_us);
     int64_t sent_us = clock_now_us(picker->clock) - latency_us;
--- a/src/ibisfield/routing/vm_health.c
+++ b/src/ibisfield/routing/vm_health.c
@@ -17,6 +17,8 @@
 #define SAMPLES_MIN 10
 /// A VM this many times slower than the fastest of its service is ejected.
 #define SLOW_FACTOR 3.0
+/// How long a refusal shows that the VM is overloaded, not slow.
+#define OVERLOAD_LIFE_US (500 * US_PER_MS)
 /// Failures in a row that eject.
 #define FAILURES_MAX 5
 #define PROBE_DELAY_US (250 * US_PER_MS)
@@ -36,6 +38,7 @@
         .slowness = 1,
         .decayed_us = now_us,
         .slow_start_us = now_us,
+        .refused_us = INT64_MIN / 2,
     };
 }
 
@@ -63,11 +66,30 @@
     health->slowness += weight * (ratio - health->slowness);
 }
 
+/// Whether a guard refused an attempt lately.
+bool
+vm_health_is_overloaded(const vm_health_t *health, int64_t now_us)
+{
+    return now_us - health->refused_us < OVERLOAD_LIFE_US;
+}
+
+/// A guard refused an attempt for overload. Its latencies are then those of
+/// its queue and say nothing about its speed.
+void
+vm_health_refused(vm_health_t *health, int64_t now_us)
+{
+    health->refused_us = now_us;
+}
+
 /// An attempt was answered. @p mean_us is the mean of its kind over all VMs.
 void
-vm_health_answered(vm_health_t *health, int64_t latency_us, double mean_us)
+vm_health_answered(vm_health_t *health, int64_t latency_us, double mean_us,
+                   int64_t now_us)
 {
     health->failures = 0;
+    if (vm_health_is_overloaded(health, now_us)) {
+        return;
+    }
     health->latency_us +=
         SLOWNESS_WEIGHT * ((double)latency_us - health->latency_us);
     if (mean_us > 0) {
@@ -78,10 +100,11 @@
 /// An attempt was stopped after @p latency_us: its answer would have taken
 /// longer still.
 void
-vm_health_stopped(vm_health_t *health, int64_t latency_us, double mean_us)
+vm_health_stopped(vm_health_t *health, int64_t latency_us, double mean_us,
+                  int64_t now_us)
 {
     double ratio = mean_us > 0 ? (double)latency_us / mean_us : 0;
-    if (ratio > health->slowness) {
+    if (ratio > health->slowness && !vm_health_is_overloaded(health, now_us)) {
         learn_slowness(health, ratio);
     }
 }
@@ -99,7 +122,8 @@
 vm_health_slowness(const vm_health_t *health, int64_t now_us)
 {
     double picks = picks_at(health, now_us);
-    if (health->outstanding < OUTSTANDING_MIN || health->latency_us <= 0 ||
+    if (vm_health_is_overloaded(health, now_us) ||
+        health->outstanding < OUTSTANDING_MIN || health->latency_us <= 0 ||
         picks <= 0)
     {
         return health->slowness;
@@ -108,14 +132,18 @@
     return MAX(health->slowness, pending_us / health->latency_us);
 }
 
-/// Whether the VM is much slower than the best one of its service, or fails.
+/// Whether the last attempts at the VM all failed.
 bool
-vm_health_is_bad(const vm_health_t *health, double best_slowness,
-                 int64_t now_us)
+vm_health_is_failing(const vm_health_t *health)
+{
+    return health->failures >= FAILURES_MAX;
+}
+
+/// Whether the VM is much slower than the best one of its service.
+bool
+vm_health_is_slow(const vm_health_t *health, double best_slowness,
+                  int64_t now_us)
 {
-    if (health->failures >= FAILURES_MAX) {
-        return true;
-    }
     return health->samples >= SAMPLES_MIN &&
            vm_health_slowness(health, now_us) > SLOW_FACTOR * best_slowness;
 }
--- a/src/ibisfield/routing/vm_health.h
+++ b/src/ibisfield/routing/vm_health.h
@@ -13,6 +13,7 @@
     double recent_picks; ///< decays; over its time constant: picks per time
     double latency_us;   ///< moving average
     int64_t decayed_us;  ///< when recent_picks was brought up to date
+    int64_t refused_us;  ///< last refusal for overload
     bool ejected;
     bool probing;
     uint32_t ejections; ///< in a row
@@ -24,13 +25,16 @@
 void vm_health_init(vm_health_t *health, int64_t now_us);
 void vm_health_picked(vm_health_t *health, int64_t now_us);
 void vm_health_answered(vm_health_t *health, int64_t latency_us,
-                        double mean_us);
-void vm_health_stopped(vm_health_t *health, int64_t latency_us,
-                       double mean_us);
+                        double mean_us, int64_t now_us);
+void vm_health_stopped(vm_health_t *health, int64_t latency_us, double mean_us,
+                       int64_t now_us);
+bool vm_health_is_overloaded(const vm_health_t *health, int64_t now_us);
+void vm_health_refused(vm_health_t *health, int64_t now_us);
 void vm_health_failed(vm_health_t *health);
 double vm_health_slowness(const vm_health_t *health, int64_t now_us);
-bool vm_health_is_bad(const vm_health_t *health, double best_slowness,
-                      int64_t now_us);
+bool vm_health_is_failing(const vm_health_t *health);
+bool vm_health_is_slow(const vm_health_t *health, double best_slowness,
+                       int64_t now_us);
 void vm_health_eject(vm_health_t *health, int64_t now_us);
 void vm_health_start_probe(vm_health_t *health, int64_t now_us);
 bool vm_health_was_probe(const vm_health_t *health, int64_t sent_us);
