--- a/bench/common/calls.c
+++ b/bench/common/calls.c
@@ -74,6 +74,7 @@
                                                .node = node,
                                                .references = 1,
                                                .child = NONE};
+    world->sums.sent++;
     root_t *root = world_root(world, call->root);
     root->references++;
     uint8_t *sent = &root->sent[world->deployment->kinds[call->kind].service];
--- a/bench/common/guard_adapter.c
+++ b/bench/common/guard_adapter.c
@@ -139,5 +139,5 @@
 {
     const attempt_t *attempt = world_attempt(world, index);
     guard_upstream_done(&world->servers[attempt->node].guard, attempt->handle,
-                        UPSTREAM_ANSWERED);
+                        attempt->lost ? UPSTREAM_LOST : UPSTREAM_ANSWERED);
 }
--- a/bench/common/measure.c
+++ b/bench/common/measure.c
@@ -128,6 +128,20 @@
     }
 }
 
+static double
+short_served(const world_t *world)
+{
+    double offered = 0;
+    double served = 0;
+    for (uint32_t i = 0; i < world->deployment->kind_count; i++) {
+        if (!world->deployment->kinds[i].is_long) {
+            offered += (double)world->sums.offered[i];
+            served += (double)world->sums.served[i];
+        }
+    }
+    return ratio(served, offered);
+}
+
 /// Computes the measures of a finished run.
 void
 measure(const world_t *world, measures_t *measures)
@@ -139,6 +153,8 @@
         .failed_work =
             sums->work_us > 0 ? sums->failed_work_us / sums->work_us : 0,
         .attempts = ratio((double)sums->attempts, (double)sums->roots),
+        .sent = ratio((double)sums->sent, (double)sums->roots),
+        .short_served = short_served(world),
         .most_attempts = (double)sums->most_attempts,
         .recovery_s = recovery_s(world),
         .p99 = p99(sums->short_latency),
--- a/bench/common/measure.h
+++ b/bench/common/measure.h
@@ -11,6 +11,8 @@
     double top_served;    ///< bookings or lodgements served of what fits
     double failed_work;   ///< share of the slot time
     double attempts;      ///< at upstreams per caller request
+    double sent;          ///< attempts sent to guards per caller request
+    double short_served;  ///< share of the requests of short kinds
     double most_attempts; ///< at one service for one caller request
     double recovery_s;    ///< -1: not within the run
     double p99;           ///< of short kinds, over the time without waiting
--- a/bench/common/upstream.c
+++ b/bench/common/upstream.c
@@ -150,12 +150,23 @@
     }
 }
 
+static bool
+fails(const world_t *world, const attempt_t *attempt)
+{
+    return world->scenario->slow_factor == 0 &&
+           is_slow(world, &world->servers[attempt->node]);
+}
+
 /// The own work of a phase is over.
 void
 upstream_phase(world_t *world, uint32_t index)
 {
     const attempt_t *attempt = world_attempt(world, index);
-    if (attempt->state == ATTEMPT_RUNNING) {
+    if (attempt->state == ATTEMPT_RUNNING && fails(world, attempt)) {
+        world_attempt(world, index)->lost = true;
+        finish(world, index, false);
+    }
+    else if (attempt->state == ATTEMPT_RUNNING) {
         int32_t child = world->deployment->kinds[attempt->kind].child;
         if (child == NO_CHILD || attempt->phase == 1) {
             finish(world, index, true);
--- a/bench/common/world.h
+++ b/bench/common/world.h
@@ -49,7 +49,7 @@
     int64_t surge_from_us;
     int64_t surge_end_us;
     uint32_t slow_service; ///< NONE: one server of every service
-    double slow_factor;    ///< service times; 1: none
+    double slow_factor;    ///< on service times; 0: requests fail at once
     bool squeeze;          ///< fewer effective slots instead of longer times
     int64_t slow_from_us;
     int64_t slow_end_us;
@@ -104,6 +104,7 @@
     attempt_state_t state;
     bool cancelled;
     bool ok;        ///< the upstream's work succeeded
+    bool lost;      ///< the upstream closed the connection
     uint32_t phase; ///< of the upstream's work
     uint32_t child; ///< call
     int64_t run_us;
@@ -148,6 +149,7 @@
     double failed_work_us;
     uint64_t roots;
     uint64_t attempts;      ///< that ran at an upstream
+    uint64_t sent;          ///< attempts sent to guards
     uint64_t most_attempts; ///< sent to one service for one root
     uint64_t offered[KINDS_MAX];
     uint64_t served[KINDS_MAX];   ///< by arrival in the window
--- a/bench/compare.c
+++ b/bench/compare.c
@@ -23,6 +23,7 @@
     RUN_NONE_SLOW,
     RUN_SLOWED,
     RUN_SQUEEZED,
+    RUN_FAILING,
     RUN_CHAIN,
     RUN_COUNT,
 } run_id_t;
@@ -44,6 +45,8 @@
                     60 * S, 1, 0},
     [RUN_SQUEEZED] = {"squeezed", NULL, 0.9, 8 * S, S, 0, 0, 0, NONE, 4, true,
                       S, 5 * S, 1, 1},
+    [RUN_FAILING] = {"failing", NULL, 0.5, 6 * S, S, 0, 0, 0, NONE, 0, false,
+                     2 * S, 4 * S, 1, 1},
     [RUN_CHAIN] = {"chain", "chain", 1, 5 * S, S, 0, 0, 0, 9, 4, false, 2 * S,
                    4 * S, 1, 1},
 };
@@ -222,6 +225,25 @@
     return base > 0 ? value / base : 0;
 }
 
+static void
+print_heading(void)
+{
+    static const char *const columns[][2] = {
+        {"good 2x%", ">=95"}, {"top 2x%", "all"}, {"good 5x%", ">=90"},
+        {"top 5x%", ">=90"},  {"failed%", "<5"},  {"recov s", "<=2"},
+        {"long", "<=1.5"},    {"slowed", "<=2"},  {"squeezed", "-"},
+        {"failing", "-"},     {"chain", "<=4"},   {"ran/req", "-"},
+        {"sent/req", "-"},
+    };
+    for (int line = 0; line < 2; line++) {
+        printf("%-20s", line == 0 ? "" : "target");
+        for (size_t i = 0; i < G_N_ELEMENTS(columns); i++) {
+            printf(" %8s", columns[i][line]);
+        }
+        printf("%s\n", line == 0 ? "  crest%" : "");
+    }
+}
+
 static void
 print_row(const char *name, const row_t *row)
 {
@@ -247,9 +269,12 @@
     print_cell(recovery, "%.2f", recovery >= 0 && recovery <= 2);
     print_cell(long_ratio, "%.2f", long_ratio <= 1.5);
     print_cell(slow_ratio, "%.2f", slow_ratio <= 2);
+    print_cell(100 * runs[RUN_SQUEEZED].short_served, "%.1f", true);
+    print_cell(100 * runs[RUN_FAILING].short_served, "%.2f", true);
     print_cell(runs[RUN_CHAIN].most_attempts, "%.0f",
                runs[RUN_CHAIN].most_attempts <= bound);
     print_cell(runs[RUN_TWICE].attempts, "%.2f", true);
+    print_cell(runs[RUN_TWICE].sent, "%.2f", true);
     printf("  %3.0f/%.0f/%.0f\n", 100 * crest[0], 100 * crest[1],
            100 * crest[2]);
 }
@@ -258,11 +283,12 @@
 print_raw(const char *name, const measures_t *run,
           const deployment_t *deployment)
 {
-    printf("%-20s goodput %.3f top %.4f failed %.4f attempts %.3f most %.0f "
+    printf("%-20s goodput %.3f top %.4f failed %.4f attempts %.3f sent %.3f "
+           "most %.0f "
            "recovery %.2f p99 %.2f crest %.2f/%.2f/%.2f\n   ",
            name, run->goodput, run->top_served, run->failed_work,
-           run->attempts, run->most_attempts, run->recovery_s, run->p99,
-           run->crest[0], run->crest[1], run->crest[2]);
+           run->attempts, run->sent, run->most_attempts, run->recovery_s,
+           run->p99, run->crest[0], run->crest[1], run->crest[2]);
     for (uint32_t i = 0; i < deployment->kind_count; i++) {
         if (deployment->kinds[i].share > 0) {
             printf(" %s %.3f", deployment->kinds[i].name, run->served[i]);
@@ -285,11 +311,7 @@
     printf("\n%s, %s, seed %u (! misses the target)\n", deployment, title,
            options->seed);
     if (options->scenario == NULL) {
-        printf("%-20s %8s %8s %8s %8s %8s %8s %8s %8s %8s %8s  %s\n", "",
-               "good 2x%", "top 2x%", "good 5x%", "top 5x%", "failed%",
-               "recov s", "long", "slowed", "chain", "att/req", "crest%");
-        printf("%-20s %8s %8s %8s %8s %8s %8s %8s %8s %8s\n", "target", ">=95",
-               "all", ">=90", ">=90", "<5", "<=2", "<=1.5", "<=2", "<=4");
+        print_heading();
     }
     for (size_t i = 0; i < count; i++) {
         if (options->scenario == NULL) {
