--- a/bench/decision.c
+++ b/bench/decision.c
@@ -128,7 +128,8 @@
         admission_next(&admission, &next);
         admission_load(&admission);
     }
-    double each_us = (double)(cpu_ns() - start_ns) / 1000 / (ROUNDS / 4);
+    double rounds = ROUNDS / 4.0;
+    double each_us = (double)(cpu_ns() - start_ns) / 1000 / rounds;
     printf("admission: %.2f us to queue, end, start and report one request "
            "with 11000 waiting%s\n",
            each_us, each_us < DECISION_TARGET_US ? "" : " (misses 5)");
--- a/test/unit/test_admission.c
+++ b/test/unit/test_admission.c
@@ -119,21 +119,35 @@
     admission_finish(&admission);
 }
 
-/// Guards against running a request that can't finish before its deadline.
 static void
-test_hopeless_requests_do_not_run(void)
+expect_expired(int64_t budget_us, int64_t waited_us)
 {
     start(1, 8);
     teach("k", 100 * US_PER_MS);
     CU_ASSERT_EQUAL(offer(1, 10, US_PER_S), ADMIT_RUN);
-    CU_ASSERT_EQUAL(offer(2, 10, 200 * US_PER_MS), ADMIT_QUEUED);
-    manual_clock_advance(&test_clock, 150 * US_PER_MS);
+    CU_ASSERT_EQUAL(offer(2, 10, budget_us), ADMIT_QUEUED);
+    manual_clock_advance(&test_clock, waited_us);
     admission_done(&admission, 0, 100 * US_PER_MS, true);
     expect_next(NEXT_EXPIRED, 2);
     expect_next(NEXT_NONE, 0);
     admission_finish(&admission);
 }
 
+/// Guards against running a request that can't finish before its deadline.
+static void
+test_hopeless_requests_do_not_run(void)
+{
+    expect_expired(150 * US_PER_MS, 60 * US_PER_MS);
+}
+
+/// Guards against a request that waits so long that nothing of its deadline is
+/// left for another attempt.
+static void
+test_wait_is_bounded(void)
+{
+    expect_expired(US_PER_S, 600 * US_PER_MS);
+}
+
 /// Guards against a queue in which everyone waits until the deadline is near:
 /// what can't start in time is refused at once, so that it can go elsewhere.
 static void
@@ -230,6 +244,7 @@
         {"expiry", test_expired_requests_do_not_run},
         {"withdrawal", test_withdrawn_requests_are_forgotten},
         {"hopeless", test_hopeless_requests_do_not_run},
+        {"bounded wait", test_wait_is_bounded},
         {"expected wait", test_refuses_what_would_wait_too_long},
         {"long share", test_long_kinds_share_half_of_the_slots},
         {"median", test_starved_short_kinds_keep_the_median},
