--- a/bench/common/world.h
+++ b/bench/common/world.h
@@ -48,13 +48,13 @@
     double surge;    ///< load factor from surge_from_us to surge_end_us
     int64_t surge_from_us;
     int64_t surge_end_us;
-    uint32_t slow_service; ///< NONE: one server of every service
-    double slow_factor;    ///< service times; 1: none
-    bool squeeze;          ///< fewer effective slots instead of longer times
+    double slow_factor; ///< service times; 1: none
     int64_t slow_from_us;
     int64_t slow_end_us;
+    double long_factor;    ///< load of long kinds
+    uint32_t slow_service; ///< NONE: one server of every service
     uint32_t client_tries;
-    double long_factor; ///< load of long kinds
+    bool squeeze; ///< fewer effective slots instead of longer times
 } scenario_t;
 
 /// A client's request.
@@ -143,13 +143,15 @@
 /// Sums of one run.
 typedef struct {
     double goodput[SERVICES_MAX]; ///< useful slot time in the window
+    double busy_us[SERVICES_MAX]; ///< of work started in the window
     double work_us;
     double failed_work_us;
     uint64_t roots;
     uint64_t attempts;      ///< that ran at an upstream
     uint64_t most_attempts; ///< sent to one service for one root
     uint64_t offered[KINDS_MAX];
-    uint64_t served[KINDS_MAX];
+    uint64_t served[KINDS_MAX];   ///< by arrival in the window
+    uint64_t answered[KINDS_MAX]; ///< by answer in the window
     uint64_t bucket_offered[BUCKETS_MAX];
     uint64_t bucket_served[BUCKETS_MAX];
     uint64_t crest_offered[KINDS_MAX];
