--- a/src/ibisfield/cli/cmd_run.c
+++ b/src/ibisfield/cli/cmd_run.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -57,12 +58,35 @@
     return socket;
 }
 
+/// Descriptors beyond those of accepted connections: one for each connection
+/// to the upstream and to other nodes, and some for listeners and control.
+#define SPARE_DESCRIPTORS 2048
+
+/// Allows as many descriptors as the hard limit does; the usual soft limit of
+/// 1024 is below max_connections.
+static void
+raise_descriptor_limit(const settings_t *settings)
+{
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return;
+    }
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    rlim_t wanted = (rlim_t)settings->max_connections + SPARE_DESCRIPTORS;
+    if (limit.rlim_cur < wanted) {
+        log_warning("descriptor_limit_low", "limit=%lu expected=%lu",
+                    (unsigned long)limit.rlim_cur, (unsigned long)wanted);
+    }
+}
+
 /// Runs a node until it is told to stop; returns the exit code.
 int
 cmd_run(const settings_t *settings)
 {
     static node_t node;
     log_init(level_of(settings->log_level));
+    raise_descriptor_limit(settings);
     GError *error = NULL;
     if (!node_init(&node, settings, &error)) {
         fprintf(stderr, "ibisfield run: %s\n", error->message);
