Shorten the grace for connections being opened to 100 ms

Callers' round trips are 16 ms; a SYN dropped in the grace costs its sender the kernel's retransmission time of 1 s, so the grace should not be longer than needed.

--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -18,7 +18,7 @@
 #define IDLE_TICK_US (50 * US_PER_MS)
 #define SHUTDOWN_CHECK_US (20 * US_PER_MS)
 /// Connections being opened when the linger ends complete in this time.
-#define HANDSHAKE_GRACE_US (200 * US_PER_MS)
+#define HANDSHAKE_GRACE_US (100 * US_PER_MS)
 /// Keys of one node that are issued or kept at a time.
 #define KEY_RECORDS_MAX 65536
 #define CONTRACT_PREFIX "contract/"
