--- /dev/null
+++ b/test/functional/test_shutdown.c
@@ -0,0 +1,214 @@
+/// @file
+/// Leaving: by an operator, by the upstream and by SIGTERM, with keys in use,
+/// calls that don't end, and a second signal.
+
+#include <signal.h>
+
+#include "common/suite.h"
+#include "common/testbed.h"
+
+#define CUSTOMER "ibisfield-customer: acme"
+
+static const char contract[] =
+    "{\"customer\": \"acme\", \"hosts\": [\"acme.example\"], \"retries\": 0,"
+    " \"client_retry_percent\": 100, \"kinds\": ["
+    "{\"name\": \"look\", \"service\": \"solo\", \"method\": \"GET\","
+    " \"path\": \"/look\", \"worth\": 10, \"deadline_ms\": 60000,"
+    " \"run\": \"repeatable\"},"
+    "{\"name\": \"book\", \"service\": \"other\", \"method\": \"POST\","
+    " \"path\": \"/book\", \"worth\": 90, \"deadline_ms\": 60000,"
+    " \"run\": \"once\", \"resend_s\": 60}]}";
+
+/// Two services with one VM each.
+static void
+start_bed(testbed_t *bed, const char *settings)
+{
+    static const char *const upstream[] = {"--slots", "4", NULL};
+    testbed_init(bed);
+    CU_ASSERT_TRUE(testbed_publish(bed, "contract/acme", contract));
+    testbed_add_vm(bed, "solo", "north", settings, upstream);
+    testbed_add_vm(bed, "other", "north", settings, upstream);
+    CU_ASSERT_TRUE_FATAL(testbed_wait_ready(bed));
+}
+
+static void
+assert_answer(answer_text_t answer, int status, const char *headers)
+{
+    CU_ASSERT_EQUAL(answer.status, status);
+    if (strstr(answer.headers, headers) == NULL) {
+        printf("\nfound: %d %s\nexpected: %d %s\n", answer.status,
+               answer.headers, status, headers);
+        CU_FAIL("headers differ");
+    }
+    answer_text_free(&answer);
+}
+
+static answer_text_t
+look(const testbed_vm_t *vm)
+{
+    return call(vm->address, PORT_CALLER, "GET", "/look", CUSTOMER, NULL);
+}
+
+/// Returns a fresh key for a booking; "" if none was issued.
+static char *
+obtain_key(const testbed_vm_t *vm)
+{
+    answer_text_t answer = call(vm->address, PORT_CALLER, "POST", "/book",
+                                "host: acme.example", "tent");
+    const char *found = strstr(answer.headers, "ibisfield-key: ");
+    char *key = NULL;
+    if (found != NULL) {
+        found += strlen("ibisfield-key: ");
+        key = g_strndup(found, strcspn(found, "\n"));
+    }
+    answer_text_free(&answer);
+    return key == NULL ? g_strdup("") : key;
+}
+
+static answer_text_t
+book(const testbed_vm_t *vm, const char *key)
+{
+    char *header =
+        g_strdup_printf("host: acme.example\r\nibisfield-key: %s", key);
+    answer_text_t answer =
+        call(vm->address, PORT_CALLER, "POST", "/book", header, "tent");
+    g_free(header);
+    return answer;
+}
+
+/// Guards against new work for a VM that an operator drains.
+static void
+test_drain_by_an_operator(void)
+{
+    testbed_t bed;
+    start_bed(&bed, ", \"key_linger_ms\": 100");
+    testbed_vm_t *vm = &bed.vms[0];
+    assert_answer(call(vm->address, PORT_OPERATOR, "POST", "/drain", NULL, ""),
+                  200, "");
+    assert_answer(
+        call(vm->address, PORT_OPERATOR, "GET", "/health", NULL, NULL), 503,
+        "");
+    assert_answer(look(&bed.vms[1]), 503, "ibisfield-outcome: not-run\n");
+    assert_answer(look(vm), 503, "ibisfield-reason: leaving\n");
+    CU_ASSERT_EQUAL(process_stop(&vm->node, SIGTERM), 0);
+    testbed_finish(&bed);
+}
+
+static bool
+refuses_as_leaving(void *context)
+{
+    answer_text_t answer = look(context);
+    bool refuses = answer.status == 503 &&
+                   strstr(answer.headers, "reason: leaving\n") != NULL;
+    answer_text_free(&answer);
+    return refuses;
+}
+
+/// Guards against new work for an upstream that reports draining.
+static void
+test_drain_by_the_upstream(void)
+{
+    testbed_t bed;
+    start_bed(&bed, "");
+    testbed_vm_t *vm = &bed.vms[0];
+    assert_answer(look(vm), 200, "ibisfield-outcome: answered\n");
+    assert_answer(
+        call(vm->address, PORT_UPSTREAM, "POST", "/test/drain", NULL, ""), 200,
+        "");
+    CU_ASSERT_TRUE(wait_until(refuses_as_leaving, vm));
+    testbed_finish(&bed);
+}
+
+/// Guards against keys whose owner leaves before they can be used, and against
+/// a leaving node that issues keys which nobody can use.
+static void
+test_keys_are_served_while_lingering(void)
+{
+    testbed_t bed;
+    start_bed(&bed, ", \"key_linger_ms\": 15000");
+    testbed_vm_t *owner = &bed.vms[0];
+    char *key = obtain_key(owner);
+    CU_ASSERT_TRUE(key[0] != '\0');
+    kill(owner->node.pid, SIGTERM);
+    CU_ASSERT_TRUE(process_wait_log(&owner->node, "event=shutdown_started"));
+    char *none = obtain_key(owner);
+    CU_ASSERT_STRING_EQUAL(none, "");
+    assert_answer(book(&bed.vms[1], key), 200,
+                  "ibisfield-outcome: answered\n");
+    assert_answer(book(owner, key), 200, "ibisfield-outcome: answered\n");
+    g_free(key);
+    g_free(none);
+    testbed_finish(&bed);
+}
+
+static bool
+has_request_in_flight(void *context)
+{
+    return metric_of(context, "ibisfield_guard_in_flight") > 0;
+}
+
+/// Starts a request that the upstream doesn't answer in time.
+static void
+start_endless_call(testbed_t *bed, process_t *client)
+{
+    testbed_vm_t *vm = &bed->vms[0];
+    assert_answer(call(vm->address, PORT_UPSTREAM, "POST",
+                       "/test/service/300000000", NULL, ""),
+                  200, "");
+    char *target = g_strdup_printf("%s:%d", vm->address, PORT_CALLER);
+    const char *const arguments[] = {"--target", target,      "--customer",
+                                     "acme",     "--request", "GET /look 1",
+                                     NULL};
+    CU_ASSERT_TRUE(testbed_start_client(bed, client, arguments));
+    g_free(target);
+    CU_ASSERT_TRUE(wait_until(has_request_in_flight, vm));
+}
+
+/// Guards against a stop that never ends, and against an exit code that hides
+/// cut calls.
+static void
+test_hard_limit_ends_the_drain(void)
+{
+    testbed_t bed;
+    process_t client = {0};
+    start_bed(&bed, ", \"key_linger_ms\": 100, \"drain_limit_ms\": 1000");
+    testbed_vm_t *vm = &bed.vms[0];
+    start_endless_call(&bed, &client);
+    CU_ASSERT_EQUAL(process_stop(&vm->node, SIGTERM), 1);
+    CU_ASSERT_TRUE(
+        process_has_logged(&vm->node, "event=drain_limit_reached cut="));
+    CU_ASSERT_FALSE(process_has_logged(&vm->node, "cut=0"));
+    process_finish(&client);
+    testbed_finish(&bed);
+}
+
+/// Guards against a node that can't be stopped during its drain.
+static void
+test_second_signal_stops_at_once(void)
+{
+    testbed_t bed;
+    process_t client = {0};
+    start_bed(&bed, ", \"drain_limit_ms\": 600000");
+    testbed_vm_t *vm = &bed.vms[0];
+    start_endless_call(&bed, &client);
+    kill(vm->node.pid, SIGTERM);
+    CU_ASSERT_TRUE(process_wait_log(&vm->node, "event=shutdown_started"));
+    CU_ASSERT_EQUAL(process_stop(&vm->node, SIGTERM), 1);
+    CU_ASSERT_TRUE(process_has_logged(&vm->node, "event=stopped_at_once"));
+    process_finish(&client);
+    testbed_finish(&bed);
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"drain by an operator", test_drain_by_an_operator},
+        {"drain by the upstream", test_drain_by_the_upstream},
+        {"keys while lingering", test_keys_are_served_while_lingering},
+        {"hard limit", test_hard_limit_ends_the_drain},
+        {"second signal", test_second_signal_stops_at_once},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("shutdown", tests);
+}
