--- a/test/functional/common/testbed.c
+++ b/test/functional/common/testbed.c
@@ -11,6 +11,7 @@
 #include "common/suite.h"
 
 #define CALL_TIMEOUT_US (30 * US_PER_S)
+#define HEADERS_MAX 4
 
 typedef struct {
     loop_t loop;
@@ -36,8 +37,8 @@
     loop_stop(&state->loop);
 }
 
-/// Sends one request and waits for its answer. @p header is "name: value" or
-/// NULL.
+/// Sends one request and waits for its answer. @p header is NULL or "name:
+/// value", several are separated by a line feed.
 answer_text_t
 call(const char *address, uint16_t port, const char *method, const char *path,
      const char *header, const char *body)
@@ -50,21 +51,96 @@
     g_strlcpy(endpoint.address, address, sizeof(endpoint.address));
     http_target_t *target =
         http_target_new(&state.loop, &endpoint, 1, 64 << 20);
-    char **parts = g_strsplit(header == NULL ? "" : header, ": ", 2);
-    http_header_t sent = {
-        slice_from_string(parts[0]),
-        slice_from_string(parts[0] == NULL ? NULL : parts[1])};
-    http_exchange_start(target, slice_from_string(method),
-                        slice_from_string(path), &sent, header != NULL,
-                        slice_from_string(body), CALL_TIMEOUT_US, call_done,
-                        &state);
+    char **lines = g_strsplit(header == NULL ? "" : header, "\n", -1);
+    http_header_t sent[HEADERS_MAX];
+    size_t count = 0;
+    for (; lines[count] != NULL && count < HEADERS_MAX; count++) {
+        char *colon = strstr(lines[count], ": ");
+        *colon = '\0';
+        sent[count] = (http_header_t){slice_from_string(lines[count]),
+                                      slice_from_string(colon + 2)};
+    }
+    http_exchange_start(
+        target, slice_from_string(method), slice_from_string(path), sent,
+        count, slice_from_string(body), CALL_TIMEOUT_US, call_done, &state);
     loop_run(&state.loop);
     http_target_release(target);
     loop_finish(&state.loop);
-    g_strfreev(parts);
+    g_strfreev(lines);
     return state.answer;
 }
 
+struct call_in_flight {
+    char *address;
+    uint16_t port;
+    char *method;
+    char *path;
+    char *header;
+    char *body;
+    answer_text_t answer;
+    GThread *thread;
+};
+
+static void *
+run_call(void *context)
+{
+    call_in_flight_t *in_flight = context;
+    in_flight->answer =
+        call(in_flight->address, in_flight->port, in_flight->method,
+             in_flight->path, in_flight->header, in_flight->body);
+    return NULL;
+}
+
+/// Sends one request like call(), without waiting for its answer.
+call_in_flight_t *
+call_start(const char *address, uint16_t port, const char *method,
+           const char *path, const char *header, const char *body)
+{
+    call_in_flight_t *in_flight = g_new0(call_in_flight_t, 1);
+    *in_flight = (call_in_flight_t){g_strdup(address),
+                                    port,
+                                    g_strdup(method),
+                                    g_strdup(path),
+                                    g_strdup(header),
+                                    g_strdup(body),
+                                    {0},
+                                    NULL};
+    in_flight->thread = g_thread_new("call", run_call, in_flight);
+    return in_flight;
+}
+
+/// Waits for the answer of call_start() and frees the call.
+answer_text_t
+call_wait(call_in_flight_t *in_flight)
+{
+    g_thread_join(in_flight->thread);
+    answer_text_t answer = in_flight->answer;
+    g_free(in_flight->address);
+    g_free(in_flight->method);
+    g_free(in_flight->path);
+    g_free(in_flight->header);
+    g_free(in_flight->body);
+    g_free(in_flight);
+    return answer;
+}
+
+/// Returns the value of a header, "" if there is none; g_free() it.
+char *
+answer_header(const answer_text_t *answer, const char *name)
+{
+    char **lines = g_strsplit(answer->headers, "\n", -1);
+    char *prefix = g_strconcat(name, ": ", NULL);
+    char *value = NULL;
+    for (int i = 0; lines[i] != NULL && value == NULL; i++) {
+        if (g_str_has_prefix(lines[i], prefix)) {
+            value = g_strdup(lines[i] + strlen(prefix));
+        }
+    }
+    g_free(prefix);
+    g_strfreev(lines);
+    return value == NULL ? g_strdup("") : value;
+}
+
 void
 answer_text_free(answer_text_t *answer)
 {
@@ -214,25 +290,31 @@
     return path;
 }
 
-static void
-publish_vm(testbed_t *bed, const testbed_vm_t *vm, const char *service,
-           const char *data_centre)
+/// Publishes the VM; @p state is "live" or "leaving".
+bool
+testbed_publish_vm(testbed_t *bed, const testbed_vm_t *vm, const char *state)
 {
     char *name = g_strdup_printf("vm/%s", vm->vm);
     char *value = g_strdup_printf(
         "{\"data_centre\": \"%s\", \"service\": \"%s\", \"address\": \"%s\", "
         "\"caller_port\": %d, \"peer_port\": %d, \"control_port\": %d, "
-        "\"state\": \"live\"}",
-        data_centre, service, vm->address, PORT_CALLER, PORT_PEER,
-        PORT_CONTROL);
-    CU_ASSERT_TRUE(testbed_publish(bed, name, value));
+        "\"state\": \"%s\"}",
+        vm->data_centre, vm->service, vm->address, PORT_CALLER, PORT_PEER,
+        PORT_CONTROL, state);
+    bool published = testbed_publish(bed, name, value);
     g_free(name);
     g_free(value);
+    return published;
 }
 
-static bool
-start_upstream(testbed_t *bed, testbed_vm_t *vm, const char *const *more)
+/// Starts the upstream of a VM, again if it has ended; true if it has none.
+bool
+testbed_start_upstream(testbed_t *bed, testbed_vm_t *vm)
 {
+    const char *const *more = vm->upstream_arguments;
+    if (more == NULL) {
+        return true;
+    }
     GPtrArray *arguments = g_ptr_array_new();
     char *listen = g_strdup_printf("%s:%d", vm->address, PORT_UPSTREAM);
     char *egress = g_strdup_printf("%s:%d", vm->address, PORT_EGRESS);
@@ -253,6 +335,46 @@
     return started;
 }
 
+/// Starts the node of a VM, again if it has ended.
+bool
+testbed_start_node(testbed_t *bed, testbed_vm_t *vm)
+{
+    char *path = g_strdup_printf("%s/%s.json", bed->directory, vm->vm);
+    const char *const arguments[] = {IBISFIELD_BUILD_DIR "/ibisfield", "run",
+                                     path, NULL};
+    bool started = start(bed, &vm->node, vm->vm, arguments);
+    g_free(path);
+    return started;
+}
+
+/// Returns how often the upstreams have printed @p text, those that have ended
+/// included.
+int
+testbed_count_logged(const testbed_t *bed, const char *text)
+{
+    int count = 0;
+    GDir *dir = g_dir_open(bed->directory, 0, NULL);
+    const char *name;
+    while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
+        char *path = g_build_filename(bed->directory, name, NULL);
+        char *log = NULL;
+        if (g_str_has_suffix(name, "-upstream.log") &&
+            g_file_get_contents(path, &log, NULL, NULL))
+        {
+            const char *at = log;
+            for (; (at = strstr(at, text)) != NULL; at++) {
+                count++;
+            }
+        }
+        g_free(log);
+        g_free(path);
+    }
+    if (dir != NULL) {
+        g_dir_close(dir);
+    }
+    return count;
+}
+
 /// Starts a node and its upstream and publishes the VM. @p settings is more
 /// JSON (", \"name\": value") or "". An upstream argument "EGRESS" stands for
 /// the VM's egress address; without arguments no upstream is started.
@@ -265,14 +387,13 @@
     const char *dot = strrchr(bed->address, '.');
     g_snprintf(vm->address, sizeof(vm->address), "%.*s.%d",
                (int)(dot - bed->address), bed->address, 1 + bed->vm_count);
-    publish_vm(bed, vm, service, data_centre);
-    char *path = write_settings(bed, vm, service, data_centre, settings);
-    const char *const arguments[] = {IBISFIELD_BUILD_DIR "/ibisfield", "run",
-                                     path, NULL};
-    bool started = upstream_arguments == NULL ||
-                   start_upstream(bed, vm, upstream_arguments);
-    started = started && start(bed, &vm->node, vm->vm, arguments);
-    g_free(path);
+    g_strlcpy(vm->service, service, sizeof(vm->service));
+    g_strlcpy(vm->data_centre, data_centre, sizeof(vm->data_centre));
+    vm->upstream_arguments = upstream_arguments;
+    CU_ASSERT_TRUE(testbed_publish_vm(bed, vm, "live"));
+    g_free(write_settings(bed, vm, service, data_centre, settings));
+    bool started =
+        testbed_start_upstream(bed, vm) && testbed_start_node(bed, vm);
     CU_ASSERT_TRUE_FATAL(started);
     return vm;
 }
--- a/test/functional/common/testbed.h
+++ b/test/functional/common/testbed.h
@@ -14,6 +14,9 @@
     char address[16];
     process_t node;
     process_t upstream;
+    const char *const *upstream_arguments; ///< NULL: has none
+    char service[16];
+    char data_centre[16];
 } testbed_vm_t;
 
 /// A platform and VMs on loopback addresses.
@@ -48,6 +51,11 @@
 testbed_vm_t *testbed_add_vm(testbed_t *bed, const char *service,
                              const char *data_centre, const char *settings,
                              const char *const *upstream_arguments);
+bool testbed_start_node(testbed_t *bed, testbed_vm_t *vm);
+bool testbed_start_upstream(testbed_t *bed, testbed_vm_t *vm);
+bool testbed_publish_vm(testbed_t *bed, const testbed_vm_t *vm,
+                        const char *state);
+int testbed_count_logged(const testbed_t *bed, const char *text);
 bool testbed_publish(testbed_t *bed, const char *name, const char *value);
 bool testbed_wait_ready(testbed_t *bed);
 bool testbed_start_client(testbed_t *bed, process_t *client,
@@ -56,6 +64,13 @@
 
 answer_text_t call(const char *address, uint16_t port, const char *method,
                    const char *path, const char *header, const char *body);
+/// A call that runs in a thread until call_wait().
+typedef struct call_in_flight call_in_flight_t;
+call_in_flight_t *call_start(const char *address, uint16_t port,
+                             const char *method, const char *path,
+                             const char *header, const char *body);
+answer_text_t call_wait(call_in_flight_t *call);
+char *answer_header(const answer_text_t *answer, const char *name);
 void answer_text_free(answer_text_t *answer);
 int64_t metric_of(const testbed_vm_t *vm, const char *name);
 int64_t json_number(struct json_object *object, const char *name);
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -9,6 +9,12 @@
 ///     POST /test/service/N  service time of all paths in microseconds
 ///     POST /test/half/N     every Nth answer is cut in its middle; 0: none
 ///     POST /test/shed/N     sheds while N requests are held; 0: never
+///     POST /test/hold/N     1: no run ends until 0 is posted
+///     POST /test/late/N     every Nth run ends after all others of its time;
+///                           0: none
+///
+/// With --log-runs it prints "run KEY ID" and "answered KEY ID", so that runs
+/// can be counted after the process was killed.
 
 #include <argp.h>
 #include <inttypes.h>
@@ -24,6 +30,8 @@
 #define REQUEST_BYTES_MAX (64 << 20)
 #define NEXT_TIMEOUT_US (30 * US_PER_S)
 #define PATHS_MAX 16
+#define HOLD_POLL_US (5 * US_PER_MS)
+#define LATE_US (300 * US_PER_MS)
 
 typedef struct {
     char *prefix;
@@ -62,6 +70,9 @@
     GHashTable *runs_by_key;
     GHashTable *runs_by_id;
     bool draining;
+    bool hold;
+    bool log_runs;
+    int32_t late_every;
 } upstream = {.name = "upstream", .slots = 8};
 
 static void start_jobs(void);
@@ -118,11 +129,26 @@
     }
 }
 
+static void
+log_run(const char *event, const http_request_t *request)
+{
+    if (!upstream.log_runs) {
+        return;
+    }
+    slice_t key = http_request_header(request, HEADER_KEY);
+    slice_t id = http_request_header(request, "x-request-id");
+    printf("%s %.*s %.*s\n", event, (int)key.len,
+           key.data == NULL ? "" : key.data, (int)id.len,
+           id.data == NULL ? "" : id.data);
+    fflush(stdout);
+}
+
 static void
 answer_job(job_t *job, int status)
 {
     http_request_t *request = job->request;
     upstream.answers++;
+    log_run("answered", request);
     if (upstream.half_every > 0 &&
         upstream.answers % (uint64_t)upstream.half_every == 0)
     {
@@ -183,6 +209,11 @@
 finish_job(void *context)
 {
     job_t *job = context;
+    if (upstream.hold) {
+        loop_timer_start(&upstream.loop, &job->timer, HOLD_POLL_US, finish_job,
+                         job);
+        return;
+    }
     upstream.running--;
     if (job->request == NULL) {
         free_job(job);
@@ -209,6 +240,14 @@
     }
     int64_t age_us = clock_now_us(&upstream.clock) - upstream.start_us;
     bool cold = age_us < upstream.cold_ms * US_PER_MS;
+    if (upstream.late_every > 0 &&
+        upstream.runs % (uint64_t)upstream.late_every == 0)
+    {
+        time_us += LATE_US;
+    }
+    if (upstream.hold) {
+        time_us = MAX(time_us, HOLD_POLL_US);
+    }
     return cold ? time_us * 4 : time_us;
 }
 
@@ -223,6 +262,7 @@
                   http_request_header(job->request, HEADER_KEY));
         count_run(upstream.runs_by_id,
                   http_request_header(job->request, "x-request-id"));
+        log_run("run", job->request);
         int64_t time_us = service_time_us(job->request);
         if (time_us == 0) {
             finish_job(job);
@@ -273,6 +313,12 @@
     else if (slice_starts_with(path, SLICE_LITERAL("/test/shed/"))) {
         upstream.shed_above = number_after(path, "/test/shed/");
     }
+    else if (slice_starts_with(path, SLICE_LITERAL("/test/hold/"))) {
+        upstream.hold = number_after(path, "/test/hold/") != 0;
+    }
+    else if (slice_starts_with(path, SLICE_LITERAL("/test/late/"))) {
+        upstream.late_every = number_after(path, "/test/late/");
+    }
     answer_text(request, 200, "{}\n");
 }
 
@@ -360,6 +406,7 @@
     {"half-every", 'h', "N", 0, "Cut every Nth answer", 0},
     {"shed-above", 'd', "N", 0, "Shed while N requests are held", 0},
     {"answer-bytes", 'b', "N", 0, "Least size of answers", 0},
+    {"log-runs", 'r', NULL, 0, "Print each run and answer", 0},
     {0},
 };
 
@@ -397,6 +444,9 @@
     case 'd':
         upstream.shed_above = read_number_argument(value, state);
         return 0;
+    case 'r':
+        upstream.log_runs = true;
+        return 0;
     case 'b':
         upstream.answer_bytes = read_number_argument(value, state);
         return 0;
