--- /dev/null
+++ b/test/functional/common/booking.c
@@ -0,0 +1,137 @@
+/// @file
+/// Bookings of a test: what callers were told of each key, compared with the
+/// runs that the upstreams (started with --log-runs) have printed.
+
+#include "common/booking.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+#include "common/suite.h"
+
+#define KEYED_HEADERS "ibisfield-customer: acme\nibisfield-key: %s"
+
+void
+bookings_init(bookings_t *bookings, testbed_t *bed)
+{
+    *bookings = (bookings_t){bed, g_ptr_array_new_with_free_func(g_free)};
+}
+
+void
+bookings_finish(bookings_t *bookings)
+{
+    for (guint i = 0; i < bookings->all->len; i++) {
+        booking_t *booking = bookings->all->pdata[i];
+        g_free(booking->label);
+        g_free(booking->key);
+    }
+    g_ptr_array_free(bookings->all, TRUE);
+}
+
+/// Gets a key from the node of @p vm. Takes over @p label.
+booking_t *
+booking_issue(bookings_t *bookings, const testbed_vm_t *vm, char *label)
+{
+    answer_text_t answer = call(vm->address, PORT_CALLER, "POST", "/book",
+                                "ibisfield-customer: acme", "one");
+    CU_ASSERT_EQUAL(answer.status, 428);
+    booking_t *booking = g_new0(booking_t, 1);
+    booking->key = answer_header(&answer, "ibisfield-key");
+    booking->label = label;
+    CU_ASSERT_NOT_EQUAL_FATAL(booking->key[0], '\0');
+    g_ptr_array_add(bookings->all, booking);
+    answer_text_free(&answer);
+    return booking;
+}
+
+/// Sends the key to the node of @p vm; booking_note() takes the answer.
+call_in_flight_t *
+booking_submit(const booking_t *booking, const testbed_vm_t *vm,
+               const char *body)
+{
+    char *headers = g_strdup_printf(KEYED_HEADERS, booking->key);
+    call_in_flight_t *flight =
+        call_start(vm->address, PORT_CALLER, "POST", "/book", headers, body);
+    g_free(headers);
+    return flight;
+}
+
+/// Notes what the caller was told and returns the outcome; "" if it got no
+/// answer. g_free() it.
+char *
+booking_note(booking_t *booking, call_in_flight_t *flight)
+{
+    answer_text_t answer = call_wait(flight);
+    char *outcome = answer.status == 0
+                        ? g_strdup("")
+                        : answer_header(&answer, "ibisfield-outcome");
+    fprintf(stderr, "%s: %d %s\n", booking->label, answer.status,
+            g_strchomp(answer.body));
+    booking->told_not_run |= strcmp(outcome, "not-run") == 0;
+    booking->told_answered |= answer.status == 200;
+    CU_ASSERT_TRUE(answer.status == 0 || outcome[0] != '\0');
+    answer_text_free(&answer);
+    return outcome;
+}
+
+/// Frees @p outcome.
+void
+booking_expect(const booking_t *booking, const char *what, char *outcome,
+               const char *expected)
+{
+    if (strcmp(outcome, expected) != 0) {
+        fprintf(stderr, "WRONG %s: %s: found '%s', expected '%s'\n",
+                booking->label, what, outcome, expected);
+        CU_FAIL("outcome");
+    }
+    g_free(outcome);
+}
+
+/// Returns how often upstreams have printed @p event ("run" or "answered").
+int
+booking_count(const bookings_t *bookings, const booking_t *booking,
+              const char *event)
+{
+    char *text = g_strdup_printf("%s %s", event, booking->key);
+    int count = testbed_count_logged(bookings->bed, text);
+    g_free(text);
+    return count;
+}
+
+/// Ends every node in an orderly way, so that nothing can run afterwards, and
+/// compares the runs with what was told. Returns how many keys ran.
+int
+bookings_check(const bookings_t *bookings)
+{
+    int ran = 0;
+    for (int i = 0; i < bookings->bed->vm_count; i++) {
+        testbed_vm_t *vm = &bookings->bed->vms[i];
+        CU_ASSERT_EQUAL(process_stop(&vm->node, SIGTERM), 0);
+    }
+    for (guint i = 0; i < bookings->all->len; i++) {
+        const booking_t *booking = bookings->all->pdata[i];
+        int runs = booking_count(bookings, booking, "run");
+        bool right = runs <= 1 && (!booking->told_not_run || runs == 0) &&
+                     (!booking->told_answered || runs == 1);
+        ran += runs > 0;
+        if (!right) {
+            fprintf(stderr, "WRONG %s: runs %d%s%s\n", booking->label, runs,
+                    booking->told_not_run ? ", told not-run" : "",
+                    booking->told_answered ? ", told answered" : "");
+            CU_FAIL("runs");
+        }
+    }
+    return ran;
+}
+
+/// Whether the node of @p vm passes on a whole answer of service "back".
+bool
+can_look(void *vm)
+{
+    const char *address = ((const testbed_vm_t *)vm)->address;
+    answer_text_t answer = call(address, PORT_CALLER, "GET", "/look",
+                                "ibisfield-customer: acme", NULL);
+    bool whole = answer.status == 200;
+    answer_text_free(&answer);
+    return whole;
+}
--- /dev/null
+++ b/test/functional/common/booking.h
@@ -0,0 +1,43 @@
+#ifndef IBISFIELD_TEST_BOOKING_H
+#define IBISFIELD_TEST_BOOKING_H
+
+#include "common/testbed.h"
+
+/// Kinds of the contracts that the tests of bookings publish.
+#define BOOKING_KINDS                                                         \
+    "{\"name\": \"look\", \"service\": \"back\", \"method\": \"GET\","        \
+    " \"path\": \"/look\", \"worth\": 10, \"deadline_ms\": 3000,"             \
+    " \"run\": \"repeatable\"},"                                              \
+    "{\"name\": \"book\", \"service\": \"back\", \"method\": \"POST\","       \
+    " \"path\": \"/book\", \"worth\": 90, \"deadline_ms\": 3000,"             \
+    " \"run\": \"once\", \"resend_s\": 120}"
+
+/// One key with everything that callers were told of it.
+typedef struct {
+    char *label;
+    char *key;
+    bool told_not_run;
+    bool told_answered;
+} booking_t;
+
+/// Every key of a test.
+typedef struct {
+    testbed_t *bed;
+    GPtrArray *all; ///< booking_t
+} bookings_t;
+
+void bookings_init(bookings_t *bookings, testbed_t *bed);
+void bookings_finish(bookings_t *bookings);
+booking_t *booking_issue(bookings_t *bookings, const testbed_vm_t *vm,
+                         char *label);
+call_in_flight_t *booking_submit(const booking_t *booking,
+                                 const testbed_vm_t *vm, const char *body);
+char *booking_note(booking_t *booking, call_in_flight_t *flight);
+void booking_expect(const booking_t *booking, const char *what, char *outcome,
+                    const char *expected);
+int booking_count(const bookings_t *bookings, const booking_t *booking,
+                  const char *event);
+int bookings_check(const bookings_t *bookings);
+bool can_look(void *vm);
+
+#endif
--- a/test/functional/test_faults_bookings.c
+++ b/test/functional/test_faults_bookings.c
@@ -5,23 +5,16 @@
 
 #include <signal.h>
 
+#include "common/booking.h"
 #include "common/suite.h"
-#include "common/testbed.h"
 
-#define KEYED_HEADERS "ibisfield-customer: acme\nibisfield-key: %s"
 /// Time for a request to reach the socket of a paused process. Only how often
 /// the intended step is met depends on it, no verdict does.
 #define SOCKET_DELAY_US (50 * US_PER_MS)
 
 static const char contract[] =
     "{\"customer\": \"acme\", \"hosts\": [\"acme.example\"], \"retries\": 3,"
-    " \"client_retry_percent\": 100, \"kinds\": ["
-    "{\"name\": \"look\", \"service\": \"back\", \"method\": \"GET\","
-    " \"path\": \"/look\", \"worth\": 10, \"deadline_ms\": 3000,"
-    " \"run\": \"repeatable\"},"
-    "{\"name\": \"book\", \"service\": \"back\", \"method\": \"POST\","
-    " \"path\": \"/book\", \"worth\": 90, \"deadline_ms\": 3000,"
-    " \"run\": \"once\", \"resend_s\": 120}]}";
+    " \"client_retry_percent\": 100, \"kinds\": [" BOOKING_KINDS "]}";
 
 static const char *const back_upstream[] = {"--name", "back", "--log-runs",
                                             NULL};
@@ -41,17 +34,9 @@
 
 typedef enum { HIT_OWNER, HIT_GUARD, HIT_UPSTREAM, HIT_COUNT } hit_t;
 
-/// One key with everything that callers were told of it.
-typedef struct {
-    char *label;
-    char *key;
-    bool told_not_run;
-    bool told_answered;
-} booking_t;
-
 typedef struct {
     testbed_t bed;
-    GPtrArray *bookings;
+    bookings_t bookings;
     booking_t *booking;
     step_t step;
     hit_t hit;
@@ -69,49 +54,20 @@
 static call_in_flight_t *
 submit(scene_t *scene, int vm, const char *body)
 {
-    char *headers = g_strdup_printf(KEYED_HEADERS, scene->booking->key);
-    call_in_flight_t *flight =
-        call_start(scene->bed.vms[vm].address, PORT_CALLER, "POST", "/book",
-                   headers, body);
-    g_free(headers);
-    return flight;
+    return booking_submit(scene->booking, &scene->bed.vms[vm], body);
 }
 
-/// Notes what the caller was told and returns the outcome; "" if it got no
-/// answer. g_free() it.
 static char *
 note(scene_t *scene, call_in_flight_t *flight)
 {
-    answer_text_t answer = call_wait(flight);
-    char *outcome = answer.status == 0
-                        ? g_strdup("")
-                        : answer_header(&answer, "ibisfield-outcome");
-    scene->booking->told_not_run |= strcmp(outcome, "not-run") == 0;
-    scene->booking->told_answered |= answer.status == 200;
-    CU_ASSERT_TRUE(answer.status == 0 || outcome[0] != '\0');
-    answer_text_free(&answer);
-    return outcome;
+    return booking_note(scene->booking, flight);
 }
 
 static void
 expect(const scene_t *scene, const char *what, char *outcome,
        const char *expected)
 {
-    if (strcmp(outcome, expected) != 0) {
-        fprintf(stderr, "%s: %s: found '%s', expected '%s'\n",
-                scene->booking->label, what, outcome, expected);
-        CU_FAIL("outcome");
-    }
-    g_free(outcome);
-}
-
-static int
-count_of(const scene_t *scene, const booking_t *booking, const char *event)
-{
-    char *text = g_strdup_printf("%s %s", event, booking->key);
-    int count = testbed_count_logged(&scene->bed, text);
-    g_free(text);
-    return count;
+    booking_expect(scene->booking, what, outcome, expected);
 }
 
 static bool
@@ -132,7 +88,7 @@
 has_answered(void *context)
 {
     scene_t *scene = context;
-    return count_of(scene, scene->booking, "answered") > 0;
+    return booking_count(&scene->bookings, scene->booking, "answered") > 0;
 }
 
 static bool
@@ -142,17 +98,6 @@
     return metric_of(&scene->bed.vms[OWNER], "ibisfield_calls_in_flight") > 0;
 }
 
-static bool
-can_look(void *context)
-{
-    const testbed_vm_t *vm = context;
-    answer_text_t answer = call(vm->address, PORT_CALLER, "GET", "/look",
-                                "ibisfield-customer: acme", NULL);
-    bool whole = answer.status == 200;
-    answer_text_free(&answer);
-    return whole;
-}
-
 static void
 signal_guards(const scene_t *scene, int signal_number)
 {
@@ -346,28 +291,14 @@
     }
 }
 
-static void
-issue_key(scene_t *scene)
-{
-    answer_text_t answer =
-        call(scene->bed.vms[OWNER].address, PORT_CALLER, "POST", "/book",
-             "ibisfield-customer: acme", "one");
-    CU_ASSERT_EQUAL(answer.status, 428);
-    scene->booking = g_new0(booking_t, 1);
-    scene->booking->key = answer_header(&answer, "ibisfield-key");
-    scene->booking->label =
-        g_strdup_printf("step %d, hit %d, signal %d", scene->step, scene->hit,
-                        scene->signal_number);
-    CU_ASSERT_NOT_EQUAL_FATAL(scene->booking->key[0], '\0');
-    g_ptr_array_add(scene->bookings, scene->booking);
-    answer_text_free(&answer);
-}
-
 static void
 play(scene_t *scene)
 {
     scene->runner = 0;
-    issue_key(scene);
+    scene->booking = booking_issue(
+        &scene->bookings, &scene->bed.vms[OWNER],
+        g_strdup_printf("step %d, hit %d, signal %d", scene->step, scene->hit,
+                        scene->signal_number));
     strike_at_step(scene);
     resend_in_fault(scene);
     heal(scene);
@@ -375,35 +306,13 @@
     check_after(scene);
 }
 
-/// Ends every node in an orderly way, so that nothing can run afterwards, and
-/// compares the runs with what was told.
-static void
-check_runs(scene_t *scene)
-{
-    for (int i = 0; i < VM_COUNT; i++) {
-        CU_ASSERT_EQUAL(process_stop(&scene->bed.vms[i].node, SIGTERM), 0);
-    }
-    for (guint i = 0; i < scene->bookings->len; i++) {
-        booking_t *booking = scene->bookings->pdata[i];
-        int runs = count_of(scene, booking, "run");
-        fprintf(stderr, "%s: runs %d%s%s\n", booking->label, runs,
-                booking->told_not_run ? ", told not-run" : "",
-                booking->told_answered ? ", told answered" : "");
-        CU_ASSERT_TRUE(runs <= 1);
-        CU_ASSERT_TRUE(!booking->told_not_run || runs == 0);
-        CU_ASSERT_TRUE(!booking->told_answered || runs == 1);
-        g_free(booking->label);
-        g_free(booking->key);
-    }
-}
-
 static void
 play_all_steps(hit_t hit)
 {
     static const int signals[] = {SIGKILL, SIGSTOP};
     scene_t scene = {.hit = hit};
-    scene.bookings = g_ptr_array_new_with_free_func(g_free);
     testbed_init(&scene.bed);
+    bookings_init(&scene.bookings, &scene.bed);
     CU_ASSERT_TRUE(testbed_publish(&scene.bed, "contract/acme", contract));
     const char *settings = ", \"key_linger_ms\": 100";
     testbed_add_vm(&scene.bed, "front", "north", settings, NULL);
@@ -417,8 +326,8 @@
             play(&scene);
         }
     }
-    check_runs(&scene);
-    g_ptr_array_free(scene.bookings, TRUE);
+    bookings_check(&scene.bookings);
+    bookings_finish(&scene.bookings);
     testbed_finish(&scene.bed);
 }
 
