--- a/src/ibisfield/cli/cmd_run.c
+++ b/src/ibisfield/cli/cmd_run.c
@@ -93,8 +93,9 @@
         g_error_free(error);
         return EXIT_CODE_FAILED;
     }
-    watch_signals(&node);
+    h2o_socket_t *signals = watch_signals(&node);
     int exit_code = node_run(&node);
+    h2o_socket_close(signals);
     node_finish(&node);
     return exit_code;
 }
