Let the slow start end before the test looks for a wrong probe

Cause: the test of an old attempt taken for the probe passed without the rule, because a VM in its slow start isn't chosen either. Before: passed without the rule. After: fails without it.

--- a/test/unit/test_picker.c
+++ b/test/unit/test_picker.c
@@ -154,6 +154,7 @@
     CU_ASSERT_EQUAL(pick_worth(1), 0);
     manual_clock_advance(&test_clock, US_PER_MS);
     picker_report(&picker, 0, KIND, REPORT_ANSWERED, USUAL_US, NULL);
+    manual_clock_advance(&test_clock, 5 * US_PER_S);
     for (int i = 0; i < 20; i++) {
         CU_ASSERT_NOT_EQUAL(pick_worth(1), 0);
     }
