--- a/bench/common/world.h
+++ b/bench/common/world.h
@@ -48,7 +48,7 @@
     double surge;    ///< load factor from surge_from_us to surge_end_us
     int64_t surge_from_us;
     int64_t surge_end_us;
-    double slow_factor; ///< service times; 1: none
+    double slow_factor; ///< on service times; 0: requests fail at once
     int64_t slow_from_us;
     int64_t slow_end_us;
     double long_factor;    ///< load of long kinds
@@ -104,6 +104,7 @@
     attempt_state_t state;
     bool cancelled;
     bool ok;        ///< the upstream's work succeeded
+    bool lost;      ///< the upstream closed the connection
     uint32_t phase; ///< of the upstream's work
     uint32_t child; ///< call
     int64_t run_us;
@@ -148,6 +149,7 @@
     double failed_work_us;
     uint64_t roots;
     uint64_t attempts;      ///< that ran at an upstream
+    uint64_t sent;          ///< attempts sent to guards
     uint64_t most_attempts; ///< sent to one service for one root
     uint64_t offered[KINDS_MAX];
     uint64_t served[KINDS_MAX];   ///< by arrival in the window
