Limit log lines of refused input and run functional tests sanitized

A peer could fill the log with one line for each request refused; each module now writes at most 20 lines a second, and the metrics count every event.

The address and undefined sanitizers also run the functional tests.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,8 @@
 	@cmake -S . -B $(SANITIZED) -DIBISFIELD_SANITIZE=ON >/dev/null
 	@cmake --build $(SANITIZED) -j $(JOBS) >/dev/null
 	@./tools/run-tests $(SANITIZED) unit
+	@# Threads of nng hold memory when a process ends.
+	@ASAN_OPTIONS=detect_leaks=0 ./tools/run-tests $(SANITIZED) functional
 
 fuzz:
 	@CC=clang cmake -S . -B $(FUZZ) -DIBISFIELD_SANITIZE=ON \
--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -5,15 +5,16 @@
 
 #include "ibisfield/io/http_server.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <linux/filter.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <xxhash.h>
 
 #include "ibisfield/base/error.h"
 #include "ibisfield/base/log.h"
 #include "ibisfield/base/metrics.h"
+#include "ibisfield/io/listen.h"
+#include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/message.h"
 
 /// Idle connections are closed after this time. It is above the idle time of
@@ -40,6 +41,7 @@
     uint32_t connections_max;
     GQueue connections;
     GQueue requests; ///< in flight
+    log_limit_t refusal_lines;
     loop_timer_t sweep_timer;
     loop_timer_t gone_timer;
     bool draining;
@@ -175,9 +177,11 @@
 refuse_connection(http_request_t *request)
 {
     metric_increment(METRIC_CONNECTIONS_REFUSED_TOTAL);
-    log_warning("connection_refused", "listener=%s max=%u",
-                request->listener->options.name,
-                request->listener->server->connections_max);
+    http_server_t *server = request->listener->server;
+    if (log_limit_allows(&server->refusal_lines, server->loop->clock)) {
+        log_warning("connection_refused", "listener=%s max=%u",
+                    request->listener->options.name, server->connections_max);
+    }
     slice_t key = http_request_header(request, HEADER_KEY);
     refusal_t refusal = {
         .reason = REASON_OVERLOADED,
@@ -258,9 +262,12 @@
     metric_increment(reason == REASON_REQUEST_TOO_LARGE
                          ? METRIC_REQUESTS_TOO_LARGE_TOTAL
                          : METRIC_REQUESTS_MALFORMED_TOTAL);
-    log_warning("request_refused", "listener=%s status=%d reason=%s",
-                connection->listener->options.name, status,
-                reason_token(reason));
+    http_server_t *server = connection->listener->server;
+    if (log_limit_allows(&server->refusal_lines, server->loop->clock)) {
+        log_warning("request_refused", "listener=%s status=%d reason=%s",
+                    connection->listener->options.name, status,
+                    reason_token(reason));
+    }
 }
 
 /// Gives an error answer of h2o itself the project's headers and body. The
@@ -366,9 +373,12 @@
         return;
     }
     metric_increment(METRIC_CONNECTIONS_HALF_OPEN_TOTAL);
-    log_warning("half_open_connection_closed", "listener=%s bytes=%zu",
-                connection->listener->options.name,
-                connection->socket->input->size);
+    http_server_t *server = connection->listener->server;
+    if (log_limit_allows(&server->refusal_lines, server->loop->clock)) {
+        log_warning("half_open_connection_closed", "listener=%s bytes=%zu",
+                    connection->listener->options.name,
+                    connection->socket->input->size);
+    }
     // h2o sees the end of the stream and closes the connection.
     shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
 }
@@ -461,29 +471,6 @@
     return server;
 }
 
-static int
-open_listener(const endpoint_t *endpoint)
-{
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_port = htons(endpoint->port)};
-    inet_pton(AF_INET, endpoint->address, &address.sin_addr);
-    const int on = 1;
-    if (fd >= 0 &&
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
-        bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
-        listen(fd, SOMAXCONN) == 0)
-    {
-        return fd;
-    }
-    int failure = errno;
-    if (fd >= 0) {
-        close(fd);
-    }
-    errno = failure;
-    return -1;
-}
-
 static void
 register_handler(http_listener_t *listener)
 {
@@ -505,7 +492,7 @@
 http_server_listen(http_server_t *server,
                    const http_listener_options_t *options, GError **error)
 {
-    int fd = open_listener(&options->endpoint);
+    int fd = listen_open(&options->endpoint);
     if (fd < 0) {
         set_step_error(error, IBISFIELD_ERROR_IO, "listen", options->name,
                        "%s:%u: %s", options->endpoint.address,
@@ -547,28 +534,14 @@
     server->draining = true;
 }
 
-/// Makes the kernel drop requests for new connections, while those under way
-/// still complete. Closing a listener resets connections that have not been
-/// accepted, and such a caller may already have sent its request.
+/// Makes the kernel drop requests for new connections on all listeners, while
+/// those under way still complete.
 void
 http_server_refuse_connections(http_server_t *server)
 {
-    // Byte 13 of the TCP header holds the flags; a SYN opens a connection.
-    static struct sock_filter drop_syn[] = {
-        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
-        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, 0x02, 0, 1),
-        BPF_STMT(BPF_RET | BPF_K, 0),
-        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
-    };
-    const struct sock_fprog program = {
-        .len = G_N_ELEMENTS(drop_syn),
-        .filter = drop_syn,
-    };
     for (guint i = 0; i < server->listeners->len; i++) {
         http_listener_t *listener = server->listeners->pdata[i];
-        if (setsockopt(h2o_socket_get_fd(listener->socket), SOL_SOCKET,
-                       SO_ATTACH_FILTER, &program, sizeof(program)) != 0)
-        {
+        if (!listen_refuse_connections(h2o_socket_get_fd(listener->socket))) {
             log_warning("listener_filter_failed", "listener=%s error=\"%s\"",
                         listener->options.name, g_strerror(errno));
         }
--- /dev/null
+++ b/src/ibisfield/io/listen.c
@@ -0,0 +1,56 @@
+/// @file
+/// Listening sockets, and how they end without cutting a caller.
+
+#include "ibisfield/io/listen.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <linux/filter.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/// Returns a non-blocking listening socket, -1 with errno set if the address
+/// can't be used.
+int
+listen_open(const endpoint_t *endpoint)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(endpoint->port)};
+    inet_pton(AF_INET, endpoint->address, &address.sin_addr);
+    const int on = 1;
+    if (fd >= 0 &&
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
+        bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
+        listen(fd, SOMAXCONN) == 0)
+    {
+        return fd;
+    }
+    int failure = errno;
+    if (fd >= 0) {
+        close(fd);
+    }
+    errno = failure;
+    return -1;
+}
+
+/// Makes the kernel drop requests for new connections, while those under way
+/// still complete. Closing a listener resets connections that have not been
+/// accepted, and such a caller may already have sent its request.
+bool
+listen_refuse_connections(int fd)
+{
+    // Byte 13 of the TCP header holds the flags; a SYN opens a connection.
+    static struct sock_filter drop_syn[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, 0x02, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    const struct sock_fprog program = {
+        .len = sizeof(drop_syn) / sizeof(drop_syn[0]),
+        .filter = drop_syn,
+    };
+    return setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                      sizeof(program)) == 0;
+}
--- /dev/null
+++ b/src/ibisfield/io/listen.h
@@ -0,0 +1,11 @@
+#ifndef IBISFIELD_IO_LISTEN_H
+#define IBISFIELD_IO_LISTEN_H
+
+#include <stdbool.h>
+
+#include "ibisfield/contract/settings_defs.h"
+
+int listen_open(const endpoint_t *endpoint);
+bool listen_refuse_connections(int fd);
+
+#endif
--- /dev/null
+++ b/src/ibisfield/io/log_limit.h
@@ -0,0 +1,29 @@
+#ifndef IBISFIELD_IO_LOG_LIMIT_H
+#define IBISFIELD_IO_LOG_LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisfield/base/clock.h"
+
+/// Log lines of one event in one second; the metrics count every event. A
+/// peer must not be able to fill the log.
+#define LOG_LIMIT_PER_S 20
+
+/// Limits the log lines of one event; zero-initialised.
+typedef struct {
+    int64_t second_us; ///< start of the present second
+    uint32_t lines;
+} log_limit_t;
+
+static inline bool
+log_limit_allows(log_limit_t *limit, const clock_source_t *clock)
+{
+    int64_t now_us = clock_now_us(clock);
+    if (limit->second_us == 0 || now_us - limit->second_us >= US_PER_S) {
+        *limit = (log_limit_t){.second_us = now_us};
+    }
+    return limit->lines++ < LOG_LIMIT_PER_S;
+}
+
+#endif
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -212,6 +212,27 @@
     release_guarded(guarded);
 }
 
+static bool
+may_log(peer_server_t *server)
+{
+    return log_limit_allows(&server->refusal_lines,
+                            server->options.spans->clock);
+}
+
+static void
+refuse_protocol(peer_server_t *server, http_request_t *request,
+                slice_t protocol)
+{
+    metric_increment(METRIC_PROTOCOL_REFUSALS_TOTAL);
+    if (may_log(server)) {
+        log_warning("protocol_version_refused",
+                    "found=\"%.*s\" expected=" PROTOCOL_VERSION,
+                    (int)MIN(protocol.len, 32),
+                    protocol.data == NULL ? "" : protocol.data);
+    }
+    refuse(request, REASON_PROTOCOL_VERSION);
+}
+
 /// Takes a request of another node.
 void
 peer_server_handle(void *context, http_request_t *request)
@@ -219,12 +240,7 @@
     peer_server_t *server = context;
     slice_t protocol = http_request_header(request, HEADER_PROTOCOL);
     if (!slice_equal_string(protocol, PROTOCOL_VERSION)) {
-        metric_increment(METRIC_PROTOCOL_REFUSALS_TOTAL);
-        log_warning("protocol_version_refused",
-                    "found=\"%.*s\" expected=" PROTOCOL_VERSION,
-                    (int)MIN(protocol.len, 32),
-                    protocol.data == NULL ? "" : protocol.data);
-        refuse(request, REASON_PROTOCOL_VERSION);
+        refuse_protocol(server, request, protocol);
         return;
     }
     if (http_request_header(request, HEADER_FROM_PEER).data != NULL) {
@@ -234,8 +250,10 @@
     guard_request_t taken = {0};
     if (!read_guard_request(&taken, request)) {
         metric_increment(METRIC_REQUESTS_MALFORMED_TOTAL);
-        log_warning("peer_request_malformed", "path=\"%.*s\"",
-                    (int)request->path.len, request->path.data);
+        if (may_log(server)) {
+            log_warning("peer_request_malformed", "path=\"%.*s\"",
+                        (int)request->path.len, request->path.data);
+        }
         refuse(request, REASON_MALFORMED);
         return;
     }
--- a/src/ibisfield/io/peer_server.h
+++ b/src/ibisfield/io/peer_server.h
@@ -4,6 +4,7 @@
 #include "ibisfield/call/guard.h"
 #include "ibisfield/io/caller_server.h"
 #include "ibisfield/io/http_server.h"
+#include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/span.h"
 #include "ibisfield/io/upstream_client.h"
 
@@ -22,6 +23,7 @@
     peer_server_options_t options;
     /// Answer of the upstream whose result the guard is being told.
     const http_answer_t *current;
+    log_limit_t refusal_lines;
 } peer_server_t;
 
 void peer_server_init(peer_server_t *server,
--- a/src/ibisfield/io/upstream_client.c
+++ b/src/ibisfield/io/upstream_client.c
@@ -125,11 +125,16 @@
         return UPSTREAM_CONNECT_FAILED;
     case HTTP_TOO_LARGE:
         metric_increment(METRIC_UPSTREAM_ANSWERS_TOO_LARGE_TOTAL);
-        log_warning("upstream_answer_too_large", "status=%d", answer->status);
+        if (log_limit_allows(&client->answer_lines, client->loop->clock)) {
+            log_warning("upstream_answer_too_large", "status=%d",
+                        answer->status);
+        }
         return UPSTREAM_TOO_LARGE;
     default:
         metric_increment(METRIC_UPSTREAM_ANSWERS_LOST_TOTAL);
-        log_warning("upstream_answer_lost", "error=\"%s\"", answer->error);
+        if (log_limit_allows(&client->answer_lines, client->loop->clock)) {
+            log_warning("upstream_answer_lost", "error=\"%s\"", answer->error);
+        }
         return UPSTREAM_LOST;
     }
 }
--- a/src/ibisfield/io/upstream_client.h
+++ b/src/ibisfield/io/upstream_client.h
@@ -4,6 +4,7 @@
 #include "ibisfield/call/guard.h"
 #include "ibisfield/contract/settings_defs.h"
 #include "ibisfield/io/http_client.h"
+#include "ibisfield/io/log_limit.h"
 
 typedef void (*upstream_draining_t)(void *context, bool draining);
 
@@ -16,6 +17,7 @@
     upstream_draining_t draining_changed;
     void *context;
     bool draining;
+    log_limit_t answer_lines;
     bool failing; ///< the last connect failed
 } upstream_client_t;
 
