--- a/test/fuzz/common/call_adapters.c
+++ b/test/fuzz/common/call_adapters.c
@@ -225,8 +225,9 @@
     run->account_open = request_id != 0;
     run->fault = world->run_fault;
     world->run_fault = RUN_NORMAL;
-    run->due_us =
-        world->now_us + (run->fault == RUN_SLOW ? SLOW_RUN_US : RUN_US);
+    run->due_us = run->fault == RUN_HANGS  ? INT64_MAX
+                  : run->fault == RUN_SLOW ? world->now_us + SLOW_RUN_US
+                                           : world->now_us + RUN_US;
     exchange->run = run;
     oracle_run(world, run, budget_us);
 }
@@ -461,7 +462,8 @@
     }
     static const upstream_result_t results[RUN_FAULTS] = {
         UPSTREAM_ANSWERED, UPSTREAM_CONNECT_FAILED, UPSTREAM_SHED,
-        UPSTREAM_LOST,     UPSTREAM_TOO_LARGE,      UPSTREAM_ANSWERED};
+        UPSTREAM_LOST,     UPSTREAM_TOO_LARGE,      UPSTREAM_ANSWERED,
+        UPSTREAM_LOST};
     run->ended = true;
     guard_upstream_done(&node->guard, run->guard_handle, results[run->fault]);
 }
--- a/test/fuzz/common/call_world.h
+++ b/test/fuzz/common/call_world.h
@@ -32,6 +32,7 @@
     RUN_LOST,
     RUN_TOO_LARGE,
     RUN_SLOW,
+    RUN_HANGS, ///< no answer ever
     RUN_FAULTS
 } run_fault_t;
 
