--- a/test/functional/test_config.c
+++ b/test/functional/test_config.c
@@ -161,7 +161,7 @@
 static bool
 has_all_watches(void *context)
 {
-    return platform_stat(context, "waiting") == 2 * 3 * 2;
+    return platform_stat(context, "waiting") == 2L * 3 * 2;
 }
 
 /// Guards against a change that misses a node, against nodes that all watch
