--- a/test/functional/test_shutdown.c
+++ b/test/functional/test_shutdown.c
@@ -69,7 +69,7 @@
 book(const testbed_vm_t *vm, const char *key)
 {
     char *header =
-        g_strdup_printf("host: acme.example\r\nibisfield-key: %s", key);
+        g_strdup_printf("host: acme.example\nibisfield-key: %s", key);
     answer_text_t answer =
         call(vm->address, PORT_CALLER, "POST", "/book", header, "tent");
     g_free(header);
