--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -349,6 +349,7 @@
     entry_caller_gone(&entry, call);
     CU_ASSERT_TRUE(sent[0].cancelled);
     CU_ASSERT_EQUAL(callers[0].answers, 0);
+    CU_ASSERT_EQUAL(entry_in_flight(&entry), 0);
     request(1, false, "");
     manual_clock_advance(&manual, 100 * US_PER_MS);
     entry_tick(&entry);
