--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -144,7 +144,6 @@
         .once = request->key.len > 0,
         .hedge = request->key.len == 0 &&
                  kind_limits(intake->contract, intake->kind).hedge,
-        .egress = request->egress,
         .account = intake->account == NULL ? 0 : request->request_id,
         .units = units_of(intake),
         .source = request->source,
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -132,12 +132,11 @@
 typedef struct {
     call_handle_t handle;
     void *user;
-    bool caller_waits; ///< not answered and not gone
-    bool forwarded;    ///< to the owner of its key
-    bool once;         ///< carries a key
-    bool hedge;        ///< may be hedged
-    bool may_have_run; ///< an attempt was lost
-    bool egress;
+    bool caller_waits;  ///< not answered and not gone
+    bool forwarded;     ///< to the owner of its key
+    bool once;          ///< carries a key
+    bool hedge;         ///< may be hedged
+    bool may_have_run;  ///< an attempt was lost
     key_handle_t key;   ///< 0 if none
     uint64_t account;   ///< egress: holds the units; 0: units is used
     uint32_t units;     ///< extra attempts still to spend
--- a/test/fuzz/common/call_oracle.c
+++ b/test/fuzz/common/call_oracle.c
@@ -157,6 +157,7 @@
         fail("P3", "second answer to one request");
     }
     submission->ended = true;
+    submission->reason = answer->reason;
     if (answer->reason == REASON_NONE) {
         check_identity(world, submission, text);
         return;
@@ -213,6 +214,44 @@
     }
 }
 
+static bool
+was_sent_lately(const world_t *world, const char *key)
+{
+    int64_t since_us =
+        world->now_us - LATE_ANSWER_WAIT_US - 2 * DEADLINE_MS * US_PER_MS;
+    for (guint i = 0; i < world->submissions->len; i++) {
+        const submission_t *submission =
+            g_ptr_array_index(world->submissions, i);
+        if (submission->sent_us > since_us &&
+            strcmp(submission->key, key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// A key whose submissions are all over has an outcome: its owner doesn't
+/// call it running any more. Owners whose clock was stepped wait for longer.
+void
+oracle_settled_key(world_t *world, const submission_t *issued)
+{
+    const node_t *node = &world->nodes[issued->node];
+    if (node->skew_us != 0 || was_sent_lately(world, issued->key)) {
+        return;
+    }
+    submission_t model = {
+        .node = issued->node,
+        .customer = issued->customer,
+        .kind = issued->kind,
+        .body = issued->body,
+        .counted = true,
+    };
+    memcpy(model.key, issued->key, sizeof(model.key));
+    if (world_submit(world, &model)->reason == REASON_IN_PROGRESS) {
+        fail("liveness", "key is running for ever: %s", issued->key);
+    }
+}
+
 /// Every caller is answered once all faults are over and time has passed, and
 /// no call, request or account is left behind.
 void
--- a/test/fuzz/common/call_world.c
+++ b/test/fuzz/common/call_world.c
@@ -250,6 +250,8 @@
     submission->incarnation = node->incarnation;
     submission->ended = submission->gone = submission->told_not_run = false;
     submission->runs = 0;
+    submission->reason = REASON_NONE;
+    submission->sent_us = world->now_us;
     if (submission->root == NULL) {
         submission->root = submission;
         memset(submission->attempts, 0, sizeof(submission->attempts));
--- a/test/fuzz/common/call_world.h
+++ b/test/fuzz/common/call_world.h
@@ -80,6 +80,8 @@
     bool ended;   ///< answered, or its caller or node has gone
     bool gone;    ///< its caller has gone or its node was killed
     bool told_not_run;
+    reason_t reason; ///< of its refusal
+    int64_t sent_us;
     uint32_t runs;
     uint32_t attempts[SERVICES]; ///< root: attempts sent to each service
 } submission_t;
@@ -179,6 +181,7 @@
                    const entry_answer_t *answer, const char *text);
 void oracle_guard_cancel(world_t *world, const exchange_t *exchange);
 void oracle_stop(world_t *world, const node_t *node);
+void oracle_settled_key(world_t *world, const submission_t *issued);
 void oracle_end(world_t *world);
 
 #endif
--- a/test/fuzz/fuzz_calls.c
+++ b/test/fuzz/fuzz_calls.c
@@ -316,6 +316,12 @@
     for (int i = 0; i < 60; i++) {
         world_advance(world, 50 * US_PER_MS);
     }
+    for (int i = 0; i < 13; i++) {
+        world_advance(world, US_PER_S);
+    }
+    for (guint i = 0, count = world->keys->len; i < count; i++) {
+        oracle_settled_key(world, g_ptr_array_index(world->keys, i));
+    }
     for (int i = 0; i < 20; i++) {
         world_advance(world, 15 * US_PER_S);
     }
