Send no second attempt to guards that have just refused the kind

Cause: under overload every refused request spent its units on the other guards, which refuse it too; the minimum worth holds back only what is shed in full. Kept: the refusals cost the guards time that the comparison doesn't model.

--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -41,6 +41,7 @@
     guard_load_t load;
     int64_t load_until_us;
     shed_hint_t shed;
+    refused_kinds_t refused;
     double expected_us; ///< of the attempts outstanding
 } vm_entry_t;
 
@@ -284,8 +285,11 @@
     }
 }
 
+/// Whether every candidate sheds the request. A first attempt is held back
+/// only by the minimum worth, because a kind may be refused in part; another
+/// attempt also by a recent refusal of the same kind.
 static bool
-all_shed(picker_t *picker, int32_t worth)
+all_shed(picker_t *picker, uint64_t kind, int32_t worth, bool first)
 {
     if (!is_on(picker, PICKER_SHED_HINT)) {
         return false;
@@ -293,7 +297,9 @@
     int64_t now_us = clock_now_us(picker->clock);
     for (guint i = 0; i < picker->candidates->len; i++) {
         const vm_entry_t *entry = vm_at(picker, candidate(picker, i));
-        if (!shed_hint_blocks(&entry->shed, worth, now_us)) {
+        if (!shed_hint_blocks(&entry->shed, worth, now_us) &&
+            (first || !refused_kinds_has(&entry->refused, kind, now_us)))
+        {
             return false;
         }
     }
@@ -474,7 +480,7 @@
     if (picker->candidates->len == 0) {
         return PICK_NO_UPSTREAM;
     }
-    if (all_shed(picker, worth)) {
+    if (all_shed(picker, kind, worth, tried_count == 0)) {
         return PICK_SHED;
     }
     double latency_us = kind_latency_mean_us(picker->latencies, kind);
@@ -565,6 +571,7 @@
     case REPORT_REFUSED:
         kind_latency_refused(picker->latencies, kind, now_us);
         vm_health_refused(&entry->health, now_us);
+        refused_kinds_note(&entry->refused, kind, now_us);
         entry->service->refused_us = now_us;
         break;
     case REPORT_LEAVING:
--- a/src/ibisfield/routing/shed_hint.c
+++ b/src/ibisfield/routing/shed_hint.c
@@ -1,9 +1,29 @@
 /// @file
-/// Remembers for a short time which worth a guard sheds, so that requests it
-/// would refuse anyway aren't sent.
+/// Remembers for a short time what a guard sheds, so that requests it would
+/// refuse anyway aren't sent.
 
 #include "ibisfield/routing/shed_hint.h"
 
+/// How long a refusal keeps further attempts of the same kind away.
+#define REFUSED_LIFE_US INT64_C(100000)
+
+/// Notes that the guard refused a request of this kind for overload.
+void
+refused_kinds_note(refused_kinds_t *refused, uint64_t kind, int64_t now_us)
+{
+    refused->kinds[kind % REFUSED_KINDS] = kind;
+    refused->until_us[kind % REFUSED_KINDS] = now_us + REFUSED_LIFE_US;
+}
+
+/// Whether the guard refused this kind lately.
+bool
+refused_kinds_has(const refused_kinds_t *refused, uint64_t kind,
+                  int64_t now_us)
+{
+    return refused->kinds[kind % REFUSED_KINDS] == kind &&
+           now_us < refused->until_us[kind % REFUSED_KINDS];
+}
+
 /// Notes a report; a later one replaces it.
 void
 shed_hint_note(shed_hint_t *hint, int32_t min_worth, int64_t now_us)
--- a/test/unit/test_picker.c
+++ b/test/unit/test_picker.c
@@ -299,6 +299,38 @@
     picker_finish(&picker);
 }
 
+static int
+count_second_attempts(uint64_t kind)
+{
+    vm_handle_t tried = 0;
+    int sent = 0;
+    for (int i = 0; i < 100; i++) {
+        vm_handle_t vm;
+        if (picker_pick(&picker, "s", kind, 10, &tried, 1, &vm) == PICK_OK) {
+            picker_report(&picker, vm, kind, REPORT_CANCELLED, 0, NULL);
+            sent++;
+        }
+    }
+    return sent;
+}
+
+/// Guards against spending every unit of a refused request on guards that
+/// have just refused its kind, and against holding first attempts back.
+static void
+test_refused_kind_is_not_tried_again_at_once(void)
+{
+    start(3);
+    report_all(REPORT_REFUSED, 0);
+    CU_ASSERT_TRUE(count_second_attempts(KIND) < 20);
+    CU_ASSERT_EQUAL(count_second_attempts(KIND + 1), 100);
+    for (int i = 0; i < 50; i++) {
+        CU_ASSERT_EQUAL(try_pick(10), PICK_OK);
+    }
+    manual_clock_advance(&test_clock, 101 * US_PER_MS);
+    CU_ASSERT_EQUAL(count_second_attempts(KIND), 100);
+    picker_finish(&picker);
+}
+
 /// Guards against hedges that nothing was learned for, that come before most
 /// answers, or that add to an overload.
 static void
@@ -449,6 +481,7 @@
         {"overload of others", test_overload_of_others_ejects_nobody},
         {"shed hint", test_shed_worth_is_held_back_for_a_moment},
         {"late hint", test_answers_do_not_hold_back},
+        {"refused kind", test_refused_kind_is_not_tried_again_at_once},
         {"hedge delay", test_hedges_only_late_and_without_overload},
         {"leaving", test_leaving_vms_get_no_work},
         {"tried", test_tried_vms_are_avoided},
