--- a/test/functional/test_config.c
+++ b/test/functional/test_config.c
@@ -8,7 +8,7 @@
 #include "common/testbed.h"
 
 #define CONTRACT "contract/acme"
-#define RACING_CHANGES 40
+#define RACING_CHANGES INT64_C(40)
 
 /// What a test waits for: a contract at a version on the VMs from @p first.
 typedef struct {
@@ -161,7 +161,7 @@
 static bool
 has_all_watches(void *context)
 {
-    return platform_stat(context, "waiting") == 2 * 3 * 2;
+    return platform_stat(context, "waiting") == INT64_C(2) * 3 * 2;
 }
 
 /// Guards against a change that misses a node, against nodes that all watch
