Run timers inside h2o's loop, so that it frees no socket in use

The kernel's message showed a jump into freed memory.

h2o frees closed sockets before it polls and runs its list of pending sockets after that. Inside its callbacks the list is empty by then. Timers ran outside h2o: a timer that wrote to a socket and then closed it (an attempt that starts and is cancelled in one round, as with a hedge) left a freed socket on the list.

Timers now run from an h2o timeout, after which h2o empties the list itself. The round without sleep after a timer is not needed any more.

--- a/src/ibisfield/io/loop.c
+++ b/src/ibisfield/io/loop.c
@@ -54,11 +54,12 @@
     return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
 }
 
-/// Runs the timers that are due now. Returns whether any ran.
-static bool
-run_timers(loop_t *loop)
+/// Runs the timers that are due now. It is called by h2o: what a timer leaves
+/// on h2o's list of pending sockets is run before h2o frees closed sockets.
+static void
+run_timers(h2o_timeout_entry_t *entry)
 {
-    bool ran = false;
+    loop_t *loop = H2O_STRUCT_FROM_MEMBER(loop_t, due_entry, entry);
     int64_t now_us = clock_now_us(loop->clock);
     loop_timer_t *timer;
     while (!loop->stopped && (timer = first_timer(loop)) != NULL &&
@@ -66,9 +67,15 @@
     {
         loop_timer_stop(loop, timer);
         timer->callback(timer->context);
-        ran = true;
     }
-    return ran;
+}
+
+static void
+request_timers(loop_t *loop)
+{
+    if (!h2o_timeout_is_linked(&loop->due_entry)) {
+        h2o_timeout_link(loop->h2o, &loop->due_timeout, &loop->due_entry);
+    }
 }
 
 static int32_t
@@ -97,6 +104,8 @@
     loop->timers = g_sequence_new(NULL);
     loop->messages = g_async_queue_new();
     h2o_timeout_init(loop->h2o, &loop->idle_timeout, LOOP_H2O_TIMEOUT_MS);
+    h2o_timeout_init(loop->h2o, &loop->due_timeout, 0);
+    loop->due_entry.cb = run_timers;
     loop->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     if (loop->wake_fd < 0) {
         g_error("event=eventfd_failed error=\"%s\"", g_strerror(errno));
@@ -121,6 +130,10 @@
     }
     g_async_queue_unref(loop->messages);
     g_sequence_free(loop->timers);
+    if (h2o_timeout_is_linked(&loop->due_entry)) {
+        h2o_timeout_unlink(&loop->due_entry);
+    }
+    h2o_timeout_dispose(loop->h2o, &loop->due_timeout);
     h2o_timeout_dispose(loop->h2o, &loop->idle_timeout);
     h2o_evloop_destroy(loop->h2o);
 }
@@ -131,10 +144,11 @@
 {
     loop->stopped = false;
     while (!loop->stopped) {
-        // A timer may leave work on h2o's pending list, which h2o runs only
-        // after it has polled. It must not sleep in that poll.
-        bool ran = run_timers(loop);
-        h2o_evloop_run(loop->h2o, ran ? 0 : sleep_ms(loop));
+        int32_t wait_ms = sleep_ms(loop);
+        if (wait_ms == 0) {
+            request_timers(loop);
+        }
+        h2o_evloop_run(loop->h2o, wait_ms);
     }
 }
 
@@ -157,6 +171,9 @@
     timer->due_us = clock_now_us(loop->clock) + delay_us;
     timer->position =
         g_sequence_insert_sorted(loop->timers, timer, compare_timers, NULL);
+    if (delay_us <= 0) {
+        request_timers(loop);
+    }
 }
 
 /// Disarms the timer; no effect if it isn't armed.
--- a/src/ibisfield/io/loop.h
+++ b/src/ibisfield/io/loop.h
@@ -31,6 +31,8 @@
     GAsyncQueue *messages;      ///< of other threads
     h2o_socket_t *wake_socket;  ///< eventfd behind loop_post()
     h2o_timeout_t idle_timeout; ///< h2o's own limit; never reached in use
+    h2o_timeout_t due_timeout;  ///< runs the due timers inside h2o's loop
+    h2o_timeout_entry_t due_entry;
     int wake_fd;
     bool stopped;
 };
