--- a/bench/compare.c
+++ b/bench/compare.c
@@ -22,27 +22,84 @@
     RUN_SHORT_WITH_LONG,
     RUN_NONE_SLOW,
     RUN_SLOWED,
+    RUN_SQUEEZED,
     RUN_CHAIN,
     RUN_COUNT,
 } run_id_t;
 
 static const scenario_t scenarios[RUN_COUNT] = {
-    [RUN_TWICE] = {"twice", NULL, 2, 5 * S, S, .client_tries = 1,
+    [RUN_TWICE] = {.name = "twice",
+                   .load = 2,
+                   .end_us = 6 * S,
+                   .from_us = 2 * S,
+                   .client_tries = 1,
                    .long_factor = 1},
-    [RUN_FIVE] = {"five", NULL, 5, 4 * S, S, .client_tries = 1,
+    [RUN_FIVE] = {.name = "five",
+                  .load = 5,
+                  .end_us = 5 * S,
+                  .from_us = 2 * S,
+                  .client_tries = 1,
                   .long_factor = 1},
-    [RUN_RECOVERY] = {"recovery", NULL, 0.8, 13 * S, S, 1.6, 3 * S, 5 * S, 3,
-                      4, false, 3 * S, 5 * S, 6, 1},
-    [RUN_SHORT_ALONE] = {"short-alone", NULL, 0.4, 6 * S, S, .client_tries = 1,
-                         .long_factor = 0},
-    [RUN_SHORT_WITH_LONG] = {"long", NULL, 0.4, 6 * S, S, .client_tries = 1,
+    [RUN_RECOVERY] = {.name = "recovery",
+                      .load = 0.8,
+                      .end_us = 13 * S,
+                      .from_us = S,
+                      .surge = 1.6,
+                      .surge_from_us = 3 * S,
+                      .surge_end_us = 5 * S,
+                      .slow_service = 3,
+                      .slow_factor = 4,
+                      .slow_from_us = 3 * S,
+                      .slow_end_us = 5 * S,
+                      .client_tries = 6,
+                      .long_factor = 1},
+    [RUN_SHORT_ALONE] = {.name = "short-alone",
+                         .load = 0.4,
+                         .end_us = 8 * S,
+                         .from_us = 2 * S,
+                         .client_tries = 1},
+    [RUN_SHORT_WITH_LONG] = {.name = "long",
+                             .load = 0.4,
+                             .end_us = 8 * S,
+                             .from_us = 2 * S,
+                             .client_tries = 1,
                              .long_factor = 12},
-    [RUN_NONE_SLOW] = {"none-slow", NULL, 0.5, 7 * S, S, .client_tries = 1,
-                       .long_factor = 0},
-    [RUN_SLOWED] = {"slowed", NULL, 0.5, 7 * S, S, 0, 0, 0, NONE, 10, false, S,
-                    60 * S, 1, 0},
-    [RUN_CHAIN] = {"chain", "chain", 1, 5 * S, S, 0, 0, 0, 9, 4, false, 2 * S,
-                   4 * S, 1, 1},
+    [RUN_NONE_SLOW] = {.name = "none-slow",
+                       .load = 0.5,
+                       .end_us = 7 * S,
+                       .from_us = S,
+                       .client_tries = 1},
+    [RUN_SLOWED] = {.name = "slowed",
+                    .load = 0.5,
+                    .end_us = 7 * S,
+                    .from_us = S,
+                    .slow_service = NONE,
+                    .slow_factor = 10,
+                    .slow_from_us = S,
+                    .slow_end_us = 60 * S,
+                    .client_tries = 1},
+    [RUN_SQUEEZED] = {.name = "squeezed",
+                      .load = 0.9,
+                      .end_us = 8 * S,
+                      .from_us = S,
+                      .slow_service = NONE,
+                      .slow_factor = 4,
+                      .squeeze = true,
+                      .slow_from_us = S,
+                      .slow_end_us = 5 * S,
+                      .client_tries = 1,
+                      .long_factor = 1},
+    [RUN_CHAIN] = {.name = "chain",
+                   .deployment = "chain",
+                   .load = 1,
+                   .end_us = 5 * S,
+                   .from_us = S,
+                   .slow_service = 9,
+                   .slow_factor = 4,
+                   .slow_from_us = 2 * S,
+                   .slow_end_us = 4 * S,
+                   .client_tries = 1,
+                   .long_factor = 1},
 };
 
 static const variant_t rules[] = {
@@ -188,7 +245,7 @@
 run_rows(const options_t *options, const char *deployment,
          const variant_t *variants, size_t count, row_t *rows)
 {
-    int *ends = g_new(int, count);
+    int *ends = g_new0(int, count);
     size_t started = 0;
     for (size_t i = 0; i < count; i++) {
         while (started < count && started < i + options->jobs) {
@@ -265,6 +322,11 @@
             printf(" %s %.3f", deployment->kinds[i].name, run->served[i]);
         }
     }
+    printf("\n   ");
+    for (uint32_t i = 0; i < deployment->service_count; i++) {
+        printf(" %s %.3f of %.3f", deployment->services[i].name,
+               run->service[i], run->busy[i]);
+    }
     printf("\n");
 }
 
