--- a/test/fuzz/common/call_world.c
+++ b/test/fuzz/common/call_world.c
@@ -35,7 +35,7 @@
         bool once = i % KINDS_PER_SERVICE == 1;
         kind_t *kind = &world->kinds[i];
         *kind = (kind_t){
-            .worth = (int32_t)(10 + 10 * i),
+            .worth = (int32_t)(70 - 10 * i),
             .deadline_ms = DEADLINE_MS,
             .resend_s = once ? KEY_LIFE_S : 0,
             .run = once ? RUN_ONCE : RUN_REPEATABLE,
@@ -88,6 +88,9 @@
     admission_options_t admission = {.slots = 2, .queue_max = 3, .seed = 5};
     guard_init(&node->guard, &node->clock.base, &node->guard_io,
                &node->accounts, &admission);
+    guard_set_service(
+        &node->guard,
+        world->kinds[service_of_node(number) * KINDS_PER_SERVICE].service);
     entry_options_t options = {
         .clock = &node->clock.base,
         .io = &node->entry_io,
@@ -254,9 +257,12 @@
     const kind_t *kind = &world->kinds[submission->kind];
     submission->once = kind->run == RUN_ONCE;
     const exchange_t *via = submission->via;
+    // An upstream names another customer; that of its account holds.
+    uint32_t named = submission->parent != NULL && submission->counted
+                         ? (submission->customer + 1) % CUSTOMERS
+                         : submission->customer;
     const char *customer =
-        via == NULL ? world->contracts[submission->customer].customer
-                    : via->info.customer;
+        via == NULL ? world->contracts[named].customer : via->info.customer;
     entry_request_t request = {
         .customer = slice_from_string(customer),
         .method = SLICE_LITERAL("GET"),
