Name the live peers in the status of a node

Cause: status showed only how many peers a node had contacted, seeds that never answered among them (seen: 2 with no other node running). A peer is live for 10 s after its last valid reply.

--- a/src/ibisfield/cli/status_summary.c
+++ b/src/ibisfield/cli/status_summary.c
@@ -101,6 +101,24 @@
     }
 }
 
+static void
+append_peers(struct json_object *configuration, GString *out)
+{
+    struct json_object *live = member(configuration, "live_peers");
+    size_t count = json_object_is_type(live, json_type_array)
+                       ? json_object_array_length(live)
+                       : 0;
+    g_string_append_printf(out, "  live peers: %zu of %" PRId64 " contacted",
+                           count, number(configuration, "peers"));
+    for (size_t i = 0; i < count; i++) {
+        char *text = g_strescape(
+            json_object_get_string(json_object_array_get_idx(live, i)), NULL);
+        g_string_append_printf(out, "%s%s", i == 0 ? ": " : ", ", text);
+        g_free(text);
+    }
+    g_string_append_c(out, '\n');
+}
+
 static void
 append_shed(struct json_object *status, GString *out)
 {
@@ -132,9 +150,9 @@
     append_identity(status, out);
     append_contracts(configuration, out);
     append_refused(configuration, out);
-    g_string_append_printf(
-        out, "  peers contacted: %" PRId64 ", VMs listed: %" PRId64 "\n",
-        number(configuration, "peers"), number(status, "vms_listed"));
+    append_peers(configuration, out);
+    g_string_append_printf(out, "  VMs listed: %" PRId64 "\n",
+                           number(status, "vms_listed"));
     g_string_append_printf(
         out,
         "  limit: %" PRId64 " at once; %" PRId64 " run, %" PRId64
--- a/src/ibisfield/io/config_agent.c
+++ b/src/ibisfield/io/config_agent.c
@@ -261,9 +261,22 @@
     return contracts;
 }
 
+static struct json_object *
+live_peers(const control_link_t *link)
+{
+    struct json_object *list = json_object_new_array();
+    GPtrArray *peers = control_link_live_peers(link);
+    for (guint i = 0; i < peers->len; i++) {
+        json_object_array_add(list, json_object_new_string(peers->pdata[i]));
+    }
+    g_ptr_array_unref(peers);
+    return list;
+}
+
 /// Adds the object "configuration" to @p status: readiness, role, contracts in
 /// force with their versions, refused versions with their problems, the
-/// revisions known, the readers of the data centre and the number of peers.
+/// revisions known, the readers of the data centre, the number of peers and
+/// those that are live.
 void
 config_agent_write_status(const config_agent_t *agent,
                           struct json_object *status)
@@ -286,6 +299,7 @@
     json_object_object_add(
         own, "peers",
         json_object_new_uint64(control_link_peer_count(agent->link)));
+    json_object_object_add(own, "live_peers", live_peers(agent->link));
     for (int i = 0; i < LIST_COUNT; i++) {
         json_object_object_add(
             own, i == LIST_VMS ? "vm_revision" : "contract_revision",
--- a/src/ibisfield/io/control_link.c
+++ b/src/ibisfield/io/control_link.c
@@ -25,12 +25,16 @@
 #define RECONNECT_MAX_MS 1000
 #define PEERS_MAX 64
 #define PEER_IDLE_US (15 * US_PER_S)
+/// A peer counts as live this long after its last valid reply: two rounds of
+/// anti-entropy.
+#define PEER_LIVE_US (10 * US_PER_S)
 #define SWEEP_INTERVAL_US US_PER_S
 
 typedef struct {
     nng_socket socket;
     char *key;
     int64_t used_us;
+    int64_t replied_us; ///< last valid reply; 0: none
     uint32_t in_flight;
     bool closed;
 } peer_t;
@@ -322,7 +326,7 @@
 }
 
 static void
-report_reply(control_link_t *link, uint64_t exchange, const peer_t *peer,
+report_reply(control_link_t *link, uint64_t exchange, peer_t *peer,
              nng_msg *message)
 {
     control_message_t reply;
@@ -336,6 +340,7 @@
         return;
     }
     control_count_received(reply.type, bytes.len);
+    peer->replied_us = clock_now_us(link->loop->clock);
     if (reply.type == CONTROL_REFUSED) {
         log_warning("control_request_refused", "peer=%s why=\"%s\"", peer->key,
                     reply.text);
@@ -488,6 +493,25 @@
     return g_hash_table_size(link->peers);
 }
 
+/// Returns the addresses of the peers that have replied lately (char *). The
+/// caller frees the list.
+GPtrArray *
+control_link_live_peers(const control_link_t *link)
+{
+    GPtrArray *live = g_ptr_array_new_with_free_func(g_free);
+    int64_t since_us = clock_now_us(link->loop->clock) - PEER_LIVE_US;
+    GHashTableIter iter;
+    void *value = NULL;
+    g_hash_table_iter_init(&iter, link->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const peer_t *peer = value;
+        if (peer->replied_us != 0 && peer->replied_us >= since_us) {
+            g_ptr_array_add(live, g_strdup(peer->key));
+        }
+    }
+    return live;
+}
+
 /// Listens for control messages. Returns NULL and sets @p error if the address
 /// can't be used.
 control_link_t *
--- a/src/ibisfield/io/control_link.h
+++ b/src/ibisfield/io/control_link.h
@@ -25,5 +25,6 @@
                        uint32_t count, const control_message_t *message,
                        uint64_t exchange);
 uint32_t control_link_peer_count(const control_link_t *link);
+GPtrArray *control_link_live_peers(const control_link_t *link);
 
 #endif
--- a/test/functional/test_cli.c
+++ b/test/functional/test_cli.c
@@ -210,7 +210,8 @@
     "\",\"version\":\"1\",\"state\":\"" state                                 \
     "\",\"uptime_s\":9,\"vms_listed\":4,\"guard\":{\"in_flight\":3,"          \
     "\"limit\":85,\"queue\":2,\"service_us\":1200,\"min_worth\":" min_worth   \
-    "},\"configuration\":{\"reader\":true,\"peers\":3,\"contracts\":{"        \
+    "},\"configuration\":{\"reader\":true,\"peers\":3,\"live_peers\":["       \
+    "\"10.0.0.1:1\",\"10.0.0.2:1\"],\"contracts\":{"                          \
     "\"contract/c\":" version "},\"refused\":[{\"name\":\"contract/d\","      \
     "\"version\":8,\"in_force\":7,\"problems\":\"why\\u001b\"}]}}"
 
@@ -231,7 +232,8 @@
                   "  contracts in force: c version 7\n"
                   "  refused item: contract/d version 8, in force 7: "
                   "why\\033\n"
-                  "  peers contacted: 3, VMs listed: 4\n"
+                  "  live peers: 2 of 3 contacted: 10.0.0.1:1, 10.0.0.2:1\n"
+                  "  VMs listed: 4\n"
                   "  limit: 85 at once; 3 run, 2 wait, service time 1200 us\n"
                   "  shed: worth below 60, the guard has no room for it\n",
                   "");
--- a/test/functional/test_control_link.c
+++ b/test/functional/test_control_link.c
@@ -84,6 +84,14 @@
     loop_finish(&fixture->loop);
 }
 
+static void
+assert_live_peers(const control_link_t *link, guint expected)
+{
+    GPtrArray *live = control_link_live_peers(link);
+    CU_ASSERT_EQUAL(live->len, expected);
+    g_ptr_array_unref(live);
+}
+
 /// Guards against requests that are not delivered or not counted by type.
 static void
 test_exchange(void)
@@ -105,6 +113,7 @@
     CU_ASSERT_EQUAL(metric_value(METRIC_CONTROL_HEARTBEAT_RECEIVED_MESSAGES),
                     20);
     CU_ASSERT_EQUAL(control_link_peer_count(fixture.links[0]), 1);
+    assert_live_peers(fixture.links[0], 1);
     control_message_clear(&request);
     stop_fixture(&fixture);
 }
@@ -122,6 +131,7 @@
     loop_run(&fixture.loop);
     CU_ASSERT_EQUAL(fixture.failures, 1);
     CU_ASSERT_EQUAL(metric_value(METRIC_CONTROL_EXCHANGES_FAILED), 1);
+    assert_live_peers(fixture.links[0], 0);
     control_message_clear(&request);
     stop_fixture(&fixture);
 }
