--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -265,6 +265,21 @@
     stop_entry();
 }
 
+/// Guards against a booking that is sent again after bytes of it were sent,
+/// while there are units for another attempt.
+static void
+test_booking_is_not_retried_after_sending(void)
+{
+    start_entry(2);
+    char key[KEY_TEXT_MAX + 1];
+    get_key(key);
+    request(0, true, key);
+    finish_attempt(0, ATTEMPT_LOST, REASON_NONE, 0);
+    CU_ASSERT_EQUAL(sent_count, 1);
+    check_answer(0, REASON_UPSTREAM_FAILED, OUTCOME_UNKNOWN);
+    stop_entry();
+}
+
 /// Guards against a refused key that runs later, and against a refusal that
 /// leaves the caller without a key or a time to try again.
 static void
@@ -513,6 +528,7 @@
     CU_TestInfo tests[] = {
         {"answered and replayed", test_booking_is_answered_and_replayed},
         {"retry of a booking", test_booking_is_retried_only_if_not_run},
+        {"booking after sending", test_booking_is_not_retried_after_sending},
         {"refused key", test_refused_key_is_final},
         {"late answers", test_late_answers_of_keys},
         {"units", test_units_of_a_call},
