--- a/test/functional/common/booking.c
+++ b/test/functional/common/booking.c
@@ -124,6 +124,33 @@
     return ran;
 }
 
+/// Returns the most runs of any key and stores the number of keys that ran.
+int
+most_runs_of_a_key(const testbed_t *bed, int *keys)
+{
+    GHashTable *runs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    char *text = testbed_upstream_logs(bed);
+    char **lines = g_strsplit(text, "\n", -1);
+    int most = 0;
+    for (int i = 0; lines[i] != NULL; i++) {
+        char **words = g_strsplit(lines[i], " ", 3);
+        if (g_strcmp0(words[0], "run") == 0 && words[1][0] != '\0') {
+            int count =
+                1 + GPOINTER_TO_INT(g_hash_table_lookup(runs, words[1]));
+            g_hash_table_replace(runs, g_strdup(words[1]),
+                                 GINT_TO_POINTER(count));
+            most = MAX(most, count);
+        }
+        g_strfreev(words);
+    }
+    *keys = (int)g_hash_table_size(runs);
+    g_hash_table_destroy(runs);
+    g_strfreev(lines);
+    g_free(text);
+    return most;
+}
+
 /// Whether the node of @p vm passes on a whole answer of service "back".
 bool
 can_look(void *vm)
--- a/test/functional/common/booking.h
+++ b/test/functional/common/booking.h
@@ -38,6 +38,7 @@
 int booking_count(const bookings_t *bookings, const booking_t *booking,
                   const char *event);
 int bookings_check(const bookings_t *bookings);
+int most_runs_of_a_key(const testbed_t *bed, int *keys);
 bool can_look(void *vm);
 
 #endif
--- a/test/functional/common/testbed.c
+++ b/test/functional/common/testbed.c
@@ -11,7 +11,7 @@
 #include "common/suite.h"
 
 #define CALL_TIMEOUT_US (30 * US_PER_S)
-#define HEADERS_MAX 4
+#define HEADERS_MAX 8
 
 typedef struct {
     loop_t loop;
@@ -177,8 +177,8 @@
 static char *
 log_path(testbed_t *bed, const char *name)
 {
-    return g_strdup_printf("%s/%02d-%s.log", bed->directory, bed->logs++,
-                           name);
+    return g_strdup_printf("%s/%02d-%s.log", bed->directory,
+                           g_atomic_int_add(&bed->logs, 1), name);
 }
 
 static bool
@@ -347,12 +347,12 @@
     return started;
 }
 
-/// Returns how often the upstreams have printed @p text, those that have ended
-/// included.
-int
-testbed_count_logged(const testbed_t *bed, const char *text)
+/// Returns what all upstreams have printed, those that have ended included;
+/// g_free() it.
+char *
+testbed_upstream_logs(const testbed_t *bed)
 {
-    int count = 0;
+    GString *logs = g_string_new(NULL);
     GDir *dir = g_dir_open(bed->directory, 0, NULL);
     const char *name;
     while (dir != NULL && (name = g_dir_read_name(dir)) != NULL) {
@@ -361,10 +361,7 @@
         if (g_str_has_suffix(name, "-upstream.log") &&
             g_file_get_contents(path, &log, NULL, NULL))
         {
-            const char *at = log;
-            for (; (at = strstr(at, text)) != NULL; at++) {
-                count++;
-            }
+            g_string_append(logs, log);
         }
         g_free(log);
         g_free(path);
@@ -372,6 +369,20 @@
     if (dir != NULL) {
         g_dir_close(dir);
     }
+    return g_string_free(logs, FALSE);
+}
+
+/// Returns how often the upstreams have printed @p text.
+int
+testbed_count_logged(const testbed_t *bed, const char *text)
+{
+    int count = 0;
+    char *logs = testbed_upstream_logs(bed);
+    const char *at = logs;
+    for (; (at = strstr(at, text)) != NULL; at++) {
+        count++;
+    }
+    g_free(logs);
     return count;
 }
 
--- a/test/functional/common/testbed.h
+++ b/test/functional/common/testbed.h
@@ -55,6 +55,7 @@
 bool testbed_start_upstream(testbed_t *bed, testbed_vm_t *vm);
 bool testbed_publish_vm(testbed_t *bed, const testbed_vm_t *vm,
                         const char *state);
+char *testbed_upstream_logs(const testbed_t *bed);
 int testbed_count_logged(const testbed_t *bed, const char *text);
 bool testbed_publish(testbed_t *bed, const char *name, const char *value);
 bool testbed_wait_ready(testbed_t *bed);
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -8,6 +8,7 @@
 ///     POST /test/drain      reports draining from now on
 ///     POST /test/service/N  service time of all paths in microseconds
 ///     POST /test/half/N     every Nth answer is cut in its middle; 0: none
+///     POST /test/reset/N    every Nth answer is a reset; 0: none
 ///     POST /test/shed/N     sheds while N requests are held; 0: never
 ///     POST /test/hold/N     1: no run ends until 0 is posted
 ///     POST /test/late/N     every Nth run ends after all others of its time;
@@ -73,6 +74,7 @@
     bool hold;
     bool log_runs;
     int32_t late_every;
+    int32_t reset_every;
 } upstream = {.name = "upstream", .slots = 8};
 
 static void start_jobs(void);
@@ -129,6 +131,18 @@
     }
 }
 
+/// Ends the connection with a reset.
+static void
+answer_reset(const http_request_t *request)
+{
+    static const struct sockaddr none = {.sa_family = AF_UNSPEC};
+    h2o_socket_t *socket =
+        request->h2o->conn->callbacks->get_socket(request->h2o->conn);
+    if (connect(h2o_socket_get_fd(socket), &none, sizeof(none)) != 0) {
+        perror("reset");
+    }
+}
+
 static void
 log_run(const char *event, const http_request_t *request)
 {
@@ -156,6 +170,12 @@
         answer_half(request);
         return;
     }
+    if (upstream.reset_every > 0 &&
+        upstream.answers % (uint64_t)upstream.reset_every == 0)
+    {
+        answer_reset(request);
+        return;
+    }
     slice_t id = http_request_header(request, "x-request-id");
     GString *body = g_string_new(NULL);
     g_string_append_printf(body, "{\"id\": \"%.*s\", \"by\": \"%s\"}\n",
@@ -310,6 +330,9 @@
     else if (slice_starts_with(path, SLICE_LITERAL("/test/half/"))) {
         upstream.half_every = number_after(path, "/test/half/");
     }
+    else if (slice_starts_with(path, SLICE_LITERAL("/test/reset/"))) {
+        upstream.reset_every = number_after(path, "/test/reset/");
+    }
     else if (slice_starts_with(path, SLICE_LITERAL("/test/shed/"))) {
         upstream.shed_above = number_after(path, "/test/shed/");
     }
