Serve a source again that polls after an overload

Cause: a refusal with 429 by the client retry budget was recorded like any other refusal, so each poll prolonged the time in which the next one counts as a retry. A source that asked faster than its Retry-After was refused for good once its bucket was empty, long after the cause had ended. Found by test_faults_leaving, whose caller polls every 10 ms: it got no answer within 60 s after the only VM of a service had come back. Ruled out: the time for which a VM that said 'leaving' is avoided (10 s). After: refusals by the budget aren't recorded. The new unit test 'polling source' fails without the change (refused < 16 is false) and passes with it.

--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -53,8 +53,12 @@
         g_strlcpy(answer.fresh_key, fresh_key, sizeof(answer.fresh_key));
     }
     const entry_request_t *request = intake->request;
+    // A refusal by the budget itself doesn't prolong the time in which
+    // requests count as retries: a source that polls would never be served
+    // again.
     if (outcome == OUTCOME_NOT_RUN && answer.retry_after_ms > 0 &&
-        intake->kind != NULL && request->source != 0)
+        reason != REASON_CUSTOMER_RETRY_BUDGET && intake->kind != NULL &&
+        request->source != 0)
     {
         client_retry_budget_refused(
             entry->options.client_retries,
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -260,7 +260,9 @@
     if (!call->once) {
         cancel_attempts(entry, call);
     }
-    if (call->caller_waits && outcome == OUTCOME_NOT_RUN) {
+    if (call->caller_waits && outcome == OUTCOME_NOT_RUN &&
+        reason != REASON_CUSTOMER_RETRY_BUDGET)
+    {
         note_refusal(entry, call, answer.retry_after_ms);
     }
     answer_caller(entry, call, &answer);
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -506,6 +506,30 @@
     stop_entry();
 }
 
+/// Guards against a source that polls and is refused for good after an
+/// overload, because each refusal by the budget makes the next one a retry.
+static void
+test_polling_source_is_served_again(void)
+{
+    start_entry(0);
+    for (uint32_t i = 0; i < 3; i++) {
+        CU_ASSERT_NOT_EQUAL(request(i, false, ""), 0);
+    }
+    for (int i = 0; i < 20; i++) {
+        CU_ASSERT_EQUAL(request(3, false, ""), 0);
+    }
+    CU_ASSERT_EQUAL(callers[3].answer.reason, REASON_CUSTOMER_RETRY_BUDGET);
+    finish_attempt(0, ATTEMPT_ANSWERED, REASON_NONE, 0);
+    // The highest Retry-After is 1.5 s.
+    int refused = 0;
+    while (refused < 16 && request(3, false, "") == 0) {
+        manual.now_us += 100 * US_PER_MS;
+        refused++;
+    }
+    CU_ASSERT_TRUE(refused < 16);
+    stop_entry();
+}
+
 int
 main(void)
 {
@@ -521,6 +545,7 @@
         {"keys of other nodes", test_keys_of_other_nodes},
         {"early refusals", test_early_refusals},
         {"full entry", test_full_entry},
+        {"polling source", test_polling_source_is_served_again},
         CU_TEST_INFO_NULL,
     };
     return run_suite("entry", tests);
