--- a/test/unit/test_limiter.c
+++ b/test/unit/test_limiter.c
@@ -7,6 +7,7 @@
 #include "ibisfield/base/clock.h"
 
 #define SLOTS 100
+#define EFFECTIVE_SLOTS 25
 #define USUAL_US 50000.0
 #define PERIOD_US (300 * US_PER_MS)
 
@@ -27,7 +28,7 @@
     case SLOW:
         return 10;
     case SQUEEZED:
-        return running > SLOTS / 4 ? running / (SLOTS / 4) : 1;
+        return running > EFFECTIVE_SLOTS ? running / EFFECTIVE_SLOTS : 1;
     default:
         return 1;
     }
