--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -174,6 +174,7 @@
     int64_t retries = 0;
     out->customer = http_request_header(request, HEADER_CUSTOMER);
     out->kind = http_request_header(request, HEADER_KIND);
+    out->service = http_request_header(request, HEADER_SERVICE);
     out->once = http_request_header(request, HEADER_ONCE).data != NULL;
     bool valid = out->customer.len > 0 && out->kind.len > 0 &&
                  parse_number(http_request_header(request, HEADER_WORTH),
@@ -211,6 +212,27 @@
     release_guarded(guarded);
 }
 
+static bool
+may_log(peer_server_t *server)
+{
+    return log_limit_allows(&server->refusal_lines,
+                            server->options.spans->clock);
+}
+
+static void
+refuse_protocol(peer_server_t *server, http_request_t *request,
+                slice_t protocol)
+{
+    metric_increment(METRIC_PROTOCOL_REFUSALS_TOTAL);
+    if (may_log(server)) {
+        log_warning("protocol_version_refused",
+                    "found=\"%.*s\" expected=" PROTOCOL_VERSION,
+                    (int)MIN(protocol.len, 32),
+                    protocol.data == NULL ? "" : protocol.data);
+    }
+    refuse(request, REASON_PROTOCOL_VERSION);
+}
+
 /// Takes a request of another node.
 void
 peer_server_handle(void *context, http_request_t *request)
@@ -218,12 +240,7 @@
     peer_server_t *server = context;
     slice_t protocol = http_request_header(request, HEADER_PROTOCOL);
     if (!slice_equal_string(protocol, PROTOCOL_VERSION)) {
-        metric_increment(METRIC_PROTOCOL_REFUSALS_TOTAL);
-        log_warning("protocol_version_refused",
-                    "found=\"%.*s\" expected=" PROTOCOL_VERSION,
-                    (int)MIN(protocol.len, 32),
-                    protocol.data == NULL ? "" : protocol.data);
-        refuse(request, REASON_PROTOCOL_VERSION);
+        refuse_protocol(server, request, protocol);
         return;
     }
     if (http_request_header(request, HEADER_FROM_PEER).data != NULL) {
@@ -233,8 +250,10 @@
     guard_request_t taken = {0};
     if (!read_guard_request(&taken, request)) {
         metric_increment(METRIC_REQUESTS_MALFORMED_TOTAL);
-        log_warning("peer_request_malformed", "path=\"%.*s\"",
-                    (int)request->path.len, request->path.data);
+        if (may_log(server)) {
+            log_warning("peer_request_malformed", "path=\"%.*s\"",
+                        (int)request->path.len, request->path.data);
+        }
         refuse(request, REASON_MALFORMED);
         return;
     }
--- a/test/fuzz/common/call_adapters.c
+++ b/test/fuzz/common/call_adapters.c
@@ -35,7 +35,9 @@
     exchange->info = *info;
     g_strlcpy(exchange->customer, info->customer, sizeof(exchange->customer));
     g_strlcpy(exchange->kind, info->kind, sizeof(exchange->kind));
+    g_strlcpy(exchange->service, info->service, sizeof(exchange->service));
     exchange->info.customer = exchange->customer;
+    exchange->info.service = exchange->service;
     exchange->info.kind = exchange->kind;
     exchange->fault = world->send_fault;
     world->send_fault = SEND_NORMAL;
@@ -44,13 +46,23 @@
         world->now_us +
         (exchange->fault == SEND_HOLD_REQUEST ? HOLD_US : LINK_US);
     exchange->timeout_us = world->now_us + info->wait_us;
-    if (world->cut[node->number / SERVICES][to / SERVICES]) {
+    if (world->nodes[to].down ||
+        world->cut[node->number / SERVICES][to / SERVICES])
+    {
         exchange->fault = SEND_REFUSED;
         exchange->due_us = world->now_us + CONNECT_TIMEOUT_US;
     }
     return exchange;
 }
 
+/// The sender's list is old: the address belongs to another VM.
+static void
+go_to_next_node(exchange_t *exchange, const world_t *world)
+{
+    exchange->to = (exchange->to + 1) % NODES;
+    exchange->to_incarnation = world->nodes[exchange->to].incarnation;
+}
+
 static void
 fake_send(entry_io_t *io, call_handle_t call, void *user, uint32_t attempt,
           vm_handle_t vm, const attempt_info_t *info)
@@ -61,6 +73,9 @@
     exchange_t *exchange = start_exchange(node, call, user, to, info);
     exchange->attempt = attempt;
     oracle_attempt(node->world, exchange);
+    if (exchange->fault == SEND_WRONG_NODE) {
+        go_to_next_node(exchange, node->world);
+    }
 }
 
 static void
@@ -75,9 +90,7 @@
     exchange->forward = true;
     oracle_forward(exchange);
     if (exchange->fault == SEND_WRONG_NODE) {
-        exchange->to = (to + 1) % NODES;
-        exchange->to_incarnation =
-            node->world->nodes[exchange->to].incarnation;
+        go_to_next_node(exchange, node->world);
         return;
     }
     if (strcmp(node->world->nodes[to].name, vm_name) != 0) {
@@ -101,6 +114,14 @@
     }
 }
 
+/// Returns whether a call of the run belongs to an unbroken chain of accounts
+/// up to the root, so that customer and worth of the root hold for it.
+static bool
+has_whole_chain(const run_t *run)
+{
+    return run->account_open && origin_of(run->exchange->submission)->counted;
+}
+
 /// Sends a request again with the key that its refusal carried.
 void
 send_again_with_key(world_t *world, submission_t *submission)
@@ -114,7 +135,7 @@
         again.root = NULL;
     }
     else {
-        again.counted = again.parent->account_open;
+        again.counted = has_whole_chain(again.parent);
     }
     world_submit(world, &again);
 }
@@ -129,6 +150,7 @@
                    answer->reason == REASON_KEY_REQUIRED &&
                    answer->fresh_key[0] != '\0';
     if (answer->fresh_key[0] != '\0') {
+        oracle_issued(world, answer->fresh_key, submission->customer);
         submission_t *issued = g_new(submission_t, 1);
         *issued = *submission;
         g_strlcpy(issued->key, answer->fresh_key, sizeof(issued->key));
@@ -203,8 +225,9 @@
     run->account_open = request_id != 0;
     run->fault = world->run_fault;
     world->run_fault = RUN_NORMAL;
-    run->due_us =
-        world->now_us + (run->fault == RUN_SLOW ? SLOW_RUN_US : RUN_US);
+    run->due_us = run->fault == RUN_HANGS  ? INT64_MAX
+                  : run->fault == RUN_SLOW ? world->now_us + SLOW_RUN_US
+                                           : world->now_us + RUN_US;
     exchange->run = run;
     oracle_run(world, run, budget_us);
 }
@@ -324,6 +347,7 @@
     guard_request_t request = {
         .customer = slice_from_string(exchange->info.customer),
         .kind = slice_from_string(exchange->info.kind),
+        .service = slice_from_string(exchange->info.service),
         .worth = exchange->info.worth,
         .budget_us = exchange->info.budget_us,
         .retries = exchange->info.retries,
@@ -410,14 +434,11 @@
         .root = request->root,
         .parent = run,
         .node = run->node,
-        // The upstream names another customer; the account's holds.
-        .customer = run->account_open
-                        ? (request->root->customer + 1) % CUSTOMERS
-                        : request->root->customer,
+        .customer = request->root->customer,
         .kind = (service + 1) * KINDS_PER_SERVICE + once,
         .body = request->body,
         .follows_keys = true,
-        .counted = run->account_open,
+        .counted = has_whole_chain(run),
     };
     run->child_sent = true;
     run->waits_for_child = true;
@@ -441,7 +462,8 @@
     }
     static const upstream_result_t results[RUN_FAULTS] = {
         UPSTREAM_ANSWERED, UPSTREAM_CONNECT_FAILED, UPSTREAM_SHED,
-        UPSTREAM_LOST,     UPSTREAM_TOO_LARGE,      UPSTREAM_ANSWERED};
+        UPSTREAM_LOST,     UPSTREAM_TOO_LARGE,      UPSTREAM_ANSWERED,
+        UPSTREAM_LOST};
     run->ended = true;
     guard_upstream_done(&node->guard, run->guard_handle, results[run->fault]);
 }
