Test that an exchange may start and end in one round of the loop

The test starts and cancels exchanges on pooled connections in one timer while others are answered.

The scripted server now serves each connection in a thread.

--- a/test/functional/test_http_client.c
+++ b/test/functional/test_http_client.c
@@ -51,6 +51,30 @@
     return false;
 }
 
+/// A connection of a server. It may outlive the server.
+typedef struct {
+    const char *answer;
+    bool closes;
+    int connection;
+} served_t;
+
+static void *
+serve_connection(void *context)
+{
+    served_t *served = context;
+    size_t len = strlen(served->answer);
+    while (read_request(served->connection) &&
+           send(served->connection, served->answer, len, MSG_NOSIGNAL) ==
+               (ssize_t)len &&
+           !served->closes)
+    {
+    }
+    close(served->connection);
+    g_free(served);
+    return NULL;
+}
+
+/// Serves each connection in a thread, which ends with the connection.
 static void *
 serve(void *context)
 {
@@ -58,14 +82,11 @@
     int connection;
     while ((connection = accept(server->listener, NULL, NULL)) >= 0) {
         server->connections++;
-        while (read_request(connection)) {
-            size_t len = strlen(server->answer);
-            if (write(connection, server->answer, len) != (ssize_t)len ||
-                server->closes) {
-                break;
-            }
-        }
-        close(connection);
+        served_t *served = g_new(served_t, 1);
+        *served = (served_t){server->answer, server->closes, connection};
+        pthread_t thread;
+        pthread_create(&thread, NULL, serve_connection, served);
+        pthread_detach(thread);
     }
     return NULL;
 }
@@ -79,7 +100,7 @@
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
     socklen_t size = sizeof(address);
     if (bind(server->listener, (struct sockaddr *)&address, size) != 0 ||
-        listen(server->listener, 16) != 0 ||
+        listen(server->listener, 1024) != 0 ||
         getsockname(server->listener, (struct sockaddr *)&address, &size) != 0)
     {
         CU_FAIL_FATAL("no listener");
@@ -263,6 +284,79 @@
     stop_server(&server);
 }
 
+#define STORM_EXCHANGES 4000
+#define STORM_WIDTH 8
+
+typedef struct {
+    http_target_t *target;
+    results_t results;
+    int started;
+    loop_timer_t timer;
+} storm_t;
+
+static void continue_storm(void *context);
+
+static void
+storm_done(void *context, const http_answer_t *answer)
+{
+    storm_t *storm = context;
+    on_done(&storm->results, answer);
+    loop_timer_start(storm->results.loop, &storm->timer, 0, continue_storm,
+                     storm);
+}
+
+static http_exchange_t *
+storm_get(storm_t *storm)
+{
+    return http_exchange_start(storm->target, SLICE_LITERAL("GET"),
+                               SLICE_LITERAL("/"), NULL, 0, (slice_t){NULL, 0},
+                               TEST_TIMEOUT_US, storm_done, storm);
+}
+
+/// Starts exchanges on pooled connections, which are written to at once, and
+/// cancels some of them in the same round.
+static void
+continue_storm(void *context)
+{
+    storm_t *storm = context;
+    while (storm->started - storm->results.count < STORM_WIDTH &&
+           storm->started < STORM_EXCHANGES)
+    {
+        storm->started++;
+        storm_get(storm);
+        http_exchange_cancel(storm_get(storm));
+    }
+}
+
+/// Guards against a crash when a timer starts and cancels an exchange in one
+/// round, as the entry does with a second attempt, while others are answered.
+static void
+test_cancel_in_the_round_of_the_start(void)
+{
+    script_server_t server;
+    start_server(&server,
+                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\na: 1\r\nb: 2\r\n"
+                 "c: 3\r\nd: 4\r\ne: 5\r\n\r\nok",
+                 false);
+    clock_source_t clock;
+    boot_clock_init(&clock);
+    loop_t loop;
+    loop_init(&loop, &clock);
+    storm_t storm = {
+        .target =
+            http_target_new(&loop, &server.endpoint, 2 * STORM_WIDTH, 32),
+        .results = {.loop = &loop, .expected = STORM_EXCHANGES},
+    };
+    loop_timer_start(&loop, &storm.timer, 0, continue_storm, &storm);
+    loop_run(&loop);
+    CU_ASSERT_EQUAL(storm.results.count, STORM_EXCHANGES);
+    CU_ASSERT_EQUAL(storm.results.last.result, HTTP_COMPLETE);
+    loop_timer_stop(&loop, &storm.timer);
+    http_target_release(storm.target);
+    loop_finish(&loop);
+    stop_server(&server);
+}
+
 int
 main(void)
 {
@@ -273,6 +367,7 @@
         {"failures", test_failures_tell_whether_bytes_were_sent},
         {"waiting", test_exchanges_wait_for_a_free_connection},
         {"cancel", test_cancelled_exchange_reports_nothing},
+        {"cancel in one round", test_cancel_in_the_round_of_the_start},
         CU_TEST_INFO_NULL,
     };
     return run_suite("http client", tests);
