Return the memory of a parsed list to the system

With 16,000 VMs listed a node that read the list from the platform had 69 MB resident, one that got it from a peer 24 MB: the allocator kept the memory of the parsed answer.

--- a/src/ibisfield/io/platform_client.c
+++ b/src/ibisfield/io/platform_client.c
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <inttypes.h>
 #include <json-c/json.h>
+#include <malloc.h>
 
 #include "ibisfield/base/metrics.h"
 
@@ -19,6 +20,9 @@
 /// One read is in flight, the other may still be closing.
 #define PLATFORM_CONNECTIONS_MAX 2
 #define JSON_DEPTH_MAX 32
+/// The parsed form of a long answer takes many times its size, which the
+/// allocator would keep.
+#define TRIM_MIN_BYTES ((size_t)1 << 20)
 
 /// Reads the address and port of "http://ip:port", with or without a slash at
 /// the end.
@@ -138,6 +142,9 @@
     }
     json_object_put(body);
     json_tokener_free(tokener);
+    if (answer->body.len > TRIM_MIN_BYTES) {
+        malloc_trim(0);
+    }
 }
 
 /// Initialises a client of the list with @p prefix at base URL @p url. Returns
