--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -5,15 +5,16 @@
 
 #include "ibisfield/io/http_server.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <linux/filter.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <xxhash.h>
 
 #include "ibisfield/base/error.h"
 #include "ibisfield/base/log.h"
 #include "ibisfield/base/metrics.h"
+#include "ibisfield/io/listen.h"
+#include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/message.h"
 
 /// Idle connections are closed after this time. It is above the idle time of
@@ -40,6 +41,7 @@
     uint32_t connections_max;
     GQueue connections;
     GQueue requests; ///< in flight
+    log_limit_t refusal_lines;
     loop_timer_t sweep_timer;
     loop_timer_t gone_timer;
     bool draining;
@@ -54,16 +56,19 @@
     h2o_accept_ctx_t accept;
 };
 
-typedef struct {
+typedef struct http_connection {
     http_listener_t *listener;
     h2o_socket_t *socket;
     GList *link;
-    http_request_t *request; ///< in flight
-    bool answering;          ///< a handler's answer is being started
+    http_request_t *request;      ///< in flight
+    bool answering;               ///< a handler's answer is being started
+    http_request_t *last_request; ///< whose memory h2o hasn't released
+    size_t bytes_answered;        ///< written up to the end of its answer
     int64_t accepted_us;
     int64_t incomplete_us; ///< when a part of a request was first seen
     bool had_request;
-    bool refused; ///< beyond the bound of the table
+    bool error_rewritten; ///< h2o's own error answer was counted
+    bool refused;         ///< beyond the bound of the table
 } connection_t;
 
 typedef struct {
@@ -110,6 +115,11 @@
 dispose_request(void *memory)
 {
     http_request_t *request = memory;
+    connection_t *connection = request->connection;
+    if (connection != NULL) {
+        connection->bytes_answered = connection->socket->bytes_written;
+        connection->last_request = NULL;
+    }
     if (!request->answered) {
         request->answered = true;
         report_gone(request);
@@ -167,9 +177,11 @@
 refuse_connection(http_request_t *request)
 {
     metric_increment(METRIC_CONNECTIONS_REFUSED_TOTAL);
-    log_warning("connection_refused", "listener=%s max=%u",
-                request->listener->options.name,
-                request->listener->server->connections_max);
+    http_server_t *server = request->listener->server;
+    if (log_limit_allows(&server->refusal_lines, server->loop->clock)) {
+        log_warning("connection_refused", "listener=%s max=%u",
+                    request->listener->options.name, server->connections_max);
+    }
     slice_t key = http_request_header(request, HEADER_KEY);
     refusal_t refusal = {
         .reason = REASON_OVERLOADED,
@@ -192,6 +204,8 @@
     http_server_t *server = listener->server;
     connection_t *connection = connection_of(h2o);
     http_request_t *request = wrap_request(listener, h2o);
+    request->connection = connection;
+    connection->last_request = request;
     connection->request = request;
     connection->had_request = true;
     connection->incomplete_us = 0;
@@ -242,6 +256,20 @@
     }
 }
 
+static void
+count_refusal(const connection_t *connection, int status, reason_t reason)
+{
+    metric_increment(reason == REASON_REQUEST_TOO_LARGE
+                         ? METRIC_REQUESTS_TOO_LARGE_TOTAL
+                         : METRIC_REQUESTS_MALFORMED_TOTAL);
+    http_server_t *server = connection->listener->server;
+    if (log_limit_allows(&server->refusal_lines, server->loop->clock)) {
+        log_warning("request_refused", "listener=%s status=%d reason=%s",
+                    connection->listener->options.name, status,
+                    reason_token(reason));
+    }
+}
+
 /// Gives an error answer of h2o itself the project's headers and body. The
 /// request never reached a handler, so it was not run.
 static void
@@ -254,12 +282,8 @@
         return;
     }
     reason_t reason = reason_of_h2o_status(h2o->res.status);
-    metric_increment(reason == REASON_REQUEST_TOO_LARGE
-                         ? METRIC_REQUESTS_TOO_LARGE_TOTAL
-                         : METRIC_REQUESTS_MALFORMED_TOTAL);
-    log_warning("request_refused", "listener=%s status=%d reason=%s",
-                connection->listener->options.name, h2o->res.status,
-                reason_token(reason));
+    connection->error_rewritten = true;
+    count_refusal(connection, h2o->res.status, reason);
     refusal_t refusal = {.reason = reason, .outcome = OUTCOME_NOT_RUN};
     if (h2o_find_header_by_str(&h2o->headers, HEADER_KEY, strlen(HEADER_KEY),
                                -1) != -1)
@@ -280,10 +304,20 @@
     h2o_setup_next_ostream(h2o, &ostream->base.next);
 }
 
+/// h2o answers bytes that it can't parse with a fixed 400 that no filter sees.
+/// It shows as bytes written that belong to no request.
 static void
 on_connection_closed(void *data)
 {
     connection_t *connection = data;
+    if (connection->last_request != NULL) {
+        connection->last_request->connection = NULL;
+    }
+    else if (connection->socket->bytes_written > connection->bytes_answered &&
+             !connection->error_rewritten)
+    {
+        count_refusal(connection, 400, REASON_MALFORMED);
+    }
     http_server_t *server = connection->listener->server;
     g_queue_delete_link(&server->connections, connection->link);
     metric_set(METRIC_CONNECTIONS, server->connections.length);
@@ -310,7 +344,8 @@
         connection->listener = listener;
         connection->socket = socket;
         connection->accepted_us = clock_now_us(server->loop->clock);
-        connection->refused = count >= server->connections_max;
+        connection->refused = count >= server->connections_max &&
+                              !listener->options.always_accepts;
         g_queue_push_tail(&server->connections, connection);
         connection->link = g_queue_peek_tail_link(&server->connections);
         metric_set(METRIC_CONNECTIONS, server->connections.length);
@@ -338,9 +373,12 @@
         return;
     }
     metric_increment(METRIC_CONNECTIONS_HALF_OPEN_TOTAL);
-    log_warning("half_open_connection_closed", "listener=%s bytes=%zu",
-                connection->listener->options.name,
-                connection->socket->input->size);
+    http_server_t *server = connection->listener->server;
+    if (log_limit_allows(&server->refusal_lines, server->loop->clock)) {
+        log_warning("half_open_connection_closed", "listener=%s bytes=%zu",
+                    connection->listener->options.name,
+                    connection->socket->input->size);
+    }
     // h2o sees the end of the stream and closes the connection.
     shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
 }
@@ -433,29 +471,6 @@
     return server;
 }
 
-static int
-open_listener(const endpoint_t *endpoint)
-{
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_port = htons(endpoint->port)};
-    inet_pton(AF_INET, endpoint->address, &address.sin_addr);
-    const int on = 1;
-    if (fd >= 0 &&
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
-        bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
-        listen(fd, SOMAXCONN) == 0)
-    {
-        return fd;
-    }
-    int failure = errno;
-    if (fd >= 0) {
-        close(fd);
-    }
-    errno = failure;
-    return -1;
-}
-
 static void
 register_handler(http_listener_t *listener)
 {
@@ -477,7 +492,7 @@
 http_server_listen(http_server_t *server,
                    const http_listener_options_t *options, GError **error)
 {
-    int fd = open_listener(&options->endpoint);
+    int fd = listen_open(&options->endpoint);
     if (fd < 0) {
         set_step_error(error, IBISFIELD_ERROR_IO, "listen", options->name,
                        "%s:%u: %s", options->endpoint.address,
@@ -519,28 +534,14 @@
     server->draining = true;
 }
 
-/// Makes the kernel drop requests for new connections, while those under way
-/// still complete. Closing a listener resets connections that have not been
-/// accepted, and such a caller may already have sent its request.
+/// Makes the kernel drop requests for new connections on all listeners, while
+/// those under way still complete.
 void
 http_server_refuse_connections(http_server_t *server)
 {
-    // Byte 13 of the TCP header holds the flags; a SYN opens a connection.
-    static struct sock_filter drop_syn[] = {
-        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, 13),
-        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, 0x02, 0, 1),
-        BPF_STMT(BPF_RET | BPF_K, 0),
-        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
-    };
-    const struct sock_fprog program = {
-        .len = G_N_ELEMENTS(drop_syn),
-        .filter = drop_syn,
-    };
     for (guint i = 0; i < server->listeners->len; i++) {
         http_listener_t *listener = server->listeners->pdata[i];
-        if (setsockopt(h2o_socket_get_fd(listener->socket), SOL_SOCKET,
-                       SO_ATTACH_FILTER, &program, sizeof(program)) != 0)
-        {
+        if (!listen_refuse_connections(h2o_socket_get_fd(listener->socket))) {
             log_warning("listener_filter_failed", "listener=%s error=\"%s\"",
                         listener->options.name, g_strerror(errno));
         }
