--- a/test/functional/test_config.c
+++ b/test/functional/test_config.c
@@ -102,8 +102,9 @@
     for (int i = 0; i < bed->vm_count; i++) {
         struct json_object *refused = NULL;
         struct json_object *configuration = configuration_of(&bed->vms[i]);
-        json_object_object_get_ex(configuration, "refused", &refused);
-        count += json_object_array_length(refused) > 0;
+        count +=
+            json_object_object_get_ex(configuration, "refused", &refused) &&
+            json_object_array_length(refused) > 0;
         json_object_put(configuration);
     }
     return count;
