Test the rolling replacement of every node under load

Cause of the fault found: a VM that answered 'leaving' was avoided for 10 s in any case. When the VMs of a service were replaced faster than that, all of them were avoided and every request was refused with no-upstream until the time was over. After: VMs that said 'leaving' are the last choice instead of none. Their guard refuses as long as they do leave, so no work starts there.

--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -163,17 +163,18 @@
 }
 
 /// Collects the VMs of the subset that may be used. Ejected ones are left out
-/// unless @p with_ejected.
+/// unless @p with_ejected, those that said "leaving" unless @p with_leaving.
 static void
 collect(picker_t *picker, const service_entry_t *service,
-        const vm_handle_t *tried, uint32_t tried_count, bool with_ejected)
+        const vm_handle_t *tried, uint32_t tried_count, bool with_ejected,
+        bool with_leaving)
 {
     int64_t now_us = clock_now_us(picker->clock);
     g_array_set_size(picker->candidates, 0);
     for (guint i = 0; i < service->subset->len; i++) {
         vm_handle_t vm = g_array_index(service->subset, vm_handle_t, i);
         const vm_entry_t *entry = vm_at(picker, vm);
-        if (now_us >= entry->said_leaving_until_us &&
+        if ((with_leaving || now_us >= entry->said_leaving_until_us) &&
             (with_ejected || !entry->health.ejected) &&
             !was_tried(vm, tried, tried_count))
         {
@@ -440,7 +441,8 @@
     return entry == NULL ? NULL : entry->name;
 }
 
-/// Collects untried healthy VMs, else untried ones, else any.
+/// Collects untried healthy VMs, else untried ones, else untried ones that
+/// said "leaving", else any.
 static void
 collect_best(picker_t *picker, service_entry_t *service,
              const vm_handle_t *tried, uint32_t tried_count)
@@ -448,12 +450,17 @@
     if (service->changed) {
         update_subset(picker, service);
     }
-    collect(picker, service, tried, tried_count, false);
+    collect(picker, service, tried, tried_count, false, false);
     if (picker->candidates->len == 0) {
-        collect(picker, service, tried, tried_count, true);
+        collect(picker, service, tried, tried_count, true, false);
     }
     if (picker->candidates->len == 0) {
-        collect(picker, service, NULL, 0, true);
+        // In a rolling replacement a VM that said "leaving" is often back long
+        // before this is forgotten, and its guard refuses as long as it isn't.
+        collect(picker, service, tried, tried_count, true, true);
+    }
+    if (picker->candidates->len == 0) {
+        collect(picker, service, NULL, 0, true, true);
     }
 }
 
--- a/test/unit/test_picker.c
+++ b/test/unit/test_picker.c
@@ -339,6 +339,19 @@
     picker_finish(&picker);
 }
 
+/// Guards against an outage after a rolling replacement: every VM has said
+/// "leaving" a moment ago and all are back.
+static void
+test_vms_that_said_leaving_are_the_last_choice(void)
+{
+    start(3);
+    for (int i = 0; i < 3; i++) {
+        report(pick_worth(10), REPORT_LEAVING, 0);
+    }
+    report(pick_worth(10), REPORT_ANSWERED, USUAL_US);
+    picker_finish(&picker);
+}
+
 /// Guards against a second attempt at the VM that has just failed.
 static void
 test_tried_vms_are_avoided(void)
@@ -451,6 +464,7 @@
         {"late hint", test_answers_do_not_hold_back},
         {"hedge delay", test_hedges_only_late_and_without_overload},
         {"leaving", test_leaving_vms_get_no_work},
+        {"all said leaving", test_vms_that_said_leaving_are_the_last_choice},
         {"tried", test_tried_vms_are_avoided},
         {"near", test_near_vm_is_preferred},
         {"handles", test_handle_in_use_is_not_given_to_another_vm},
