--- a/test/fuzz/common/call_adapters.c
+++ b/test/fuzz/common/call_adapters.c
@@ -114,6 +114,14 @@
     }
 }
 
+/// Returns whether a call of the run belongs to an unbroken chain of accounts
+/// up to the root, so that customer and worth of the root hold for it.
+static bool
+has_whole_chain(const run_t *run)
+{
+    return run->account_open && origin_of(run->exchange->submission)->counted;
+}
+
 /// Sends a request again with the key that its refusal carried.
 void
 send_again_with_key(world_t *world, submission_t *submission)
@@ -127,7 +135,7 @@
         again.root = NULL;
     }
     else {
-        again.counted = again.parent->account_open;
+        again.counted = has_whole_chain(again.parent);
     }
     world_submit(world, &again);
 }
@@ -217,8 +225,9 @@
     run->account_open = request_id != 0;
     run->fault = world->run_fault;
     world->run_fault = RUN_NORMAL;
-    run->due_us =
-        world->now_us + (run->fault == RUN_SLOW ? SLOW_RUN_US : RUN_US);
+    run->due_us = run->fault == RUN_HANGS  ? INT64_MAX
+                  : run->fault == RUN_SLOW ? world->now_us + SLOW_RUN_US
+                                           : world->now_us + RUN_US;
     exchange->run = run;
     oracle_run(world, run, budget_us);
 }
@@ -429,7 +438,7 @@
         .kind = (service + 1) * KINDS_PER_SERVICE + once,
         .body = request->body,
         .follows_keys = true,
-        .counted = run->account_open,
+        .counted = has_whole_chain(run),
     };
     run->child_sent = true;
     run->waits_for_child = true;
@@ -453,7 +462,8 @@
     }
     static const upstream_result_t results[RUN_FAULTS] = {
         UPSTREAM_ANSWERED, UPSTREAM_CONNECT_FAILED, UPSTREAM_SHED,
-        UPSTREAM_LOST,     UPSTREAM_TOO_LARGE,      UPSTREAM_ANSWERED};
+        UPSTREAM_LOST,     UPSTREAM_TOO_LARGE,      UPSTREAM_ANSWERED,
+        UPSTREAM_LOST};
     run->ended = true;
     guard_upstream_done(&node->guard, run->guard_handle, results[run->fault]);
 }
--- a/test/fuzz/common/call_world.c
+++ b/test/fuzz/common/call_world.c
@@ -35,7 +35,7 @@
         bool once = i % KINDS_PER_SERVICE == 1;
         kind_t *kind = &world->kinds[i];
         *kind = (kind_t){
-            .worth = (int32_t)(10 + 10 * i),
+            .worth = (int32_t)(70 - 10 * i),
             .deadline_ms = DEADLINE_MS,
             .resend_s = once ? KEY_LIFE_S : 0,
             .run = once ? RUN_ONCE : RUN_REPEATABLE,
@@ -250,6 +250,8 @@
     submission->incarnation = node->incarnation;
     submission->ended = submission->gone = submission->told_not_run = false;
     submission->runs = 0;
+    submission->reason = REASON_NONE;
+    submission->sent_us = world->now_us;
     if (submission->root == NULL) {
         submission->root = submission;
         memset(submission->attempts, 0, sizeof(submission->attempts));
