--- a/test/functional/test_faults_rolling.c
+++ b/test/functional/test_faults_rolling.c
@@ -89,8 +89,14 @@
 replace_node(scene_t *scene, testbed_vm_t *vm)
 {
     CU_ASSERT_TRUE(wait_until(has_new_calls, vm));
-    CU_ASSERT_EQUAL(process_stop(&vm->node, SIGTERM), 0);
+    int exit_code = process_stop(&vm->node, SIGTERM);
     char *log = process_log(&vm->node);
+    CU_ASSERT_EQUAL(exit_code, 0);
+    if (exit_code != 0) {
+        size_t len = strlen(log);
+        fprintf(stderr, "WRONG %s: exit %d: %s\n", vm->vm, exit_code,
+                len > 600 ? log + len - 600 : log);
+    }
     CU_ASSERT_TRUE(has_listed(log));
     CU_ASSERT_PTR_NULL(strstr(log, "drain_limit_reached"));
     g_free(log);
