--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -18,7 +18,7 @@
 #define IDLE_TICK_US (50 * US_PER_MS)
 #define SHUTDOWN_CHECK_US (20 * US_PER_MS)
 /// Connections being opened when the linger ends complete in this time.
-#define HANDSHAKE_GRACE_US (200 * US_PER_MS)
+#define HANDSHAKE_GRACE_US (100 * US_PER_MS)
 /// Keys of one node that are issued or kept at a time.
 #define KEY_RECORDS_MAX 65536
 #define CONTRACT_PREFIX "contract/"
@@ -294,10 +294,12 @@
 {
     const settings_t *settings = node->settings;
     const http_listener_options_t listeners[] = {
-        {"caller", settings->caller_listen, handle_caller, caller_gone, node},
-        {"egress", settings->egress_listen, handle_egress, caller_gone, node},
-        {"peer", settings->peer_listen, handle_peer, peer_gone, node},
-        {"operator", settings->operator_listen, operator_server_handle,
+        {"caller", settings->caller_listen, false, handle_caller, caller_gone,
+         node},
+        {"egress", settings->egress_listen, false, handle_egress, caller_gone,
+         node},
+        {"peer", settings->peer_listen, false, handle_peer, peer_gone, node},
+        {"operator", settings->operator_listen, true, operator_server_handle,
          operator_server_gone, node},
     };
     node->server =
