--- a/test/functional/common/testbed.c
+++ b/test/functional/common/testbed.c
@@ -212,6 +212,15 @@
     CU_ASSERT_TRUE_FATAL(started);
 }
 
+/// Writes the address of the test's network that ends with @p host.
+void
+testbed_address(const testbed_t *bed, int host, char address[16])
+{
+    const char *dot = strrchr(bed->address, '.');
+    g_snprintf(address, 16, "%.*s.%d", (int)(dot - bed->address), bed->address,
+               host);
+}
+
 /// Prints the logs of the nodes, for a failed test.
 static void
 print_logs(const testbed_t *bed)
@@ -388,22 +397,20 @@
     return count;
 }
 
-/// Starts a node and its upstream and publishes the VM. @p settings is more
-/// JSON (", \"name\": value") or "". An upstream argument "EGRESS" stands for
-/// the VM's egress address; without arguments no upstream is started.
+/// Starts a node and its upstream on the next address, without publishing the
+/// VM. @p settings is more JSON (", \"name\": value") or "". An upstream
+/// argument "EGRESS" stands for the VM's egress address; without arguments no
+/// upstream is started.
 testbed_vm_t *
-testbed_add_vm(testbed_t *bed, const char *service, const char *data_centre,
-               const char *settings, const char *const *upstream_arguments)
+testbed_place_vm(testbed_t *bed, const char *service, const char *data_centre,
+                 const char *settings, const char *const *upstream_arguments)
 {
     testbed_vm_t *vm = &bed->vms[bed->vm_count++];
     g_snprintf(vm->vm, sizeof(vm->vm), "vm%d", bed->vm_count);
-    const char *dot = strrchr(bed->address, '.');
-    g_snprintf(vm->address, sizeof(vm->address), "%.*s.%d",
-               (int)(dot - bed->address), bed->address, 1 + bed->vm_count);
+    testbed_address(bed, 1 + bed->vm_count, vm->address);
     g_strlcpy(vm->service, service, sizeof(vm->service));
     g_strlcpy(vm->data_centre, data_centre, sizeof(vm->data_centre));
     vm->upstream_arguments = upstream_arguments;
-    CU_ASSERT_TRUE(testbed_publish_vm(bed, vm, "live"));
     g_free(write_settings(bed, vm, service, data_centre, settings));
     bool started =
         testbed_start_upstream(bed, vm) && testbed_start_node(bed, vm);
@@ -411,6 +418,21 @@
     return vm;
 }
 
+/// Publishes a VM and starts it, as testbed_place_vm() does.
+testbed_vm_t *
+testbed_add_vm(testbed_t *bed, const char *service, const char *data_centre,
+               const char *settings, const char *const *upstream_arguments)
+{
+    testbed_vm_t vm = {0};
+    g_snprintf(vm.vm, sizeof(vm.vm), "vm%d", bed->vm_count + 1);
+    testbed_address(bed, 2 + bed->vm_count, vm.address);
+    g_strlcpy(vm.service, service, sizeof(vm.service));
+    g_strlcpy(vm.data_centre, data_centre, sizeof(vm.data_centre));
+    CU_ASSERT_TRUE(testbed_publish_vm(bed, &vm, "live"));
+    return testbed_place_vm(bed, service, data_centre, settings,
+                            upstream_arguments);
+}
+
 static bool
 all_ready(void *context)
 {
--- a/test/functional/common/testbed.h
+++ b/test/functional/common/testbed.h
@@ -53,6 +53,10 @@
 testbed_vm_t *testbed_add_vm(testbed_t *bed, const char *service,
                              const char *data_centre, const char *settings,
                              const char *const *upstream_arguments);
+testbed_vm_t *testbed_place_vm(testbed_t *bed, const char *service,
+                               const char *data_centre, const char *settings,
+                               const char *const *upstream_arguments);
+void testbed_address(const testbed_t *bed, int host, char address[16]);
 bool testbed_start_node(testbed_t *bed, testbed_vm_t *vm);
 bool testbed_start_upstream(testbed_t *bed, testbed_vm_t *vm);
 bool testbed_publish_vm(testbed_t *bed, const testbed_vm_t *vm,
