Keep the egress open while a request runs at the upstream

Cause: a stopping node closed all listeners when key_linger_ms was over, also while requests still ran at its upstream. Calls that the upstream then made for them could not connect, and the callers got 502: a planned stop cut requests. Ruled out: a separate time for the egress, which would again be a guess. Before: the new test 'upstream calls on' fails (status 502 instead of 200). After: it passes; the listeners close once the guard holds no request.

--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -414,7 +414,9 @@
         loop_stop(&node->loop);
         return;
     }
-    if (passed_ms >= node->settings->key_linger_ms && end_listening(node) &&
+    // A request that runs at the upstream may still need the egress.
+    if (passed_ms >= node->settings->key_linger_ms &&
+        guard_in_flight(&node->guard) == 0 && end_listening(node) &&
         unfinished == 0 && http_server_is_idle(node->server))
     {
         loop_stop(&node->loop);
--- a/test/functional/test_shutdown.c
+++ b/test/functional/test_shutdown.c
@@ -15,6 +15,9 @@
     "{\"name\": \"look\", \"service\": \"solo\", \"method\": \"GET\","
     " \"path\": \"/look\", \"worth\": 10, \"deadline_ms\": 60000,"
     " \"run\": \"repeatable\"},"
+    "{\"name\": \"other\", \"service\": \"other\", \"method\": \"GET\","
+    " \"path\": \"/other/look\", \"worth\": 10, \"deadline_ms\": 60000,"
+    " \"run\": \"repeatable\"},"
     "{\"name\": \"book\", \"service\": \"other\", \"method\": \"POST\","
     " \"path\": \"/book\", \"worth\": 90, \"deadline_ms\": 60000,"
     " \"run\": \"once\", \"resend_s\": 60}]}";
@@ -164,6 +167,31 @@
     CU_ASSERT_TRUE(wait_until(has_request_in_flight, vm));
 }
 
+/// Guards against a stop that closes the egress before the upstream has made
+/// the calls that a request in flight needs.
+static void
+test_upstream_calls_on_after_the_linger(void)
+{
+    static const char *const calls_other[] = {
+        "--service-us", "1500000",     "--next", "EGRESS",
+        "--next-path",  "/other/look", NULL};
+    static const char *const other[] = {"--slots", "4", NULL};
+    testbed_t bed;
+    testbed_init(&bed);
+    CU_ASSERT_TRUE(testbed_publish(&bed, "contract/acme", contract));
+    const char *settings = ", \"key_linger_ms\": 100";
+    testbed_vm_t *stopped =
+        testbed_add_vm(&bed, "solo", "north", settings, calls_other);
+    testbed_vm_t *sender = testbed_add_vm(&bed, "other", "north", "", other);
+    CU_ASSERT_TRUE_FATAL(testbed_wait_ready(&bed));
+    call_in_flight_t *flight = call_start(sender->address, PORT_CALLER, "GET",
+                                          "/look", CUSTOMER, NULL);
+    CU_ASSERT_TRUE(wait_until(has_request_in_flight, stopped));
+    CU_ASSERT_EQUAL(process_stop(&stopped->node, SIGTERM), 0);
+    assert_answer(call_wait(flight), 200, "ibisfield-outcome: answered\n");
+    testbed_finish(&bed);
+}
+
 /// Guards against a stop that never ends, and against an exit code that hides
 /// cut calls.
 static void
@@ -206,6 +234,7 @@
         {"drain by an operator", test_drain_by_an_operator},
         {"drain by the upstream", test_drain_by_the_upstream},
         {"keys while lingering", test_keys_are_served_while_lingering},
+        {"upstream calls on", test_upstream_calls_on_after_the_linger},
         {"hard limit", test_hard_limit_ends_the_drain},
         {"second signal", test_second_signal_stops_at_once},
         CU_TEST_INFO_NULL,
