--- a/test/standin/relay.c
+++ b/test/standin/relay.c
@@ -45,22 +45,28 @@
     return valid;
 }
 
+static bool
+send_all(int to, const char *bytes, size_t count)
+{
+    while (count > 0) {
+        ssize_t sent = send(to, bytes, count, MSG_NOSIGNAL);
+        if (sent < 0) {
+            return false;
+        }
+        bytes += sent;
+        count -= (size_t)sent;
+    }
+    return true;
+}
+
 static void *
 pass_bytes(void *context)
 {
     pipe_t *pipe = context;
     char buffer[BUFFER_BYTES];
-    ssize_t got;
-    while ((got = recv(pipe->from, buffer, sizeof(buffer), 0)) > 0) {
-        for (ssize_t sent = 0; sent < got;) {
-            ssize_t part = send(pipe->to, buffer + sent, (size_t)(got - sent),
-                                MSG_NOSIGNAL);
-            if (part < 0) {
-                got = -1;
-                break;
-            }
-            sent += part;
-        }
+    ssize_t got = recv(pipe->from, buffer, sizeof(buffer), 0);
+    while (got > 0 && send_all(pipe->to, buffer, (size_t)got)) {
+        got = recv(pipe->from, buffer, sizeof(buffer), 0);
     }
     shutdown(pipe->to, SHUT_WR);
     shutdown(pipe->from, SHUT_RD);
