Share the file argument of commands and the answer check of tests

Cause: run and explain each had their own parser for one file, and two test programs their own assert_answer(); the copy in the tests did not print the answer when only the status differed. Conclusion: no change of behaviour.

--- a/src/ibisfield/cli/cmd_explain.c
+++ b/src/ibisfield/cli/cmd_explain.c
@@ -8,32 +8,12 @@
 #include "ibisfield/contract/contract.h"
 #include "ibisfield/contract/explain.h"
 
-static error_t
-parse_explain(int key, char *argument, struct argp_state *state)
-{
-    const char **file = state->input;
-    switch (key) {
-    case ARGP_KEY_ARG:
-        if (*file != NULL) {
-            argp_error(state, "found a second file '%s', expected one",
-                       argument);
-        }
-        *file = argument;
-        return 0;
-    case ARGP_KEY_NO_ARGS:
-        argp_error(state, "the contract file is missing");
-        return EINVAL;
-    default:
-        return ARGP_ERR_UNKNOWN;
-    }
-}
-
 /// Prints every derived limit of a contract file with its reason.
 int
 command_explain(int argc, char **argv)
 {
     static const struct argp argp = {
-        .parser = parse_explain,
+        .parser = parse_file_argument,
         .args_doc = "CONTRACT",
         .doc = "Print every limit that follows from the contract file "
                "CONTRACT, with the reason for each figure, and the order in "
@@ -41,11 +21,11 @@
                "A contract with problems is not explained; its problems are "
                "listed as by 'ibisfield check' (exit code 2).",
     };
-    const char *file = NULL;
-    parse_arguments(&argp, argc, argv, &file);
+    file_argument_t argument = {.missing = "the contract file is missing"};
+    parse_arguments(&argp, argc, argv, &argument);
     contract_t contract;
     GPtrArray *problems = problems_new();
-    bool valid = load_contract(&contract, file, problems);
+    bool valid = load_contract(&contract, argument.file, problems);
     if (problems_print(problems) || !valid) {
         return EXIT_CODE_BAD_INPUT;
     }
--- a/src/ibisfield/cli/input.c
+++ b/src/ibisfield/cli/input.c
@@ -55,6 +55,27 @@
     return valid;
 }
 
+/// Parser of commands that take one file; the input is a file_argument_t.
+error_t
+parse_file_argument(int key, char *argument, struct argp_state *state)
+{
+    file_argument_t *input = state->input;
+    switch (key) {
+    case ARGP_KEY_ARG:
+        if (input->file != NULL) {
+            argp_error(state, "found a second file '%s', expected one",
+                       argument);
+        }
+        input->file = argument;
+        return 0;
+    case ARGP_KEY_NO_ARGS:
+        argp_error(state, "%s", input->missing);
+        return EINVAL;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
 /// Parses the arguments of a command; argv[0] is the command. Usage errors and
 /// --help end the process.
 error_t
--- a/src/ibisfield/cli/input.h
+++ b/src/ibisfield/cli/input.h
@@ -14,6 +14,13 @@
                    GPtrArray *problems);
 bool load_contract(contract_t *contract, const char *file,
                    GPtrArray *problems);
+/// The one file of a command.
+typedef struct {
+    const char *file;
+    const char *missing; ///< error message when none is given
+} file_argument_t;
+
+error_t parse_file_argument(int key, char *argument, struct argp_state *state);
 error_t parse_arguments(const struct argp *argp, int argc, char **argv,
                         void *input);
 
--- a/src/ibisfield/cli/main.c
+++ b/src/ibisfield/cli/main.c
@@ -66,32 +66,12 @@
     }
 }
 
-static error_t
-parse_run(int key, char *argument, struct argp_state *state)
-{
-    const char **file = state->input;
-    switch (key) {
-    case ARGP_KEY_ARG:
-        if (*file != NULL) {
-            argp_error(state, "found a second file '%s', expected one",
-                       argument);
-        }
-        *file = argument;
-        return 0;
-    case ARGP_KEY_NO_ARGS:
-        argp_error(state, "the settings file is missing");
-        return EINVAL;
-    default:
-        return ARGP_ERR_UNKNOWN;
-    }
-}
-
 /// Command "run": checks the settings and runs a node with them.
 int
 command_run(int argc, char **argv)
 {
     static const struct argp argp = {
-        .parser = parse_run,
+        .parser = parse_file_argument,
         .args_doc = "SETTINGS",
         .doc = "Run a node with the settings file SETTINGS.\v"
                "The node logs to standard error. SIGTERM shuts it down "
@@ -100,11 +80,11 @@
                "off a call. A second SIGTERM, or SIGINT, stops it at once "
                "(exit 1). Invalid settings are listed and give exit 2.",
     };
-    const char *file = NULL;
-    parse_arguments(&argp, argc, argv, &file);
+    file_argument_t argument = {.missing = "the settings file is missing"};
+    parse_arguments(&argp, argc, argv, &argument);
     settings_t settings;
     GPtrArray *problems = problems_new();
-    bool valid = load_settings(&settings, file, problems);
+    bool valid = load_settings(&settings, argument.file, problems);
     if (problems_print(problems) || !valid) {
         return EXIT_CODE_BAD_INPUT;
     }
--- a/test/functional/common/testbed.c
+++ b/test/functional/common/testbed.c
@@ -124,6 +124,21 @@
     return answer;
 }
 
+/// Expects a status and a part of the headers, and frees the answer.
+void
+assert_answer(answer_text_t answer, int status, const char *headers)
+{
+    if (answer.status != status || strstr(answer.headers, headers) == NULL) {
+        printf("\nfound: %d %s\nexpected: %d %s\n", answer.status,
+               answer.headers, status, headers);
+        CU_FAIL("answer differs");
+    }
+    else {
+        CU_PASS("answer as expected");
+    }
+    answer_text_free(&answer);
+}
+
 /// Returns the value of a header, "" if there is none; g_free() it.
 char *
 answer_header(const answer_text_t *answer, const char *name)
--- a/test/functional/common/testbed.h
+++ b/test/functional/common/testbed.h
@@ -78,6 +78,7 @@
                              const char *header, const char *body);
 answer_text_t call_wait(call_in_flight_t *call);
 char *answer_header(const answer_text_t *answer, const char *name);
+void assert_answer(answer_text_t answer, int status, const char *headers);
 void answer_text_free(answer_text_t *answer);
 int64_t metric_of(const testbed_vm_t *vm, const char *name);
 int64_t json_number(struct json_object *object, const char *name);
--- a/test/functional/test_robustness.c
+++ b/test/functional/test_robustness.c
@@ -88,18 +88,6 @@
     return g_string_free(answer, FALSE);
 }
 
-static void
-assert_answer(answer_text_t answer, int status, const char *headers)
-{
-    CU_ASSERT_EQUAL(answer.status, status);
-    if (strstr(answer.headers, headers) == NULL) {
-        printf("\nfound: %d %s\nexpected: %d %s\n", answer.status,
-               answer.headers, status, headers);
-        CU_FAIL("headers differ");
-    }
-    answer_text_free(&answer);
-}
-
 static answer_text_t
 look(void)
 {
--- a/test/functional/test_shutdown.c
+++ b/test/functional/test_shutdown.c
@@ -34,18 +34,6 @@
     CU_ASSERT_TRUE_FATAL(testbed_wait_ready(bed));
 }
 
-static void
-assert_answer(answer_text_t answer, int status, const char *headers)
-{
-    CU_ASSERT_EQUAL(answer.status, status);
-    if (strstr(answer.headers, headers) == NULL) {
-        printf("\nfound: %d %s\nexpected: %d %s\n", answer.status,
-               answer.headers, status, headers);
-        CU_FAIL("headers differ");
-    }
-    answer_text_free(&answer);
-}
-
 static answer_text_t
 look(const testbed_vm_t *vm)
 {
