--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -472,7 +472,8 @@
 int
 main(void)
 {
-    log_init(G_LOG_LEVEL_CRITICAL);
+    log_init();
+    log_set_level("warning");
     print_slopes();
     printf("\nbad moments with %u nodes in %u data centres; KB and messages "
            "are of one node over the whole moment\n",
--- a/src/ibisfield/admission/admission.c
+++ b/src/ibisfield/admission/admission.c
@@ -208,6 +208,23 @@
     g_rand_free(admission->random);
 }
 
+static uint32_t
+queue_max_of(uint32_t slots)
+{
+    return MAX(QUEUE_MIN, QUEUE_PER_SLOT * slots);
+}
+
+/// The upstream has declared another number of slots.
+void
+admission_set_slots(admission_t *admission, uint32_t slots)
+{
+    if (slots == admission->limiter.slots) {
+        return;
+    }
+    limiter_init(&admission->limiter, slots, clock_now_us(admission->clock));
+    admission->queue_max = queue_max_of(slots);
+}
+
 /// Returns the number of a kind, learned on first use. The last number is
 /// shared by all kinds beyond ADMISSION_KINDS_MAX.
 uint32_t
--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -76,6 +76,7 @@
 void admission_init(admission_t *admission, const clock_source_t *clock,
                     const admission_options_t *options);
 void admission_finish(admission_t *admission);
+void admission_set_slots(admission_t *admission, uint32_t slots);
 uint32_t admission_kind(admission_t *admission, slice_t customer,
                         slice_t kind);
 admit_t admission_offer(admission_t *admission,
--- a/src/ibisfield/base/log.c
+++ b/src/ibisfield/base/log.c
@@ -46,14 +46,28 @@
     return G_LOG_WRITER_HANDLED;
 }
 
-/// Installs the log writer. Events below @p lowest_level are dropped.
+/// Installs the log writer.
 void
-log_init(GLogLevelFlags lowest_level)
+log_init(void)
 {
-    lowest_enabled_level = lowest_level;
     g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+/// Drops events below the level "debug", "info" or "warning".
+void
+log_set_level(const char *name)
+{
+    if (strcmp(name, "debug") == 0) {
+        lowest_enabled_level = G_LOG_LEVEL_DEBUG;
+    }
+    else if (strcmp(name, "warning") == 0) {
+        lowest_enabled_level = G_LOG_LEVEL_WARNING;
+    }
+    else {
+        lowest_enabled_level = G_LOG_LEVEL_MESSAGE;
+    }
+}
+
 /// Logs @p event with the key=value pairs that @p format makes.
 void
 log_event(GLogLevelFlags level, const char *event, const char *format, ...)
--- a/src/ibisfield/base/log.h
+++ b/src/ibisfield/base/log.h
@@ -3,7 +3,8 @@
 
 #include <glib.h>
 
-void log_init(GLogLevelFlags lowest_level);
+void log_init(void);
+void log_set_level(const char *name);
 void log_event(GLogLevelFlags level, const char *event, const char *format,
                ...) G_GNUC_PRINTF(3, 4);
 
--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -18,7 +18,7 @@
       "Bytes of control messages received: " name ".")
 
 /// Every metric: X(identifier, name, type, help). Keep the groups sorted.
-/// docs/operations.md lists the same names; a test compares the two.
+/// docs/OPERATIONS.md lists the same names; a test compares the two.
 #define METRIC_LIST(X)                                                        \
     X(CALLS_TOTAL, "ibisfield_calls_total", "counter",                        \
       "Caller and upstream requests accepted by the entry.")                  \
@@ -63,6 +63,9 @@
       "counter", "Requests refused because of their size.")                   \
     X(SENDERS_GONE_TOTAL, "ibisfield_senders_gone_total", "counter",          \
       "Requests whose sender closed its connection before the answer.")       \
+    X(SERVICE_RETRIES_REFUSED_TOTAL,                                          \
+      "ibisfield_service_retries_refused_total", "counter",                   \
+      "Repeats not sent because the service's retry budget was used up.")     \
     X(SPANS_TOTAL, "ibisfield_spans_total", "counter", "Spans logged.")       \
     X(UPSTREAM_ANSWERS_LOST_TOTAL, "ibisfield_upstream_answers_lost_total",   \
       "counter", "Requests to the upstream without a whole answer.")          \
@@ -74,6 +77,8 @@
     X(UPSTREAM_CONNECT_FAILURES_TOTAL,                                        \
       "ibisfield_upstream_connect_failures_total", "counter",                 \
       "Requests that no byte of could be sent to the upstream.")              \
+    X(UPSTREAM_MISDIRECTED_TOTAL, "ibisfield_upstream_misdirected_total",     \
+      "counter", "Requests that met another instance of the upstream.")       \
     X(UPSTREAM_SHED_TOTAL, "ibisfield_upstream_shed_total", "counter",        \
       "Requests that the upstream shed.")                                     \
     X(CONFIG_ADOPTIONS_TOTAL, "ibisfield_config_adoptions_total", "counter",  \
@@ -96,6 +101,8 @@
       "counter", "Control messages that could not be decoded.")               \
     X(CONTROL_VERSION_REFUSED, "ibisfield_control_version_refused_total",     \
       "counter", "Control messages of an unknown protocol version.")          \
+    X(PLATFORM_ITEMS_INVALID_TOTAL, "ibisfield_platform_items_invalid_total", \
+      "counter", "Items of the platform that could not be used.")             \
     X(PLATFORM_READS_TOTAL, "ibisfield_platform_reads_total", "counter",      \
       "Reads and watches sent to the platform.")                              \
     X(PLATFORM_READ_FAILURES_TOTAL, "ibisfield_platform_read_failures_total", \
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -8,6 +8,7 @@
 
 #include "ibisfield/base/metrics.h"
 #include "ibisfield/call/entry_attempts.h"
+#include "ibisfield/routing/traffic_split.h"
 
 /// Initialises the entry; it isn't ready until entry_set_ready().
 void
@@ -89,7 +90,7 @@
     if (intake->account != NULL) {
         deadline_us = MIN(deadline_us, intake->account->deadline_us);
     }
-    if (intake->request->from_peer) {
+    if (intake->request->from_peer || intake->request->budget_us > 0) {
         deadline_us = MIN(deadline_us, now_us + intake->request->budget_us);
     }
     return deadline_us;
@@ -113,7 +114,8 @@
 static uint32_t
 units_of(const entry_intake_t *intake)
 {
-    uint32_t retries = (uint32_t)intake->contract->retries;
+    uint32_t retries =
+        (uint32_t)kind_limits(intake->contract, intake->kind).attempts_max - 1;
     if (intake->request->egress) {
         return 0;
     }
@@ -146,6 +148,7 @@
         .user = request->user,
         .caller_waits = true,
         .once = request->key.len > 0,
+        .single = intake->kind->run == RUN_ONCE_UNKEYED,
         .hedge = request->key.len == 0 &&
                  kind_limits(intake->contract, intake->kind).hedge,
         .account = intake->account == NULL ? 0 : request->request_id,
@@ -161,7 +164,8 @@
     g_strlcpy(call->customer, intake->contract->customer,
               sizeof(call->customer));
     g_strlcpy(call->kind, intake->kind->name, sizeof(call->kind));
-    g_strlcpy(call->service, intake->kind->service, sizeof(call->service));
+    g_strlcpy(call->service, traffic_split_next(intake->kind),
+              sizeof(call->service));
     return call;
 }
 
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -10,6 +10,7 @@
 #include "ibisfield/once/key_table.h"
 #include "ibisfield/retry/client_retry_budget.h"
 #include "ibisfield/retry/retry_account.h"
+#include "ibisfield/retry/service_retry_budget.h"
 #include "ibisfield/routing/picker.h"
 
 /// A request from a caller, from this VM's own upstream (egress), or forwarded
@@ -25,7 +26,7 @@
     uint64_t request_id; ///< egress: the account to draw from; 0 if none
     bool from_peer;      ///< forwarded by another node; is not forwarded on
     int32_t worth;       ///< from_peer: of the root request
-    int64_t budget_us;   ///< from_peer: rest of the deadline
+    int64_t budget_us;   ///< how long the sender waits; 0: not said
     uint32_t retries;    ///< from_peer: units lent
     void *user;          ///< the adapter's own object
 } entry_request_t;
@@ -61,7 +62,7 @@
     int64_t wait_us;   ///< how long the adapter waits for the answer; longer
                        ///< than the budget when the request carries a key
     uint32_t retries;  ///< units lent
-    bool once;         ///< carries a key
+    bool once;         ///< not cancelled once it runs: unrepeatable
 } attempt_info_t;
 
 /// What the caller gets.
@@ -118,6 +119,11 @@
     uint32_t max_calls;
     uint32_t seed; ///< of the jitter
     bool lend_all; ///< lend all units instead of half; for the comparison
+    /// Upstreams don't pass the account on with their calls. Then no units are
+    /// lent, and what did not reach an upstream costs none.
+    bool unchained;
+    /// Repeats that may reach a service; NULL: bounded by units only.
+    service_retry_budget_t *service_retries;
 } entry_options_t;
 
 typedef struct {
@@ -135,6 +141,7 @@
     bool caller_waits;  ///< not answered and not gone
     bool forwarded;     ///< to the owner of its key
     bool once;          ///< carries a key
+    bool single;        ///< unrepeatable and without a key
     bool hedge;         ///< may be hedged
     bool may_have_run;  ///< an attempt was lost
     key_handle_t key;   ///< 0 if none
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -26,6 +26,7 @@
     case REASON_IN_PROGRESS:
     case REASON_CUSTOMER_RETRY_BUDGET:
     case REASON_OVERLOADED:
+    case REASON_UPSTREAM_SHED:
     case REASON_LEAVING:
     case REASON_NO_UPSTREAM:
     case REASON_NOT_READY:
@@ -108,6 +109,9 @@
 uint32_t
 entry_lend_units(entry_t *entry, entry_call_t *call)
 {
+    if (entry->options.unchained) {
+        return 0;
+    }
     uint32_t left = units_left(entry, call);
     return take_units(entry, call,
                       entry->options.lend_all ? left : (left + 1) / 2);
@@ -163,7 +167,7 @@
         .budget_us = call->deadline_us - now_us,
         .wait_us = call->wait_end_us - now_us,
         .retries = attempt->lent,
-        .once = call->once,
+        .once = call->once || call->single,
     };
     entry->options.io->vtable->send(entry->options.io, call->handle,
                                     call->user, attempt->number, vm, &info);
@@ -310,18 +314,22 @@
         call->hedge_due_us =
             delay_us == 0 ? 0 : clock_now_us(entry->options.clock) + delay_us;
     }
+    if (entry->options.service_retries != NULL) {
+        service_retry_budget_first(entry->options.service_retries,
+                                   call->service);
+    }
     send_attempt(entry, call, vm);
 }
 
-/// Sends one more attempt for one unit. Returns false if there is no unit, no
-/// time, no VM or nobody who waits.
+/// Sends one more attempt, for one unit unless @p is_free. Returns false if
+/// there is no unit, no budget, no time, no VM or nobody who waits.
 static bool
-send_extra_attempt(entry_t *entry, entry_call_t *call)
+send_extra_attempt(entry_t *entry, entry_call_t *call, bool is_free)
 {
     if (!call->caller_waits ||
         call->attempt_count >= G_N_ELEMENTS(call->attempts) ||
         clock_now_us(entry->options.clock) >= call->deadline_us ||
-        units_left(entry, call) == 0)
+        (!is_free && units_left(entry, call) == 0))
     {
         return false;
     }
@@ -329,17 +337,41 @@
     if (pick_vm(entry, call, &vm) != PICK_OK) {
         return false;
     }
-    take_units(entry, call, 1);
+    service_retry_budget_t *budget = entry->options.service_retries;
+    if (!is_free && budget != NULL &&
+        !service_retry_budget_take(budget, call->service))
+    {
+        metric_increment(METRIC_SERVICE_RETRIES_REFUSED_TOTAL);
+        picker_report(entry->options.picker, vm, call->kind_hash,
+                      REPORT_CANCELLED, 0, NULL);
+        return false;
+    }
+    if (!is_free) {
+        take_units(entry, call, 1);
+    }
     send_attempt(entry, call, vm);
     return true;
 }
 
+/// Whether an attempt that ended like this can't have reached an upstream. By
+/// the units of a chain it counts even then.
+static bool
+is_free_of_cost(const entry_t *entry, const attempt_result_t *result)
+{
+    return entry->options.unchained &&
+           (result->kind == ATTEMPT_CONNECT_FAILED ||
+            (result->kind == ATTEMPT_REFUSED &&
+             result->reason != REASON_UPSTREAM_SHED));
+}
+
 static report_t
 report_of(const attempt_result_t *result)
 {
     switch (result->kind) {
     case ATTEMPT_ANSWERED:
-        return REPORT_ANSWERED;
+        return result->status >= 500 && result->status != 504
+                   ? REPORT_FAILED
+                   : REPORT_ANSWERED;
     case ATTEMPT_REFUSED:
         return result->reason == REASON_LEAVING       ? REPORT_LEAVING
                : result->reason == REASON_NO_UPSTREAM ? REPORT_FAILED
@@ -395,11 +427,22 @@
 may_try_again(const entry_call_t *call, const attempt_result_t *result)
 {
     if (result->kind == ATTEMPT_LOST) {
-        return !call->once && result->reason != REASON_ANSWER_TOO_LARGE;
+        return !call->once && !call->single &&
+               result->reason != REASON_ANSWER_TOO_LARGE;
     }
     return true;
 }
 
+/// Whether an upstream's failure is worth another attempt elsewhere.
+static bool
+may_replace_answer(const entry_t *entry, const entry_call_t *call,
+                   const attempt_result_t *result)
+{
+    return entry->options.unchained && result->kind == ATTEMPT_ANSWERED &&
+           result->status >= 500 && result->status != 504 && !call->once &&
+           !call->single;
+}
+
 /// An attempt has ended. Results of calls or attempts that have ended are
 /// ignored.
 void
@@ -422,6 +465,13 @@
                     : result->kind == ATTEMPT_LOST
                         ? 0
                         : MIN(result->retries_left, attempt->lent));
+    if (may_replace_answer(entry, call, result) && running_attempts(call) == 0)
+    {
+        call->may_have_run = true;
+        if (send_extra_attempt(entry, call, false)) {
+            return;
+        }
+    }
     if (result->kind == ATTEMPT_ANSWERED) {
         attempt_answered(entry, call, number, result);
         return;
@@ -430,7 +480,8 @@
     call->reason = reason_of(result);
     call->retry_after_ms = result->retry_after_ms;
     if (running_attempts(call) > 0 ||
-        (may_try_again(call, result) && send_extra_attempt(entry, call)))
+        (may_try_again(call, result) &&
+         send_extra_attempt(entry, call, is_free_of_cost(entry, result))))
     {
         return;
     }
@@ -442,7 +493,7 @@
 {
     call->hedge_due_us = 0;
     if (running_attempts(call) == 1) {
-        send_extra_attempt(entry, call);
+        send_extra_attempt(entry, call, false);
     }
 }
 
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -40,6 +40,13 @@
     g_strlcpy(guard->service, service, sizeof(guard->service));
 }
 
+/// Sets the requests that the upstream runs at the same time.
+void
+guard_set_slots(guard_t *guard, uint32_t slots)
+{
+    admission_set_slots(&guard->admission, slots);
+}
+
 /// Returns whether the sender means another service: its list is old, and the
 /// address that it has belongs to another VM now.
 static bool
@@ -59,8 +66,9 @@
 static bool
 may_succeed_later(reason_t reason)
 {
-    return reason == REASON_OVERLOADED || reason == REASON_LEAVING ||
-           reason == REASON_NO_UPSTREAM || reason == REASON_DEADLINE;
+    return reason == REASON_OVERLOADED || reason == REASON_UPSTREAM_SHED ||
+           reason == REASON_LEAVING || reason == REASON_NO_UPSTREAM ||
+           reason == REASON_DEADLINE;
 }
 
 static void
@@ -247,11 +255,12 @@
         end_request(guard, request, REASON_NONE, OUTCOME_ANSWERED);
         break;
     case UPSTREAM_CONNECT_FAILED:
+    case UPSTREAM_MISDIRECTED:
         end_request(guard, request, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN);
         break;
     case UPSTREAM_SHED:
         admission_upstream_shed(&guard->admission);
-        end_request(guard, request, REASON_OVERLOADED, OUTCOME_NOT_RUN);
+        end_request(guard, request, REASON_UPSTREAM_SHED, OUTCOME_NOT_RUN);
         break;
     case UPSTREAM_TOO_LARGE:
         end_request(guard, request, REASON_ANSWER_TOO_LARGE, OUTCOME_UNKNOWN);
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -24,6 +24,7 @@
     UPSTREAM_ANSWERED,       ///< whole answer received
     UPSTREAM_CONNECT_FAILED, ///< no byte was sent
     UPSTREAM_SHED,           ///< the upstream refused before running it
+    UPSTREAM_MISDIRECTED,    ///< another instance than meant; did not run it
     UPSTREAM_LOST,           ///< bytes were sent, no whole answer
     UPSTREAM_TOO_LARGE,      ///< the answer exceeds max_answer_bytes
 } upstream_result_t;
@@ -92,6 +93,7 @@
                 const admission_options_t *options);
 void guard_finish(guard_t *guard);
 void guard_set_service(guard_t *guard, const char *service);
+void guard_set_slots(guard_t *guard, uint32_t slots);
 call_handle_t guard_request(guard_t *guard, const guard_request_t *request);
 void guard_upstream_done(guard_t *guard, call_handle_t handle,
                          upstream_result_t result);
--- a/src/ibisfield/cli/cmd_run.c
+++ b/src/ibisfield/cli/cmd_run.c
@@ -10,30 +10,49 @@
 
 #include "ibisfield/base/log.h"
 #include "ibisfield/cli/commands.h"
+#include "ibisfield/cli/input.h"
+#include "ibisfield/contract/settings.h"
 #include "ibisfield/io/node.h"
+#include "platform/adapter.h"
 
-static GLogLevelFlags
-level_of(const char *name)
+typedef struct {
+    node_t node;
+    const char *settings_file;
+} run_t;
+
+/// Reads the settings file again; one that can't be used changes nothing.
+static void
+reload(run_t *run)
 {
-    if (strcmp(name, "debug") == 0) {
-        return G_LOG_LEVEL_DEBUG;
+    settings_t settings;
+    GPtrArray *problems = problems_new();
+    if (load_settings(&settings, run->settings_file, problems)) {
+        node_reload(&run->node, &settings);
+        settings_finish(&settings);
     }
-    return strcmp(name, "warning") == 0 ? G_LOG_LEVEL_WARNING
-                                        : G_LOG_LEVEL_MESSAGE;
+    for (guint i = 0; i < problems->len; i++) {
+        log_warning("settings_refused", "problem=\"%s\"",
+                    (const char *)problems->pdata[i]);
+    }
+    g_ptr_array_free(problems, TRUE);
 }
 
 /// The first SIGTERM starts the graceful shutdown; SIGINT or a second SIGTERM
-/// stops at once.
+/// stops at once. SIGHUP reads the settings again.
 static void
 on_signal(h2o_socket_t *socket, const char *error)
 {
     (void)error;
-    node_t *node = socket->data;
+    run_t *run = socket->data;
+    node_t *node = &run->node;
     struct signalfd_siginfo info;
     while (read(h2o_socket_get_fd(socket), &info, sizeof(info)) ==
            (ssize_t)sizeof(info))
     {
-        if (info.ssi_signo == SIGTERM && node->shutdown_us == 0) {
+        if (info.ssi_signo == SIGHUP) {
+            reload(run);
+        }
+        else if (info.ssi_signo == SIGTERM && node->shutdown_us == 0) {
             node_shut_down(node);
         }
         else {
@@ -43,17 +62,18 @@
 }
 
 static h2o_socket_t *
-watch_signals(node_t *node)
+watch_signals(run_t *run)
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, NULL);
     int fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-    h2o_socket_t *socket = h2o_evloop_socket_create(node->loop.h2o, fd,
+    h2o_socket_t *socket = h2o_evloop_socket_create(run->node.loop.h2o, fd,
                                                     H2O_SOCKET_FLAG_DONT_READ);
-    socket->data = node;
+    socket->data = run;
     h2o_socket_read_start(socket, on_signal);
     return socket;
 }
@@ -80,22 +100,28 @@
     }
 }
 
-/// Runs a node until it is told to stop; returns the exit code.
+/// Runs a node until it is told to stop; returns the exit code. @p file is
+/// where @p settings were read, for SIGHUP.
 int
-cmd_run(const settings_t *settings)
+cmd_run(const settings_t *settings, const char *file)
 {
-    static node_t node;
-    log_init(level_of(settings->log_level));
+    static run_t run;
+    node_t *node = &run.node;
+    run.settings_file = file;
+    log_init();
+    log_set_level(settings->log_level);
     raise_descriptor_limit(settings);
     GError *error = NULL;
-    if (!node_init(&node, settings, &error)) {
+    const node_adapter_t *adapter =
+        settings->store.port == 0 ? NULL : &platform_adapter;
+    if (!node_init(node, settings, adapter, &error)) {
         fprintf(stderr, "ibisfield run: %s\n", error->message);
         g_error_free(error);
         return EXIT_CODE_FAILED;
     }
-    h2o_socket_t *signals = watch_signals(&node);
-    int exit_code = node_run(&node);
+    h2o_socket_t *signals = watch_signals(&run);
+    int exit_code = node_run(node);
     h2o_socket_close(signals);
-    node_finish(&node);
+    node_finish(node);
     return exit_code;
 }
--- a/src/ibisfield/cli/main.c
+++ b/src/ibisfield/cli/main.c
@@ -78,7 +78,8 @@
                "gracefully: it refuses new work, finishes the calls in "
                "flight and exits with 0, or with 1 when drain_limit_ms cut "
                "off a call. A second SIGTERM, or SIGINT, stops it at once "
-               "(exit 1). Invalid settings are listed and give exit 2.",
+               "(exit 1). SIGHUP reads the settings again. Invalid settings "
+               "are listed and give exit 2.",
     };
     file_argument_t argument = {.missing = "the settings file is missing"};
     parse_arguments(&argp, argc, argv, &argument);
@@ -88,7 +89,7 @@
     if (problems_print(problems) || !valid) {
         return EXIT_CODE_BAD_INPUT;
     }
-    return cmd_run(&settings);
+    return cmd_run(&settings, argument.file);
 }
 
 int
--- /dev/null
+++ b/src/ibisfield/config/published_list.h
@@ -0,0 +1,39 @@
+#ifndef IBISFIELD_CONFIG_PUBLISHED_LIST_H
+#define IBISFIELD_CONFIG_PUBLISHED_LIST_H
+
+#include <glib.h>
+
+#include "ibisfield/base/clock.h"
+#include "ibisfield/config/vm_view.h"
+
+typedef struct {
+    void (*listed)(void *context, const vm_info_t *info); ///< new or changed
+    void (*removed)(void *context, const char *vm);
+} published_list_hooks_t;
+
+/// The VMs that a source publishes, with the doubt that an outage of the
+/// source casts on removals: entries of live VMs may lapse meanwhile.
+typedef struct {
+    const clock_source_t *clock;
+    published_list_hooks_t hooks;
+    void *context;
+    GHashTable *entries;    ///< VM name to published_entry_t
+    int64_t lost_us;        ///< since when the source is away; 0: it isn't
+    int64_t doubt_until_us; ///< removals aren't believed until then
+    uint64_t listing;       ///< number of the last whole list
+} published_list_t;
+
+void published_list_init(published_list_t *list, const clock_source_t *clock,
+                         const published_list_hooks_t *hooks, void *context);
+void published_list_finish(published_list_t *list);
+void published_list_put(published_list_t *list, const vm_info_t *info,
+                        uint64_t revision);
+void published_list_remove(published_list_t *list, const char *vm,
+                           uint64_t revision);
+void published_list_begin(published_list_t *list);
+void published_list_end(published_list_t *list, uint64_t revision);
+void published_list_source_lost(published_list_t *list);
+void published_list_source_back(published_list_t *list);
+void published_list_tick(published_list_t *list);
+
+#endif
--- a/src/ibisfield/config/vm_view.h
+++ b/src/ibisfield/config/vm_view.h
@@ -19,6 +19,8 @@
     uint16_t caller_port;
     uint16_t peer_port;
     uint16_t control_port;
+    uint32_t slots; ///< of its upstream; 0: not published
+    bool own;       ///< this node's own upstream
     bool leaving;
 } vm_info_t;
 
--- a/src/ibisfield/contract/contract.c
+++ b/src/ibisfield/contract/contract.c
@@ -304,6 +304,9 @@
 void
 contract_finish(contract_t *contract)
 {
+    for (uint32_t i = 0; i < contract->kind_count; i++) {
+        g_free(contract->kinds[i].parts);
+    }
     g_free(contract->kinds);
     *contract = (contract_t){0};
 }
@@ -312,7 +315,9 @@
 kind_matches(const kind_t *kind, slice_t method, slice_t path)
 {
     slice_t pattern = slice_from_string(kind->path);
-    if (!slice_equal_string(method, kind->method) || pattern.len == 0) {
+    if (pattern.len == 0 ||
+        (kind->method[0] != '\0' && !slice_equal_string(method, kind->method)))
+    {
         return false;
     }
     if (pattern.data[pattern.len - 1] == '*') {
@@ -380,10 +385,12 @@
 kind_limits(const contract_t *contract, const kind_t *kind)
 {
     bool repeatable = kind->run == RUN_REPEATABLE;
+    int32_t attempts =
+        kind->attempts_max > 0 ? kind->attempts_max : 1 + contract->retries;
     return (kind_limits_t){
-        .attempts_max = 1 + contract->retries,
+        .attempts_max = attempts,
         .queue_wait_ms = kind->deadline_ms,
         .key_life_ms = repeatable ? 0 : kind->resend_s * 1000,
-        .hedge = repeatable && contract->retries > 0,
+        .hedge = repeatable && attempts > 1,
     };
 }
--- a/src/ibisfield/contract/contract_defs.h
+++ b/src/ibisfield/contract/contract_defs.h
@@ -15,19 +15,33 @@
 typedef enum {
     RUN_REPEATABLE, ///< idempotent: may be retried and hedged
     RUN_ONCE,       ///< must run at most once; needs a request key
+    /// Must run at most once and carries no key: each request is sent on
+    /// again only after a proof that it did not run.
+    RUN_ONCE_UNKEYED,
 } run_mode_t;
 
+/// A service that gets a share of a kind's requests.
+typedef struct {
+    char service[CONTRACT_NAME_MAX + 1];
+    int32_t weight; ///< share of the requests, relative to the other parts
+    double credit;  ///< requests owed to this part; see traffic_split.h
+} split_part_t;
+
 /// One kind of request, as the contract declares it.
 typedef struct {
     char name[CONTRACT_NAME_MAX + 1];
     char service[CONTRACT_NAME_MAX + 1];
-    char method[16];
+    char method[16]; ///< "" matches every method
     /// Path without the query; a '*' at the end matches any rest.
     char path[CONTRACT_PATH_MAX + 1];
     int32_t worth;       ///< 1 to CONTRACT_WORTH_MAX; higher is shed later
     int32_t deadline_ms; ///< from the arrival at the entry
     int32_t resend_s;    ///< how long a key stays valid; RUN_ONCE only
     run_mode_t run;
+    int32_t target_ms;    ///< an answer is worth less after it; 0: none
+    int32_t attempts_max; ///< for one request; 0: as the contract says
+    split_part_t *parts;  ///< NULL: all requests go to service
+    uint32_t part_count;
 } kind_t;
 
 /// One customer's contract.
--- a/src/ibisfield/contract/json_reader.c
+++ b/src/ibisfield/contract/json_reader.c
@@ -384,9 +384,10 @@
     return NULL;
 }
 
-static void
-report_missing(json_reader_t *reader, const char *path,
-               const json_field_t *field)
+/// Adds the problem of a field that must be there.
+void
+json_problem_missing(json_reader_t *reader, const char *path,
+                     const json_field_t *field)
 {
     char *expected = expected_text(field);
     json_problem(reader, path, "the field \"%s\" is missing, expected %s",
@@ -422,7 +423,7 @@
             continue;
         }
         if (fields[i].required) {
-            report_missing(reader, path, &fields[i]);
+            json_problem_missing(reader, path, &fields[i]);
         }
         else if (fields[i].read == json_read_int) {
             memcpy((char *)out + fields[i].offset, &fields[i].fallback,
@@ -462,6 +463,22 @@
     memcpy((char *)out + field->offset, &narrow, sizeof(narrow));
 }
 
+/// Reads a number from field->min to field->max into a double.
+void
+json_read_number(json_reader_t *reader, const json_field_t *field,
+                 const char *path, struct json_object *value, void *out)
+{
+    double number = json_object_get_double(value);
+    if ((!json_object_is_type(value, json_type_double) &&
+         !json_object_is_type(value, json_type_int)) ||
+        !(number >= field->min && number <= field->max))
+    {
+        json_problem_found(reader, path, value, field->expected);
+        return;
+    }
+    memcpy((char *)out + field->offset, &number, sizeof(number));
+}
+
 /// Reads a name: lower-case letters, digits and '-', first no '-'. Names are
 /// parts of keys, item names and log lines, so no separator may occur.
 void
--- a/src/ibisfield/contract/json_reader.h
+++ b/src/ibisfield/contract/json_reader.h
@@ -53,9 +53,13 @@
 void json_read_fields(json_reader_t *reader, const char *path,
                       struct json_object *object, const json_field_t *fields,
                       size_t field_count, void *out);
+void json_problem_missing(json_reader_t *reader, const char *path,
+                          const json_field_t *field);
 const char *json_string(struct json_object *value);
 void json_read_int(json_reader_t *reader, const json_field_t *field,
                    const char *path, struct json_object *value, void *out);
+void json_read_number(json_reader_t *reader, const json_field_t *field,
+                      const char *path, struct json_object *value, void *out);
 void json_read_name(json_reader_t *reader, const json_field_t *field,
                     const char *path, struct json_object *value, void *out);
 char *json_load_file(const char *file, size_t *len, GPtrArray *problems);
--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -37,17 +37,21 @@
         .offset = offsetof(settings_t, member), .required = true,             \
         .expected = ENDPOINT_EXPECTED                                         \
     }
+#define OPTIONAL_ENDPOINT_FIELD(member)                                       \
+    {                                                                         \
+        .name = #member, .read = read_endpoint,                               \
+        .offset = offsetof(settings_t, member), .expected = ENDPOINT_EXPECTED \
+    }
 #define URL_FIELD(member)                                                     \
     {                                                                         \
         .name = #member, .read = read_url,                                    \
-        .offset = offsetof(settings_t, member), .required = true,             \
-        .expected = URL_EXPECTED                                              \
+        .offset = offsetof(settings_t, member), .expected = URL_EXPECTED      \
     }
-#define REQUIRED_INT_FIELD(member, low, high)                                 \
+#define NUMBER_FIELD(member, low, high, text)                                 \
     {                                                                         \
-        .name = #member, .read = json_read_int,                               \
-        .offset = offsetof(settings_t, member), .required = true,             \
-        .min = (low), .max = (high)                                           \
+        .name = #member, .read = json_read_number,                            \
+        .offset = offsetof(settings_t, member), .min = (low), .max = (high),  \
+        .expected = (text)                                                    \
     }
 #define INT_FIELD(member, low, high, value)                                   \
     {                                                                         \
@@ -56,20 +60,30 @@
         .fallback = (value)                                                   \
     }
 
+/// Requests that an upstream runs at the same time until the store says it.
+#define UPSTREAM_SLOTS_DEFAULT 16
+/// Connections to an upstream on the same VM; its slots bound those in use.
+#define UPSTREAM_CONNECTIONS_DEFAULT 4096
+/// One repeat for five requests, counted over 10 s.
+#define RETRY_RATIO_DEFAULT 0.2
+#define RETRY_WINDOW_DEFAULT_S 10.0
+
 static const json_field_t settings_fields[] = {
     NAME_FIELD(vm),
     NAME_FIELD(data_centre),
     NAME_FIELD(service),
     ENDPOINT_FIELD(caller_listen),
-    ENDPOINT_FIELD(egress_listen),
+    OPTIONAL_ENDPOINT_FIELD(egress_listen),
     ENDPOINT_FIELD(peer_listen),
-    ENDPOINT_FIELD(control_listen),
+    OPTIONAL_ENDPOINT_FIELD(control_listen),
     ENDPOINT_FIELD(operator_listen),
+    OPTIONAL_ENDPOINT_FIELD(readiness_listen),
     ENDPOINT_FIELD(upstream),
-    REQUIRED_INT_FIELD(upstream_slots, 1, 100000),
-    REQUIRED_INT_FIELD(upstream_connections, 1, 100000),
+    INT_FIELD(upstream_slots, 1, 100000, UPSTREAM_SLOTS_DEFAULT),
+    INT_FIELD(upstream_connections, 1, 100000, UPSTREAM_CONNECTIONS_DEFAULT),
     URL_FIELD(config_url),
     URL_FIELD(list_url),
+    OPTIONAL_ENDPOINT_FIELD(store),
     {.name = "seeds",
      .read = read_seeds,
      .expected = "an array of at most 16 control addresses"},
@@ -80,6 +94,9 @@
     INT_FIELD(remote_cost_us, 0, 10000000, 3000),
     INT_FIELD(key_linger_ms, 0, 600000, 5000),
     INT_FIELD(drain_limit_ms, 1, 3600000, 30000),
+    NUMBER_FIELD(stop_limit_s, 1, 3600, "seconds from 1 to 3600"),
+    NUMBER_FIELD(retry_ratio, 0, 10, "a share from 0 to 10"),
+    NUMBER_FIELD(retry_window_s, 1, 3600, "seconds from 1 to 3600"),
     INT_FIELD(answer_store_bytes, 0, 1073741824, 16777216),
     {.name = "log_level",
      .read = read_log_level,
@@ -222,6 +239,7 @@
         {"peer_listen", &settings->peer_listen},
         {"control_listen", &settings->control_listen},
         {"operator_listen", &settings->operator_listen},
+        {"readiness_listen", &settings->readiness_listen},
         {"upstream", &settings->upstream},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
@@ -237,9 +255,50 @@
     }
 }
 
+/// Fields that only a node with a store may leave out.
+static const char *const source_fields[] = {
+    "egress_listen",  "control_listen",       "config_url",
+    "upstream_slots", "upstream_connections", "list_url",
+};
+
+static void
+check_source(json_reader_t *reader)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(settings_fields); i++) {
+        const json_field_t *field = &settings_fields[i];
+        for (size_t j = 0; j < G_N_ELEMENTS(source_fields); j++) {
+            if (strcmp(field->name, source_fields[j]) == 0 &&
+                !json_object_object_get_ex(reader->root, field->name, NULL))
+            {
+                json_problem_missing(reader, "", field);
+            }
+        }
+    }
+}
+
+/// A node must end by itself some time before it is ended, so that the last
+/// answers leave its sockets.
+#define STOP_MARGIN_MS 600
+
+/// Fits the limits of the shutdown into the time that the operator leaves.
+static void
+fit_shutdown(settings_t *settings)
+{
+    if (settings->stop_limit_s <= 0) {
+        return;
+    }
+    int32_t limit_ms = (int32_t)(settings->stop_limit_s * 1000);
+    limit_ms = MAX(limit_ms - STOP_MARGIN_MS, 1);
+    settings->drain_limit_ms = MIN(settings->drain_limit_ms, limit_ms);
+    settings->key_linger_ms = MIN(settings->key_linger_ms, limit_ms / 2);
+}
+
 static void
 check_settings(json_reader_t *reader, const settings_t *settings)
 {
+    if (settings->store.port == 0) {
+        check_source(reader);
+    }
     check_endpoints(reader, settings);
     if (settings->upstream_connections > 0 &&
         settings->upstream_connections < settings->upstream_slots)
@@ -273,13 +332,18 @@
 settings_parse(settings_t *settings, const char *file, slice_t text,
                GPtrArray *problems)
 {
-    *settings = (settings_t){.log_level = "info"};
+    *settings = (settings_t){
+        .log_level = "info",
+        .retry_ratio = RETRY_RATIO_DEFAULT,
+        .retry_window_s = RETRY_WINDOW_DEFAULT_S,
+    };
     json_reader_t reader;
     if (!json_reader_open(&reader, file, text, problems)) {
         return false;
     }
     json_read_fields(&reader, "", reader.root, settings_fields,
                      G_N_ELEMENTS(settings_fields), settings);
+    fit_shutdown(settings);
     check_settings(&reader, settings);
     bool valid = reader.problem_count == 0;
     json_reader_close(&reader);
--- a/src/ibisfield/contract/settings_defs.h
+++ b/src/ibisfield/contract/settings_defs.h
@@ -24,11 +24,14 @@
     endpoint_t peer_listen;              ///< other nodes' HTTP (guard)
     endpoint_t control_listen;           ///< control messages (nng)
     endpoint_t operator_listen;          ///< operators' HTTP
+    endpoint_t readiness_listen;         ///< readiness checks; port 0: none
     endpoint_t upstream;                 ///< the upstream on this VM
     int32_t upstream_slots;              ///< requests it runs at the same time
     int32_t upstream_connections;        ///< connections it accepts
     char config_url[SETTINGS_URL_MAX + 1]; ///< contracts, http://ip:port
     char list_url[SETTINGS_URL_MAX + 1];   ///< VM list, http://ip:port
+    endpoint_t store;                      ///< the platform's metadata store;
+                                           ///< port 0: the two URLs are read
     endpoint_t seeds[SETTINGS_SEEDS_MAX];  ///< control addresses of peers
     uint32_t seed_count;
     int32_t max_request_bytes;  ///< default 1048576
@@ -38,6 +41,9 @@
     int32_t remote_cost_us;     ///< added cost of another data centre, 3000
     int32_t key_linger_ms;      ///< default 5000
     int32_t drain_limit_ms;     ///< default 30000
+    double stop_limit_s;        ///< a stopped node must end in it; 0: not set
+    double retry_ratio;         ///< repeats for each request to a service
+    double retry_window_s;      ///< in which both are counted
     int32_t answer_store_bytes; ///< kept answers of keys, 16777216
     char log_level[16];         ///< debug, info, warning; default info
 } settings_t;
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -118,9 +118,22 @@
     message_finish(&message);
 }
 
+/// Status of a refusal for callers that take some statuses as the promise that
+/// the request has not run and never will.
+static int
+status_by_promise(reason_t reason, outcome_t outcome)
+{
+    int status = reason_status(reason);
+    if (outcome == OUTCOME_NOT_RUN) {
+        return reason == REASON_DEADLINE ? 503 : status;
+    }
+    return status == 503 || status == 429 ? 502 : status;
+}
+
 static void
 refuse(caller_call_t *call, const entry_answer_t *answer)
 {
+    const wire_t *wire = call->server->options.wire;
     log_debug("call_refused", "kind=\"%s\" reason=%s outcome=%s", call->kind,
               reason_token(answer->reason), outcome_token(answer->outcome));
     refusal_t refusal = {
@@ -128,9 +141,15 @@
         .outcome = answer->outcome,
         .retry_after_ms = answer->retry_after_ms,
         .fresh_key = answer->fresh_key,
+        .fractional = wire != NULL,
     };
     message_t message;
     message_init_refusal(&message, &refusal);
+    if (wire != NULL) {
+        message.status = status_by_promise(answer->reason, answer->outcome);
+        message_add(&message, wire->request_id,
+                    http_request_header(call->request, wire->request_id));
+    }
     send_answer(call, &message, outcome_token(answer->outcome));
     message_finish(&message);
 }
@@ -256,7 +275,20 @@
                  const attempt_info_t *info)
 {
     const http_request_t *request = call->request;
-    message_add_end_to_end(message, request->headers, request->header_count);
+    const wire_t *wire = call->server->options.wire;
+    if (wire == NULL) {
+        message_add_end_to_end(message, request->headers,
+                               request->header_count);
+    }
+    else {
+        const char *const replaced[] = {wire->deadline_ms, wire->instance,
+                                        wire->caller_service};
+        message_add_end_to_end_but(message, request->headers,
+                                   request->header_count, replaced,
+                                   G_N_ELEMENTS(replaced));
+        message_add_string(message, wire->caller_service,
+                           call->server->options.service);
+    }
     message_add(message, "host", request->host);
     message_add_string(message, HEADER_PROTOCOL, PROTOCOL_VERSION);
     message_add_string(message, HEADER_CUSTOMER, info->customer);
@@ -290,6 +322,7 @@
     message_t message;
     message_init(&message, 0);
     add_call_headers(&message, call, info);
+    message_add_string(&message, HEADER_VM, vm);
     if (attempt->number == 0) {
         message_add_string(&message, HEADER_FROM_PEER, "1");
     }
@@ -384,6 +417,19 @@
     }
 }
 
+/// How long the caller waits by its own word, 0 if it doesn't say.
+static int64_t
+read_budget_us(const wire_t *wire, const http_request_t *request)
+{
+    int64_t budget_ms = 0;
+    if (!parse_number(http_request_header(request, wire->deadline_ms),
+                      G_MAXINT32, &budget_ms))
+    {
+        return 0;
+    }
+    return MAX(budget_ms, 1) * US_PER_MS;
+}
+
 static void
 handle(caller_server_t *server, http_request_t *request, origin_t origin)
 {
@@ -416,6 +462,11 @@
     if (origin == FROM_PEER) {
         read_peer_fields(&taken, request);
     }
+    if (server->options.wire != NULL) {
+        taken.key = (slice_t){NULL, 0};
+        taken.source = 0;
+        taken.budget_us = read_budget_us(server->options.wire, request);
+    }
     call_handle_t handle = entry_request(server->options.entry, &taken);
     if (handle != 0) {
         call->handle = handle;
--- a/src/ibisfield/io/caller_server.h
+++ b/src/ibisfield/io/caller_server.h
@@ -6,6 +6,7 @@
 #include "ibisfield/io/http_server.h"
 #include "ibisfield/io/peer_client.h"
 #include "ibisfield/io/span.h"
+#include "ibisfield/io/wire.h"
 
 typedef struct caller_attempt caller_attempt_t;
 
@@ -18,6 +19,8 @@
     const vm_view_t *vms;
     peer_client_t *peers;
     span_source_t *spans;
+    const wire_t *wire;  ///< NULL: the project's own headers
+    const char *service; ///< of the upstream on this VM
 } caller_server_options_t;
 
 /// Adapter between the entry and HTTP: callers, own upstream (egress) and
--- a/src/ibisfield/io/customers.c
+++ b/src/ibisfield/io/customers.c
@@ -19,6 +19,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_contract);
     customers->by_host =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    customers->version = 0;
 }
 
 void
@@ -73,6 +74,36 @@
     return true;
 }
 
+/// Puts the contracts (contract_t, on the heap) of a version in force in place
+/// of all earlier ones; takes the array. Returns false, and keeps those in
+/// force, unless the version is above theirs: a node never goes back.
+bool
+customers_set_all(customers_t *customers, GPtrArray *contracts,
+                  uint64_t version)
+{
+    bool newer = version > customers->version;
+    if (newer) {
+        customers->version = version;
+        g_hash_table_remove_all(customers->by_host);
+        g_hash_table_remove_all(customers->contracts);
+    }
+    for (guint i = 0; i < contracts->len; i++) {
+        contract_t *contract = contracts->pdata[i];
+        if (newer) {
+            g_hash_table_replace(customers->contracts, contract->customer,
+                                 contract);
+        }
+        else {
+            free_contract(contract);
+        }
+    }
+    g_ptr_array_free(contracts, TRUE);
+    if (newer) {
+        index_hosts(customers);
+    }
+    return newer;
+}
+
 void
 customers_remove(customers_t *customers, const char *name)
 {
--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -1,289 +1,444 @@
 /// @file
-/// HTTP/1.1 client over h2o's http1client with pooled connections. A
-/// connection carries one exchange at a time. It goes back to the pool only
-/// when the answer was read to its end; otherwise it is closed.
+/// HTTP/1.1 client with pooled connections. A connection carries one exchange
+/// at a time. It goes back to the pool only when the request was written and
+/// its answer read to their ends, and nothing else came; otherwise it is
+/// closed.
 
 #include "ibisfield/io/http_client.h"
 
 #include <arpa/inet.h>
-#include <stdlib.h>
+
+#include "ibisfield/io/socket_options.h"
 
 /// Idle connections are closed by the client after this time. It is below the
 /// usual keep-alive time of servers (5 s), so that a request rarely meets a
 /// connection that the server is closing.
-#define POOL_IDLE_MS 4000
+#define POOL_IDLE_US (4 * US_PER_S)
+/// A server that states its keep-alive time closes an idle connection at that
+/// time; the client closes this much earlier.
+#define KEEP_ALIVE_MARGIN_US US_PER_S
+#define SWEEP_INTERVAL_US US_PER_S
+
+typedef struct connection connection_t;
 
 struct http_target {
     loop_t *loop;
-    endpoint_t endpoint;
-    h2o_socketpool_t pool;
-    h2o_http1client_ctx_t context;
-    uint32_t connections_max;
+    http_target_options_t options;
+    GQueue idle;          ///< of connection_t, the last used first
+    GQueue waiting;       ///< exchanges without a connection
     uint32_t connections; ///< in use by an exchange
     uint32_t exchanges;   ///< not yet over
-    size_t max_answer_bytes;
-    GQueue waiting; ///< exchanges without a connection
+    loop_timer_t sweep_timer;
     bool released;
 };
 
+struct connection {
+    http_target_t *target;
+    h2o_socket_t *socket;
+    http_exchange_t *exchange; ///< NULL: idle, or its answer is delivered
+    answer_reader_t reader;
+    GString *request; ///< being written
+    bool writing;
+    bool delivering;
+    bool broken;      ///< not to be used again
+    bool has_foreign; ///< an answer to another request came
+    int64_t idle_until_us;
+    GList idle_link;
+};
+
 struct http_exchange {
     http_target_t *target;
-    GString *request;
-    h2o_iovec_t request_buffer;
-    h2o_http1client_t *client;
+    GString *request; ///< handed to the connection when sent
+    connection_t *connection;
     GList *waiting_link; ///< NULL: not waiting
-    loop_timer_t timer;  ///< timeout, then delivery of the result
+    loop_timer_t timer;  ///< timeout, then delivery of a failed connect
+    loop_timer_t connect_timer;
     http_done_t done;
     void *context;
-    bool connected; ///< holds one of the target's connections
+    char *echoed; ///< expected value of the echoed header; NULL: none
     bool sent;
     bool is_head;
-    bool is_chunked;
-    bool has_length;
-    http_answer_t answer;
-    http_header_t *headers;
-    char *header_text;
-    GByteArray *body;
+    const char *failure;
 };
 
 static void start_waiting(http_target_t *target);
+static void on_readable(h2o_socket_t *socket, const char *error);
+static void sweep_idle(void *context);
 
 static void
 free_target_if_unused(http_target_t *target)
 {
     if (target->released && target->exchanges == 0) {
-        h2o_socketpool_dispose(&target->pool);
+        loop_timer_stop(target->loop, &target->sweep_timer);
         g_free(target);
     }
 }
 
+static void
+free_connection(connection_t *connection)
+{
+    if (connection->socket != NULL) {
+        connection->socket->data = NULL;
+        h2o_socket_close(connection->socket);
+    }
+    answer_reader_finish(&connection->reader);
+    if (connection->request != NULL) {
+        g_string_free(connection->request, TRUE);
+    }
+    g_free(connection);
+}
+
+static void
+close_idle(connection_t *connection)
+{
+    g_queue_unlink(&connection->target->idle, &connection->idle_link);
+    free_connection(connection);
+}
+
+static void
+sweep_idle(void *context)
+{
+    http_target_t *target = context;
+    int64_t now_us = clock_now_us(target->loop->clock);
+    GList *link = target->idle.tail;
+    while (link != NULL) {
+        connection_t *connection = link->data;
+        link = link->prev;
+        if (now_us >= connection->idle_until_us) {
+            close_idle(connection);
+        }
+    }
+    if (target->idle.length > 0) {
+        loop_timer_start(target->loop, &target->sweep_timer, SWEEP_INTERVAL_US,
+                         sweep_idle, target);
+    }
+}
+
+static int64_t
+idle_time_us(const connection_t *connection)
+{
+    const answer_reader_t *reader = &connection->reader;
+    slice_t value = http_header_find(
+        reader->headers, answer_reader_header_count(reader), "keep-alive");
+    const char *timeout =
+        value.data == NULL
+            ? NULL
+            : g_strstr_len(value.data, (gssize)value.len, "timeout=");
+    if (timeout == NULL) {
+        return POOL_IDLE_US;
+    }
+    const char *end = value.data + value.len;
+    int64_t seconds = 0;
+    for (const char *digit = timeout + strlen("timeout=");
+         digit < end && g_ascii_isdigit(*digit) && seconds < 3600; digit++)
+    {
+        seconds = seconds * 10 + g_ascii_digit_value(*digit);
+    }
+    return MAX(seconds * US_PER_S - KEEP_ALIVE_MARGIN_US, US_PER_S / 2);
+}
+
+static void
+make_idle(connection_t *connection)
+{
+    http_target_t *target = connection->target;
+    connection->idle_until_us =
+        clock_now_us(target->loop->clock) + idle_time_us(connection);
+    connection->idle_link.data = connection;
+    g_queue_push_head_link(&target->idle, &connection->idle_link);
+    if (target->sweep_timer.position == NULL) {
+        loop_timer_start(target->loop, &target->sweep_timer, SWEEP_INTERVAL_US,
+                         sweep_idle, target);
+    }
+}
+
+/// Ends the use of a connection by an exchange. @p reusable is false if the
+/// state of the connection isn't known.
+static void
+release_connection(connection_t *connection, bool reusable)
+{
+    http_target_t *target = connection->target;
+    target->connections--;
+    if (reusable && !connection->broken && !target->released) {
+        make_idle(connection);
+    }
+    else {
+        free_connection(connection);
+    }
+}
+
 static void
 free_exchange(http_exchange_t *exchange)
 {
     http_target_t *target = exchange->target;
     loop_timer_stop(target->loop, &exchange->timer);
+    loop_timer_stop(target->loop, &exchange->connect_timer);
     if (exchange->waiting_link != NULL) {
         g_queue_delete_link(&target->waiting, exchange->waiting_link);
     }
-    if (exchange->connected) {
-        target->connections--;
+    if (exchange->request != NULL) {
+        g_string_free(exchange->request, TRUE);
     }
-    g_string_free(exchange->request, TRUE);
-    g_free(exchange->headers);
-    g_free(exchange->header_text);
-    g_byte_array_unref(exchange->body);
+    g_free(exchange->echoed);
     g_free(exchange);
+}
+
+static void
+end_exchange(http_target_t *target)
+{
     target->exchanges--;
     start_waiting(target);
     free_target_if_unused(target);
 }
 
+/// Reports the result; the exchange is over.
 static void
-deliver(void *context)
+deliver(http_exchange_t *exchange, const http_answer_t *answer)
 {
-    http_exchange_t *exchange = context;
-    http_answer_t *answer = &exchange->answer;
-    answer->headers = exchange->headers;
-    answer->body =
-        (slice_t){(const char *)exchange->body->data, exchange->body->len};
-    // The connection is back in the pool; let the next exchange have it first.
-    if (exchange->connected) {
-        exchange->connected = false;
-        exchange->target->connections--;
-        start_waiting(exchange->target);
-    }
-    exchange->done(exchange->context, answer);
+    http_done_t done = exchange->done;
+    void *context = exchange->context;
     free_exchange(exchange);
+    done(context, answer);
 }
 
-/// Records the result. It is delivered after the current batch of events, when
-/// h2o has taken the connection back.
+/// Ends an exchange whose answer did not come whole.
 static void
-finish_exchange(http_exchange_t *exchange, http_result_t result,
-                const char *error)
+fail_exchange(http_exchange_t *exchange, http_result_t result,
+              const char *error)
 {
-    exchange->client = NULL;
-    exchange->answer.result = result;
-    exchange->answer.error = error;
-    loop_timer_start(exchange->target->loop, &exchange->timer, 0, deliver,
-                     exchange);
+    http_target_t *target = exchange->target;
+    connection_t *connection = exchange->connection;
+    if (connection != NULL) {
+        connection->exchange = NULL;
+        release_connection(connection, false);
+    }
+    deliver(exchange, &(http_answer_t){.result = result, .error = error});
+    end_exchange(target);
 }
 
 static void
 on_timeout(void *context)
 {
     http_exchange_t *exchange = context;
-    if (exchange->waiting_link != NULL) {
-        g_queue_delete_link(&exchange->target->waiting,
-                            exchange->waiting_link);
-        exchange->waiting_link = NULL;
-    }
-    if (exchange->client != NULL) {
-        h2o_http1client_cancel(exchange->client);
-    }
-    finish_exchange(exchange, exchange->sent ? HTTP_LOST : HTTP_CONNECT_FAILED,
-                    exchange->sent ? "no whole answer in time"
-                                   : "no connection in time");
+    fail_exchange(exchange, exchange->sent ? HTTP_LOST : HTTP_CONNECT_FAILED,
+                  exchange->sent ? "no whole answer in time"
+                                 : "no connection in time");
 }
 
-/// Takes what h2o has read into the body. Returns false if it is too much.
+static void
+on_connect_timeout(void *context)
+{
+    fail_exchange(context, HTTP_CONNECT_FAILED, "connect timed out");
+}
+
+static void
+on_connect_failed(void *context)
+{
+    http_exchange_t *exchange = context;
+    fail_exchange(exchange, HTTP_CONNECT_FAILED, exchange->failure);
+}
+
+/// Whether the answer belongs to an earlier request on this connection.
 static bool
-take_body(http_exchange_t *exchange, h2o_http1client_t *client)
+is_foreign(const connection_t *connection)
 {
-    h2o_buffer_t *input = client->sock->input;
-    bool fits = exchange->body->len + input->size <=
-                exchange->target->max_answer_bytes;
-    if (fits) {
-        g_byte_array_append(exchange->body, (const guint8 *)input->bytes,
-                            (guint)input->size);
+    const http_exchange_t *exchange = connection->exchange;
+    if (exchange->echoed == NULL) {
+        return false;
     }
-    h2o_buffer_consume(&client->sock->input, input->size);
-    return fits;
+    const answer_reader_t *reader = &connection->reader;
+    slice_t value =
+        http_header_find(reader->headers, answer_reader_header_count(reader),
+                         exchange->target->options.echoed_header);
+    return value.data != NULL && !slice_equal_string(value, exchange->echoed);
+}
+
+static void
+deliver_answer(connection_t *connection)
+{
+    http_exchange_t *exchange = connection->exchange;
+    http_target_t *target = connection->target;
+    answer_reader_t *reader = &connection->reader;
+    bool reusable = reader->keep_alive && !connection->writing &&
+                    !connection->has_foreign &&
+                    connection->socket->input->size == 0;
+    const http_answer_t answer = {
+        .result = HTTP_COMPLETE,
+        .status = reader->parser.status_code,
+        .headers = reader->headers,
+        .header_count = answer_reader_header_count(reader),
+        .body = {(const char *)reader->body->data, reader->body->len},
+    };
+    connection->exchange = NULL;
+    connection->delivering = true;
+    deliver(exchange, &answer);
+    connection->delivering = false;
+    release_connection(connection, reusable);
+    end_exchange(target);
 }
 
-static int
-on_body(h2o_http1client_t *client, const char *error)
+/// Feeds the reader until it needs more bytes or the exchange has ended.
+static void
+read_answer(connection_t *connection, const char *error)
+{
+    answer_reader_t *reader = &connection->reader;
+    h2o_socket_t *socket = connection->socket;
+    for (;;) {
+        h2o_buffer_t *input = socket->input;
+        size_t used =
+            answer_reader_take(reader, (slice_t){input->bytes, input->size});
+        h2o_buffer_consume(&socket->input, used);
+        if (reader->state != ANSWER_WHOLE || !is_foreign(connection)) {
+            break;
+        }
+        connection->has_foreign = true;
+        answer_reader_start(reader, connection->exchange->is_head);
+    }
+    if (error != NULL) {
+        answer_reader_end(reader, error == h2o_socket_error_closed);
+        connection->broken = true;
+    }
+    switch (reader->state) {
+    case ANSWER_PARTIAL:
+        break;
+    case ANSWER_WHOLE:
+        deliver_answer(connection);
+        break;
+    case ANSWER_TOO_LARGE:
+        fail_exchange(connection->exchange, HTTP_TOO_LARGE,
+                      "answer exceeds the bound");
+        break;
+    default:
+        fail_exchange(connection->exchange, HTTP_LOST,
+                      error == NULL ? "not a whole HTTP answer" : error);
+        break;
+    }
+}
+
+static void
+on_readable(h2o_socket_t *socket, const char *error)
 {
-    http_exchange_t *exchange = client->data;
-    bool at_end = error == h2o_http1client_error_is_eos;
-    if (error != NULL && !at_end) {
-        finish_exchange(exchange, HTTP_LOST, error);
-        return -1;
+    connection_t *connection = socket->data;
+    if (connection == NULL) {
+        return;
     }
-    bool read_nothing = client->sock->bytes_read == 0;
-    if (!take_body(exchange, client)) {
-        finish_exchange(exchange, HTTP_TOO_LARGE, "answer exceeds the bound");
-        return -1;
+    if (connection->exchange != NULL) {
+        read_answer(connection, error);
     }
-    if (!at_end) {
-        return 0;
+    else if (connection->delivering) {
+        connection->broken = true;
     }
-    // h2o reports a chunked answer that the peer closed between two chunks as
-    // complete. The close is an event that read no byte, while the last chunk
-    // is always read.
-    if (exchange->is_chunked && read_nothing) {
-        finish_exchange(exchange, HTTP_LOST, "closed before the last chunk");
-        return -1;
+    else {
+        // The server closed the connection, or sent what nobody asked for.
+        close_idle(connection);
     }
-    finish_exchange(exchange, HTTP_COMPLETE, NULL);
-    return 0;
 }
 
 static void
-copy_head(http_exchange_t *exchange, int status, const h2o_header_t *headers,
-          size_t count)
-{
-    size_t bytes = 0;
-    for (size_t i = 0; i < count; i++) {
-        bytes += headers[i].name->len + headers[i].value.len;
-    }
-    exchange->headers = g_new0(http_header_t, count + 1);
-    exchange->header_text = g_malloc(bytes + 1);
-    char *text = exchange->header_text;
-    for (size_t i = 0; i < count; i++) {
-        const h2o_iovec_t *name = headers[i].name;
-        const h2o_iovec_t *value = &headers[i].value;
-        http_header_t *copy = &exchange->headers[i];
-        copy->name = (slice_t){text, name->len};
-        text = (char *)memcpy(text, name->base, name->len) + name->len;
-        copy->value = (slice_t){text, value->len};
-        text = (char *)memcpy(text, value->base, value->len) + value->len;
-    }
-    exchange->answer.status = status;
-    exchange->answer.header_count = count;
-}
-
-/// Notes how the end of the body is marked. Returns false if the answer is
-/// known to be too large.
-static bool
-check_framing(http_exchange_t *exchange)
-{
-    size_t count = exchange->answer.header_count;
-    slice_t length =
-        http_header_find(exchange->headers, count, "content-length");
-    slice_t coding =
-        http_header_find(exchange->headers, count, "transfer-encoding");
-    exchange->is_chunked = coding.data != NULL;
-    exchange->has_length = length.data != NULL;
-    char digits[24] = "";
-    if (length.data != NULL && length.len < sizeof(digits)) {
-        memcpy(digits, length.data, length.len);
-    }
-    return strtoull(digits, NULL, 10) <= exchange->target->max_answer_bytes;
-}
-
-static h2o_http1client_body_cb
-on_head(h2o_http1client_t *client, const char *error, int minor_version,
-        int status, h2o_iovec_t message, h2o_header_t *headers, size_t count,
-        int head_bytes)
-{
-    (void)minor_version;
-    (void)message;
-    (void)head_bytes;
-    http_exchange_t *exchange = client->data;
-    bool at_end = error == h2o_http1client_error_is_eos;
-    if (error != NULL && !at_end) {
-        finish_exchange(exchange, HTTP_LOST, error);
-        return NULL;
-    }
-    copy_head(exchange, status, headers, count);
-    if (at_end) {
-        finish_exchange(exchange, HTTP_COMPLETE, NULL);
-        return NULL;
-    }
-    if (!check_framing(exchange)) {
-        finish_exchange(exchange, HTTP_TOO_LARGE, "answer exceeds the bound");
-        return NULL;
-    }
-    if (!exchange->is_chunked && !exchange->has_length) {
-        // An answer that ends with the connection can't be told from a
-        // truncated one.
-        finish_exchange(exchange, HTTP_LOST, "answer without a length");
-        return NULL;
-    }
-    return on_body;
-}
-
-static h2o_http1client_head_cb
-on_connect(h2o_http1client_t *client, const char *error,
-           h2o_iovec_t **request_buffers, size_t *buffer_count,
-           int *method_is_head)
-{
-    http_exchange_t *exchange = client->data;
-    if (error != NULL) {
-        finish_exchange(exchange, HTTP_CONNECT_FAILED, error);
-        return NULL;
+on_written(h2o_socket_t *socket, const char *error)
+{
+    connection_t *connection = socket->data;
+    if (connection == NULL) {
+        return;
+    }
+    connection->writing = false;
+    // What the server sent before it closed is still read.
+    connection->broken |= error != NULL;
+}
+
+static void
+send_request(connection_t *connection, http_exchange_t *exchange)
+{
+    loop_timer_stop(exchange->target->loop, &exchange->connect_timer);
+    if (connection->request != NULL) {
+        g_string_free(connection->request, TRUE);
     }
+    connection->request = g_steal_pointer(&exchange->request);
+    connection->has_foreign = false;
+    connection->writing = true;
     exchange->sent = true;
-    exchange->request_buffer =
-        h2o_iovec_init(exchange->request->str, exchange->request->len);
-    *request_buffers = &exchange->request_buffer;
-    *buffer_count = 1;
-    *method_is_head = exchange->is_head;
-    return on_head;
+    answer_reader_start(&connection->reader, exchange->is_head);
+    h2o_iovec_t bytes =
+        h2o_iovec_init(connection->request->str, connection->request->len);
+    h2o_socket_write(connection->socket, &bytes, 1, on_written);
+    h2o_socket_read_start(connection->socket, on_readable);
+}
+
+static void
+on_connected(h2o_socket_t *socket, const char *error)
+{
+    connection_t *connection = socket->data;
+    if (connection == NULL) {
+        return;
+    }
+    if (error != NULL) {
+        fail_exchange(connection->exchange, HTTP_CONNECT_FAILED, error);
+        return;
+    }
+    socket_set_options(h2o_socket_get_fd(socket));
+    send_request(connection, connection->exchange);
 }
 
 static void
 connect_exchange(http_exchange_t *exchange)
 {
     http_target_t *target = exchange->target;
-    exchange->connected = true;
+    const endpoint_t *endpoint = &target->options.endpoint;
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(endpoint->port)};
+    inet_pton(AF_INET, endpoint->address, &address.sin_addr);
     target->connections++;
-    h2o_http1client_connect_with_pool(&exchange->client, exchange,
-                                      &target->context, &target->pool,
-                                      on_connect);
+    h2o_socket_t *socket =
+        h2o_socket_connect(target->loop->h2o, (struct sockaddr *)&address,
+                           sizeof(address), on_connected);
+    if (socket == NULL) {
+        target->connections--;
+        exchange->failure = "no socket";
+        loop_timer_start(target->loop, &exchange->timer, 0, on_connect_failed,
+                         exchange);
+        return;
+    }
+    connection_t *connection = g_new0(connection_t, 1);
+    connection->target = target;
+    connection->socket = socket;
+    connection->exchange = exchange;
+    answer_reader_init(&connection->reader, target->options.max_answer_bytes,
+                       target->options.allow_unframed);
+    socket->data = connection;
+    exchange->connection = connection;
+    if (target->options.connect_timeout_us > 0) {
+        loop_timer_start(target->loop, &exchange->connect_timer,
+                         target->options.connect_timeout_us,
+                         on_connect_timeout, exchange);
+    }
+}
+
+/// Gives an exchange an idle connection or opens one.
+static void
+start_exchange(http_exchange_t *exchange)
+{
+    http_target_t *target = exchange->target;
+    GList *link = g_queue_pop_head_link(&target->idle);
+    if (link == NULL) {
+        connect_exchange(exchange);
+        return;
+    }
+    connection_t *connection = link->data;
+    target->connections++;
+    connection->exchange = exchange;
+    exchange->connection = connection;
+    send_request(connection, exchange);
 }
 
 static void
 start_waiting(http_target_t *target)
 {
-    while (target->connections < target->connections_max) {
+    while (target->connections < target->options.connections_max) {
         http_exchange_t *exchange = g_queue_pop_head(&target->waiting);
         if (exchange == NULL) {
             return;
         }
         exchange->waiting_link = NULL;
-        connect_exchange(exchange);
+        start_exchange(exchange);
     }
 }
 
@@ -304,8 +459,8 @@
     g_string_append(text, " HTTP/1.1\r\n");
     if (http_header_find(headers, header_count, "host").data == NULL) {
         g_string_append_printf(text, "host: %s:%u\r\n",
-                               target->endpoint.address,
-                               target->endpoint.port);
+                               target->options.endpoint.address,
+                               target->options.endpoint.port);
     }
     for (size_t i = 0; i < header_count; i++) {
         append_slice(text, headers[i].name);
@@ -323,34 +478,37 @@
     return text;
 }
 
-/// Creates the connections to @p endpoint; none is opened yet.
+/// Creates the connections to an endpoint; none is opened yet.
 http_target_t *
-http_target_new(loop_t *loop, const endpoint_t *endpoint,
-                uint32_t connections_max, size_t max_answer_bytes)
+http_target_open(loop_t *loop, const http_target_options_t *options)
 {
     http_target_t *target = g_new0(http_target_t, 1);
     target->loop = loop;
-    target->endpoint = *endpoint;
-    target->connections_max = MAX(connections_max, 1);
-    target->max_answer_bytes = max_answer_bytes;
-    g_queue_init(&target->waiting);
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_port = htons(endpoint->port)};
-    inet_pton(AF_INET, endpoint->address, &address.sin_addr);
-    h2o_socketpool_init_by_address(&target->pool, (struct sockaddr *)&address,
-                                   sizeof(address), 0,
-                                   target->connections_max);
-    h2o_socketpool_set_timeout(&target->pool, loop->h2o, POOL_IDLE_MS);
-    target->context = (h2o_http1client_ctx_t){
-        .loop = loop->h2o, .io_timeout = &loop->idle_timeout};
+    target->options = *options;
+    target->options.connections_max = MAX(options->connections_max, 1);
     return target;
 }
 
+/// Creates the connections to @p endpoint with the usual options.
+http_target_t *
+http_target_new(loop_t *loop, const endpoint_t *endpoint,
+                uint32_t connections_max, size_t max_answer_bytes)
+{
+    return http_target_open(loop, &(http_target_options_t){
+                                      .endpoint = *endpoint,
+                                      .connections_max = connections_max,
+                                      .max_answer_bytes = max_answer_bytes,
+                                  });
+}
+
 /// Ends the target once its exchanges are over; new ones are not allowed.
 void
 http_target_release(http_target_t *target)
 {
     target->released = true;
+    while (target->idle.length > 0) {
+        close_idle(target->idle.head->data);
+    }
     free_target_if_unused(target);
 }
 
@@ -369,9 +527,14 @@
     exchange->done = done;
     exchange->context = context;
     exchange->is_head = slice_equal_string(method, "HEAD");
+    if (target->options.echoed_header != NULL) {
+        slice_t echoed = http_header_find(headers, header_count,
+                                          target->options.echoed_header);
+        exchange->echoed =
+            echoed.data == NULL ? NULL : g_strndup(echoed.data, echoed.len);
+    }
     exchange->request =
         build_request(target, method, path, headers, header_count, body);
-    exchange->body = g_byte_array_new();
     target->exchanges++;
     loop_timer_start(target->loop, &exchange->timer, timeout_us, on_timeout,
                      exchange);
@@ -385,10 +548,14 @@
 void
 http_exchange_cancel(http_exchange_t *exchange)
 {
-    if (exchange->client != NULL) {
-        h2o_http1client_cancel(exchange->client);
+    http_target_t *target = exchange->target;
+    connection_t *connection = exchange->connection;
+    if (connection != NULL) {
+        connection->exchange = NULL;
+        release_connection(connection, false);
     }
     free_exchange(exchange);
+    end_exchange(target);
 }
 
 /// Returns the value of the first header with this lower-case name; data is
--- a/src/ibisfield/io/http_client.h
+++ b/src/ibisfield/io/http_client.h
@@ -3,13 +3,9 @@
 
 #include "ibisfield/base/slice.h"
 #include "ibisfield/contract/settings_defs.h"
+#include "ibisfield/io/answer_reader.h"
 #include "ibisfield/io/loop.h"
 
-typedef struct {
-    slice_t name; ///< lower case
-    slice_t value;
-} http_header_t;
-
 /// How an exchange ended.
 typedef enum {
     HTTP_COMPLETE,       ///< whole answer
@@ -36,6 +32,21 @@
 /// was not read whole is closed.
 typedef struct http_target http_target_t;
 
+typedef struct {
+    endpoint_t endpoint;
+    uint32_t connections_max;
+    size_t max_answer_bytes;
+    int64_t connect_timeout_us; ///< 0: bounded by the exchange only
+    /// Header that an answer repeats from its request, lower case. An answer
+    /// with another value belongs to an earlier request and is dropped. NULL:
+    /// not checked.
+    const char *echoed_header;
+    /// A clean close may end an answer without a length.
+    bool allow_unframed;
+} http_target_options_t;
+
+http_target_t *http_target_open(loop_t *loop,
+                                const http_target_options_t *options);
 http_target_t *http_target_new(loop_t *loop, const endpoint_t *endpoint,
                                uint32_t connections_max,
                                size_t max_answer_bytes);
--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -16,6 +16,7 @@
 #include "ibisfield/io/listen.h"
 #include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/message.h"
+#include "ibisfield/io/socket_options.h"
 
 /// Idle connections are closed after this time. It is above the idle time of
 /// the HTTP client, so that the client closes first.
@@ -349,6 +350,7 @@
         g_queue_push_tail(&server->connections, connection);
         connection->link = g_queue_peek_tail_link(&server->connections);
         metric_set(METRIC_CONNECTIONS, server->connections.length);
+        socket_set_options(h2o_socket_get_fd(socket));
         socket->on_close.cb = on_connection_closed;
         socket->on_close.data = connection;
         h2o_accept(&listener->accept, socket);
--- a/src/ibisfield/io/message.c
+++ b/src/ibisfield/io/message.c
@@ -60,8 +60,9 @@
         g_string_chunk_insert_len(message->texts, name.data, (gssize)name.len),
         name.len};
     header->value =
-        (slice_t){g_string_chunk_insert_len(message->texts, value.data,
-                                            (gssize)value.len),
+        (slice_t){g_string_chunk_insert_len(
+                      message->texts, value.data == NULL ? "" : value.data,
+                      (gssize)value.len),
                   value.len};
 }
 
@@ -132,10 +133,24 @@
 void
 message_add_end_to_end(message_t *message, const http_header_t *headers,
                        size_t header_count)
+{
+    message_add_end_to_end_but(message, headers, header_count, NULL, 0);
+}
+
+/// The same without the headers named in @p left_out (lower case), which the
+/// sender replaces by its own.
+void
+message_add_end_to_end_but(message_t *message, const http_header_t *headers,
+                           size_t header_count, const char *const *left_out,
+                           size_t left_out_count)
 {
     slice_t connection = http_header_find(headers, header_count, "connection");
     for (size_t i = 0; i < header_count; i++) {
-        if (is_end_to_end(headers[i].name, connection)) {
+        bool wanted = is_end_to_end(headers[i].name, connection);
+        for (size_t j = 0; wanted && j < left_out_count; j++) {
+            wanted = !slice_equal_string(headers[i].name, left_out[j]);
+        }
+        if (wanted) {
             add_header(message, headers[i].name, headers[i].value);
         }
     }
@@ -165,6 +180,24 @@
     json_object_put(object);
 }
 
+/// Retry-After has whole seconds for callers that follow the standard, who
+/// must not come earlier than the refusal says.
+static void
+add_retry_after(message_t *message, const refusal_t *refusal)
+{
+    char text[32];
+    if (refusal->fractional) {
+        g_snprintf(text, sizeof(text), "%d.%03d",
+                   refusal->retry_after_ms / 1000,
+                   refusal->retry_after_ms % 1000);
+    }
+    else {
+        g_snprintf(text, sizeof(text), "%d",
+                   (refusal->retry_after_ms + 999) / 1000);
+    }
+    message_add_string(message, "retry-after", text);
+}
+
 /// Initialises the answer that refuses a request, with headers and JSON body.
 void
 message_init_refusal(message_t *message, const refusal_t *refusal)
@@ -175,9 +208,7 @@
     message_add_string(message, HEADER_OUTCOME,
                        outcome_token(refusal->outcome));
     if (refusal->retry_after_ms > 0) {
-        // Retry-After has whole seconds; a caller must not come earlier.
-        message_add_number(message, "retry-after",
-                           (refusal->retry_after_ms + 999) / 1000);
+        add_retry_after(message, refusal);
         message_add_number(message, HEADER_RETRY_AFTER_MS,
                            refusal->retry_after_ms);
     }
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -26,6 +26,7 @@
 #define HEADER_SERVICE "ibisfield-service"
 #define HEADER_SHED "ibisfield-shed"
 #define HEADER_TRACEPARENT "traceparent"
+#define HEADER_VM "ibisfield-vm"
 #define HEADER_WORTH "ibisfield-worth"
 
 /// Headers and body of a request or an answer under construction. It owns
@@ -44,6 +45,8 @@
     outcome_t outcome;
     int32_t retry_after_ms; ///< 0: no hint
     const char *fresh_key;  ///< NULL or "" for none
+    /// The caller reads fractions of a second in Retry-After.
+    bool fractional;
 } refusal_t;
 
 void message_init(message_t *message, int status);
@@ -56,6 +59,11 @@
 void message_add_number(message_t *message, const char *name, int64_t value);
 void message_add_end_to_end(message_t *message, const http_header_t *headers,
                             size_t header_count);
+void message_add_end_to_end_but(message_t *message,
+                                const http_header_t *headers,
+                                size_t header_count,
+                                const char *const *left_out,
+                                size_t left_out_count);
 
 void answer_serialise(GByteArray *out, const http_answer_t *answer);
 bool answer_deserialise(message_t *message, slice_t stored);
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -22,6 +22,11 @@
 /// Keys of one node that are issued or kept at a time.
 #define KEY_RECORDS_MAX 65536
 #define CONTRACT_PREFIX "contract/"
+/// Part of a service's retry budget that one node's repeats may use. The rest
+/// is for the calls that a repeated request makes again further down.
+#define RETRY_BUDGET_SHARE 0.5
+/// Repeats of one node in a window in which it sends a service little else.
+#define RETRY_SLACK 1.0
 
 static void
 tick(void *context)
@@ -116,6 +121,98 @@
     node_leave(context, LEAVE_UPSTREAM, draining);
 }
 
+static void
+forget_vm(node_t *node, const char *vm)
+{
+    picker_remove_vm(&node->picker, vm);
+    peer_client_forget(&node->peers, vm);
+}
+
+static void
+use_vm(node_t *node, const vm_info_t *info)
+{
+    picker_vm_t listed = {
+        .vm = info->vm,
+        .data_centre = info->data_centre,
+        .service = info->service,
+        .leaving = info->leaving,
+    };
+    picker_set_vm(&node->picker, &listed);
+}
+
+/// Takes what the list says of this node's own upstream. A new instance may
+/// be listed beside the one that leaves.
+static void
+own_upstream_changed(node_t *node)
+{
+    GHashTableIter iter;
+    void *pointer = NULL;
+    uint32_t live = 0;
+    uint32_t leaving = 0;
+    g_hash_table_iter_init(&iter, node->vms.vms);
+    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
+        const vm_info_t *info = pointer;
+        if (!info->own) {
+            continue;
+        }
+        if (info->leaving) {
+            leaving++;
+            continue;
+        }
+        live++;
+        if (info->slots > 0) {
+            guard_set_slots(&node->guard, info->slots);
+        }
+    }
+    node_leave(node, LEAVE_LISTED, live == 0 && leaving > 0);
+}
+
+static void
+source_contracts(void *context, GPtrArray *contracts, uint64_t version)
+{
+    node_t *node = context;
+    uint64_t before = node->customers.version;
+    if (!customers_set_all(&node->customers, contracts, version)) {
+        log_info("contracts_not_newer",
+                 "version=%" PRIu64 " in_force=%" PRIu64, version, before);
+        return;
+    }
+    metric_increment(METRIC_CONFIG_ADOPTIONS_TOTAL);
+    log_info("contracts_in_force",
+             "version=%" PRIu64 " before=%" PRIu64 " customers=%u", version,
+             before, g_hash_table_size(node->customers.contracts));
+    if (!node->ready) {
+        node->ready = true;
+        entry_set_ready(&node->entry, true);
+        log_info("ready", "vm=%s vms=%u", node->settings->vm,
+                 g_hash_table_size(node->vms.vms));
+    }
+}
+
+static void
+source_vm_listed(void *context, const vm_info_t *info)
+{
+    node_t *node = context;
+    vm_view_put(&node->vms, info);
+    use_vm(node, info);
+    own_upstream_changed(node);
+    log_info("vm_listed",
+             "upstream_vm=%s service=%s data_centre=%s address=%s slots=%u "
+             "leaving=%d",
+             info->vm, info->service, info->data_centre, info->address,
+             info->slots, info->leaving);
+}
+
+static void
+source_vm_removed(void *context, const char *vm)
+{
+    node_t *node = context;
+    vm_view_remove(&node->vms, vm);
+    forget_vm(node, vm);
+    own_upstream_changed(node);
+    log_info("vm_removed", "upstream_vm=%s", vm);
+}
+
 static void
 vm_changed(node_t *node, const config_item_t *item)
 {
@@ -123,17 +220,10 @@
     vm_view_apply(&node->vms, item);
     const vm_info_t *info = vm_view_find(&node->vms, vm);
     if (info == NULL) {
-        picker_remove_vm(&node->picker, vm);
-        peer_client_forget(&node->peers, vm);
+        forget_vm(node, vm);
     }
     else {
-        picker_vm_t listed = {
-            .vm = info->vm,
-            .data_centre = info->data_centre,
-            .service = info->service,
-            .leaving = info->leaving,
-        };
-        picker_set_vm(&node->picker, &listed);
+        use_vm(node, info);
     }
     if (strcmp(vm, node->settings->vm) == 0) {
         node_leave(node, LEAVE_LISTED, vm_view_is_leaving(&node->vms, vm));
@@ -239,21 +329,32 @@
                     .remote_cost_us = settings->remote_cost_us,
                     .seed = seeds[0],
                 });
+    service_retry_budget_init(
+        &node->service_retries, &node->clock,
+        &(service_retry_limits_t){
+            .ratio = RETRY_BUDGET_SHARE * settings->retry_ratio,
+            .slack = RETRY_SLACK,
+            .window_us = (int64_t)(settings->retry_window_s * US_PER_S),
+        });
     retry_accounts_init(&node->accounts, (uint32_t)settings->max_calls,
                         seeds[1]);
     client_retry_budget_init(&node->client_retries, &node->clock);
-    entry_init(&node->entry, &(entry_options_t){
-                                 .clock = &node->clock,
-                                 .io = &node->caller_server.io,
-                                 .lookup = look_up_contract,
-                                 .lookup_context = &node->customers,
-                                 .picker = &node->picker,
-                                 .keys = &node->keys,
-                                 .accounts = &node->accounts,
-                                 .client_retries = &node->client_retries,
-                                 .max_calls = (uint32_t)settings->max_calls,
-                                 .seed = seeds[2],
-                             });
+    entry_init(&node->entry,
+               &(entry_options_t){
+                   .clock = &node->clock,
+                   .io = &node->caller_server.io,
+                   .lookup = look_up_contract,
+                   .lookup_context = &node->customers,
+                   .picker = &node->picker,
+                   .keys = &node->keys,
+                   .accounts = &node->accounts,
+                   .client_retries = &node->client_retries,
+                   .max_calls = (uint32_t)settings->max_calls,
+                   .seed = seeds[2],
+                   .unchained = node->adapter != NULL,
+                   .service_retries =
+                       node->adapter == NULL ? NULL : &node->service_retries,
+               });
     guard_init(&node->guard, &node->clock, &node->peer_server.io,
                &node->accounts,
                &(admission_options_t){
@@ -270,7 +371,8 @@
     span_source_init(&node->spans, &node->clock, settings->vm, seed);
     peer_client_init(&node->peers, &node->loop,
                      (size_t)settings->max_answer_bytes);
-    upstream_client_init(&node->upstream, &node->loop, settings,
+    const wire_t *wire = node->adapter == NULL ? NULL : node->adapter->wire;
+    upstream_client_init(&node->upstream, &node->loop, settings, wire,
                          upstream_draining, node);
     caller_server_init(&node->caller_server, &(caller_server_options_t){
                                                  .loop = &node->loop,
@@ -280,12 +382,15 @@
                                                  .vms = &node->vms,
                                                  .peers = &node->peers,
                                                  .spans = &node->spans,
+                                                 .wire = wire,
+                                                 .service = settings->service,
                                              });
     peer_server_init(&node->peer_server, &(peer_server_options_t){
                                              .guard = &node->guard,
                                              .upstream = &node->upstream,
                                              .callers = &node->caller_server,
                                              .spans = &node->spans,
+                                             .wire = wire,
                                          });
 }
 
@@ -301,12 +406,16 @@
         {"peer", settings->peer_listen, false, handle_peer, peer_gone, node},
         {"operator", settings->operator_listen, true, operator_server_handle,
          operator_server_gone, node},
+        {"readiness", settings->readiness_listen, true, readiness_handle,
+         operator_server_gone, node},
     };
     node->server =
         http_server_new(&node->loop, (uint32_t)settings->max_connections,
                         (size_t)settings->max_request_bytes);
     for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
-        if (!http_server_listen(node->server, &listeners[i], error)) {
+        if (listeners[i].endpoint.port != 0 &&
+            !http_server_listen(node->server, &listeners[i], error))
+        {
             return false;
         }
     }
@@ -316,9 +425,10 @@
 /// Initialises a node and opens its listeners. Returns false if an address
 /// can't be used; the process is to end then.
 bool
-node_init(node_t *node, const settings_t *settings, GError **error)
+node_init(node_t *node, const settings_t *settings,
+          const node_adapter_t *adapter, GError **error)
 {
-    *node = (node_t){.settings = settings};
+    *node = (node_t){.settings = settings, .adapter = adapter};
     uint32_t seeds[5];
     boot_clock_init(&node->clock);
     loop_init(&node->loop, &node->clock);
@@ -336,12 +446,18 @@
 void
 node_finish(node_t *node)
 {
-    config_agent_free(node->agent);
+    if (node->source != NULL) {
+        node->source->vtable->free(node->source);
+    }
+    else {
+        config_agent_free(node->agent);
+    }
     http_server_free(node->server);
     upstream_client_finish(&node->upstream);
     peer_client_finish(&node->peers);
     entry_finish(&node->entry);
     guard_finish(&node->guard);
+    service_retry_budget_finish(&node->service_retries);
     client_retry_budget_finish(&node->client_retries);
     retry_accounts_finish(&node->accounts);
     key_table_finish(&node->keys);
@@ -351,17 +467,34 @@
     customers_finish(&node->customers);
 }
 
-/// Runs the node until its shutdown is over; returns the exit code.
-int
-node_run(node_t *node)
+static void
+start_source(node_t *node)
 {
-    static const config_agent_callbacks_t callbacks = {
+    static const config_agent_callbacks_t agent_callbacks = {
         .check = check_item,
         .changed = item_changed,
         .ready = config_ready,
     };
-    node->agent =
-        config_agent_new(&node->loop, node->settings, &callbacks, node);
+    static const config_source_callbacks_t source_callbacks = {
+        .contracts = source_contracts,
+        .vm_listed = source_vm_listed,
+        .vm_removed = source_vm_removed,
+    };
+    if (node->adapter == NULL) {
+        node->agent = config_agent_new(&node->loop, node->settings,
+                                       &agent_callbacks, node);
+    }
+    else {
+        node->source = node->adapter->source_new(&node->loop, node->settings,
+                                                 &source_callbacks, node);
+    }
+}
+
+/// Runs the node until its shutdown is over; returns the exit code.
+int
+node_run(node_t *node)
+{
+    start_source(node);
     http_server_start(node->server);
     tick(node);
     log_info("started", "vm=%s service=%s data_centre=%s version=%s",
@@ -426,6 +559,24 @@
                      check_shutdown, node);
 }
 
+/// Whether callers are to use this node: it has contracts and isn't stopping.
+bool
+node_is_ready(const node_t *node)
+{
+    return node->ready &&
+           (node->leave_causes & (LEAVE_SHUTDOWN | LEAVE_OPERATOR)) == 0;
+}
+
+/// Takes the settings that may change while the node runs: the log level. The
+/// others, of which @p settings may hold new values, need a restart.
+void
+node_reload(node_t *node, const settings_t *settings)
+{
+    log_info("settings_reloaded", "vm=%s service=%s log_level=%s",
+             node->settings->vm, settings->service, settings->log_level);
+    log_set_level(settings->log_level);
+}
+
 /// Begins the graceful shutdown: no new work for the upstream, no new keys,
 /// each answer ends its connection. Submissions of own keys are served until
 /// key_linger_ms is over, calls in flight until drain_limit_ms.
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -7,6 +7,7 @@
 #include "ibisfield/contract/settings_defs.h"
 #include "ibisfield/io/caller_server.h"
 #include "ibisfield/io/config_agent.h"
+#include "ibisfield/io/config_source.h"
 #include "ibisfield/io/customers.h"
 #include "ibisfield/io/http_server.h"
 #include "ibisfield/io/peer_client.h"
@@ -25,6 +26,7 @@
 /// All parts of one node.
 typedef struct {
     const settings_t *settings;
+    const node_adapter_t *adapter; ///< NULL: the project's own platform
     clock_source_t clock;
     loop_t loop;
     customers_t customers;
@@ -41,7 +43,9 @@
     upstream_client_t upstream;
     caller_server_t caller_server;
     peer_server_t peer_server;
-    config_agent_t *agent;
+    config_agent_t *agent;   ///< NULL with an adapter
+    config_source_t *source; ///< NULL without an adapter
+    service_retry_budget_t service_retries;
     loop_timer_t tick_timer;
     loop_timer_t shutdown_timer;
     unsigned int leave_causes; ///< of leave_cause_t
@@ -53,10 +57,13 @@
     int exit_code;
 } node_t;
 
-bool node_init(node_t *node, const settings_t *settings, GError **error);
+bool node_init(node_t *node, const settings_t *settings,
+               const node_adapter_t *adapter, GError **error);
 void node_finish(node_t *node);
 int node_run(node_t *node);
 void node_leave(node_t *node, leave_cause_t cause, bool leaving);
+void node_reload(node_t *node, const settings_t *settings);
+bool node_is_ready(const node_t *node);
 void node_shut_down(node_t *node);
 void node_stop(node_t *node);
 
--- a/src/ibisfield/io/operator_server.c
+++ b/src/ibisfield/io/operator_server.c
@@ -94,7 +94,14 @@
     add_number(status, "keys", key_table_count(&node->keys));
     add_number(status, "vms_listed", g_hash_table_size(node->vms.vms));
     json_object_object_add(status, "guard", guard_status(node));
-    config_agent_write_status(node->agent, status);
+    if (node->source == NULL) {
+        config_agent_write_status(node->agent, status);
+    }
+    else {
+        add_number(status, "contracts_version",
+                   (int64_t)node->customers.version);
+        node->source->vtable->write_status(node->source, status);
+    }
     answer_json(request, 200, status);
 }
 
@@ -134,6 +141,16 @@
     }
 }
 
+/// Answers a readiness check, whatever its path: 200 if callers are to use
+/// this node, else 503.
+void
+readiness_handle(void *context, http_request_t *request)
+{
+    bool ready = node_is_ready(context);
+    answer_text(request, ready ? 200 : 503, "text/plain",
+                ready ? "ready\n" : "not ready\n");
+}
+
 /// Requests are answered at once, so none can be left.
 void
 operator_server_gone(void *context, http_request_t *request)
--- a/src/ibisfield/io/peer_client.c
+++ b/src/ibisfield/io/peer_client.c
@@ -10,6 +10,10 @@
 /// target size's upstreams (140), so that only an overloaded guard is reached.
 #define CONNECTIONS_PER_VM_MAX 256
 
+/// A node that doesn't accept in this time is down or cut off. Ten times the
+/// round trip between distant data centres (55 ms).
+#define CONNECT_TIMEOUT_US (550 * US_PER_MS)
+
 typedef struct {
     char vm[VM_NAME_MAX + 1];
     endpoint_t endpoint;
@@ -61,9 +65,13 @@
     g_strlcpy(peer->endpoint.address, info->address,
               sizeof(peer->endpoint.address));
     peer->endpoint.port = info->peer_port;
-    peer->target =
-        http_target_new(client->loop, &peer->endpoint, CONNECTIONS_PER_VM_MAX,
-                        client->max_answer_bytes);
+    peer->target = http_target_open(
+        client->loop, &(http_target_options_t){
+                          .endpoint = peer->endpoint,
+                          .connections_max = CONNECTIONS_PER_VM_MAX,
+                          .max_answer_bytes = client->max_answer_bytes,
+                          .connect_timeout_us = CONNECT_TIMEOUT_US,
+                      });
     g_hash_table_replace(client->targets, peer->vm, peer);
     return peer->target;
 }
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -100,6 +100,26 @@
     release_guarded(guarded);
 }
 
+/// Tells the upstream what it passes on with its calls, in the project's own
+/// headers.
+static void
+add_own_headers(message_t *message, const http_request_t *request,
+                uint64_t request_id, int64_t budget_us)
+{
+    message_add(message, HEADER_CUSTOMER,
+                http_request_header(request, HEADER_CUSTOMER));
+    message_add_number(message, HEADER_BUDGET_US, budget_us);
+    if (request_id != 0) {
+        char text[24];
+        g_snprintf(text, sizeof(text), "%" PRIx64, request_id);
+        message_add_string(message, HEADER_REQUEST, text);
+    }
+    slice_t key = http_request_header(request, HEADER_KEY);
+    if (key.len > 0) {
+        message_add(message, HEADER_KEY, key);
+    }
+}
+
 static void
 io_start(guard_io_t *io, call_handle_t handle, void *user, uint64_t request_id,
          int64_t budget_us, int64_t wait_us)
@@ -109,22 +129,20 @@
     const http_request_t *request = guarded->request;
     guarded->handle = handle;
     guarded->references++;
+    const wire_t *wire = server->options.wire;
     message_t message;
     message_init(&message, 0);
     message_add_end_to_end(&message, request->headers, request->header_count);
     message_add(&message, "host", request->host);
-    message_add(&message, HEADER_CUSTOMER,
-                http_request_header(request, HEADER_CUSTOMER));
-    message_add_number(&message, HEADER_BUDGET_US, budget_us);
-    char text[TRACEPARENT_LEN + 1];
-    if (request_id != 0) {
-        g_snprintf(text, sizeof(text), "%" PRIx64, request_id);
-        message_add_string(&message, HEADER_REQUEST, text);
+    if (wire == NULL) {
+        add_own_headers(&message, request, request_id, budget_us);
     }
-    slice_t key = http_request_header(request, HEADER_KEY);
-    if (key.len > 0) {
-        message_add(&message, HEADER_KEY, key);
+    else {
+        message_add_number(&message, wire->deadline_ms, budget_us / US_PER_MS);
+        message_add(&message, wire->instance,
+                    http_request_header(request, HEADER_VM));
     }
+    char text[TRACEPARENT_LEN + 1];
     span_traceparent(&guarded->span, text);
     message_add_string(&message, HEADER_TRACEPARENT, text);
     guarded->exchange = http_exchange_start(
--- a/src/ibisfield/io/peer_server.h
+++ b/src/ibisfield/io/peer_server.h
@@ -7,6 +7,7 @@
 #include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/span.h"
 #include "ibisfield/io/upstream_client.h"
+#include "ibisfield/io/wire.h"
 
 /// What the adapter works with; owned by the node.
 typedef struct {
@@ -14,6 +15,7 @@
     upstream_client_t *upstream;
     caller_server_t *callers; ///< takes forwarded requests
     span_source_t *spans;
+    const wire_t *wire; ///< NULL: the project's own headers
 } peer_server_options_t;
 
 /// Adapter between the guard and HTTP: requests of other nodes for this VM's
--- /dev/null
+++ b/src/ibisfield/io/socket_options.h
@@ -0,0 +1,6 @@
+#ifndef IBISFIELD_IO_SOCKET_OPTIONS_H
+#define IBISFIELD_IO_SOCKET_OPTIONS_H
+
+void socket_set_options(int fd);
+
+#endif
--- a/src/ibisfield/io/upstream_client.c
+++ b/src/ibisfield/io/upstream_client.c
@@ -11,6 +11,9 @@
 #include "ibisfield/io/message.h"
 
 #define HEALTH_PATH "/health"
+/// The upstream is on the same VM; one that doesn't accept in this time is
+/// down or has no room, and the request goes elsewhere.
+#define CONNECT_TIMEOUT_US (500 * US_PER_MS)
 #define HEALTH_INTERVAL_US US_PER_S
 #define HEALTH_TIMEOUT_US US_PER_S
 
@@ -63,18 +66,30 @@
 /// Initialises the connections and starts to watch the health endpoint.
 void
 upstream_client_init(upstream_client_t *client, loop_t *loop,
-                     const settings_t *settings,
+                     const settings_t *settings, const wire_t *wire,
                      upstream_draining_t draining_changed, void *context)
 {
     *client = (upstream_client_t){
         .loop = loop,
-        .target = http_target_new(loop, &settings->upstream,
-                                  (uint32_t)settings->upstream_connections,
-                                  (size_t)settings->max_answer_bytes),
+        .wire = wire,
         .draining_changed = draining_changed,
         .context = context,
     };
-    loop_timer_start(loop, &client->health_timer, 0, check_health, client);
+    http_target_options_t options = {
+        .endpoint = settings->upstream,
+        .connections_max = (uint32_t)settings->upstream_connections,
+        .max_answer_bytes = (size_t)settings->max_answer_bytes,
+        .connect_timeout_us = CONNECT_TIMEOUT_US,
+    };
+    if (wire == NULL) {
+        loop_timer_start(loop, &client->health_timer, 0, check_health, client);
+    }
+    else {
+        // The platform's list says whether the upstream is draining.
+        options.echoed_header = wire->request_id;
+        options.allow_unframed = true;
+    }
+    client->target = http_target_open(loop, &options);
 }
 
 void
@@ -102,6 +117,51 @@
     }
 }
 
+static upstream_result_t
+result_of_answer(const http_answer_t *answer)
+{
+    slice_t shed =
+        http_header_find(answer->headers, answer->header_count, HEADER_SHED);
+    if (answer->status == 503 && slice_equal_string(shed, "1")) {
+        metric_increment(METRIC_UPSTREAM_SHED_TOTAL);
+        return UPSTREAM_SHED;
+    }
+    return UPSTREAM_ANSWERED;
+}
+
+static bool
+has_header(const http_answer_t *answer, const char *name)
+{
+    return http_header_find(answer->headers, answer->header_count, name)
+               .data != NULL;
+}
+
+/// The same in the headers of a foreign platform. An answer that the upstream
+/// did not mark as its own, or that is encoded, is not the upstream's body.
+static upstream_result_t
+result_by_wire(upstream_client_t *client, const http_answer_t *answer)
+{
+    if (answer->status == 421) {
+        metric_increment(METRIC_UPSTREAM_MISDIRECTED_TOTAL);
+        return UPSTREAM_MISDIRECTED;
+    }
+    if (has_header(answer, client->wire->not_run)) {
+        metric_increment(METRIC_UPSTREAM_SHED_TOTAL);
+        return UPSTREAM_SHED;
+    }
+    if (has_header(answer, client->wire->seal) &&
+        has_header(answer, client->wire->request_id) &&
+        !has_header(answer, "content-encoding"))
+    {
+        return UPSTREAM_ANSWERED;
+    }
+    metric_increment(METRIC_UPSTREAM_ANSWERS_LOST_TOTAL);
+    if (log_limit_allows(&client->answer_lines, client->loop->clock)) {
+        log_warning("upstream_answer_foreign", "status=%d", answer->status);
+    }
+    return UPSTREAM_LOST;
+}
+
 /// Returns what an answer of the upstream says about the request; counts and
 /// logs failures.
 upstream_result_t
@@ -110,16 +170,8 @@
     note_connect(client, answer->result == HTTP_CONNECT_FAILED, answer->error);
     switch (answer->result) {
     case HTTP_COMPLETE:
-        if (answer->status == 503 &&
-            slice_equal_string(http_header_find(answer->headers,
-                                                answer->header_count,
-                                                HEADER_SHED),
-                               "1"))
-        {
-            metric_increment(METRIC_UPSTREAM_SHED_TOTAL);
-            return UPSTREAM_SHED;
-        }
-        return UPSTREAM_ANSWERED;
+        return client->wire == NULL ? result_of_answer(answer)
+                                    : result_by_wire(client, answer);
     case HTTP_CONNECT_FAILED:
         metric_increment(METRIC_UPSTREAM_CONNECT_FAILURES_TOTAL);
         return UPSTREAM_CONNECT_FAILED;
--- a/src/ibisfield/io/upstream_client.h
+++ b/src/ibisfield/io/upstream_client.h
@@ -5,6 +5,7 @@
 #include "ibisfield/contract/settings_defs.h"
 #include "ibisfield/io/http_client.h"
 #include "ibisfield/io/log_limit.h"
+#include "ibisfield/io/wire.h"
 
 typedef void (*upstream_draining_t)(void *context, bool draining);
 
@@ -16,13 +17,14 @@
     loop_timer_t health_timer;
     upstream_draining_t draining_changed;
     void *context;
+    const wire_t *wire; ///< NULL: the project's own headers
     bool draining;
     log_limit_t answer_lines;
     bool failing; ///< the last connect failed
 } upstream_client_t;
 
 void upstream_client_init(upstream_client_t *client, loop_t *loop,
-                          const settings_t *settings,
+                          const settings_t *settings, const wire_t *wire,
                           upstream_draining_t draining_changed, void *context);
 void upstream_client_finish(upstream_client_t *client);
 upstream_result_t upstream_client_result(upstream_client_t *client,
--- /dev/null
+++ b/src/ibisfield/io/wire.h
@@ -0,0 +1,17 @@
+#ifndef IBISFIELD_IO_WIRE_H
+#define IBISFIELD_IO_WIRE_H
+
+#include <stdbool.h>
+
+/// Names of the headers that callers and upstreams use, lower case. A node
+/// without them speaks the project's own headers.
+typedef struct {
+    const char *request_id;     ///< of a caller's request; answers repeat it
+    const char *deadline_ms;    ///< how long the sender waits for the answer
+    const char *caller_service; ///< whose VM the request comes from
+    const char *instance;       ///< the upstream instance that may run it
+    const char *not_run;        ///< the upstream did not run the request
+    const char *seal;           ///< the upstream made this answer
+} wire_t;
+
+#endif
--- /dev/null
+++ b/src/ibisfield/retry/service_retry_budget.h
@@ -0,0 +1,34 @@
+#ifndef IBISFIELD_RETRY_SERVICE_RETRY_BUDGET_H
+#define IBISFIELD_RETRY_SERVICE_RETRY_BUDGET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisfield/base/clock.h"
+
+/// Repeats that a node may send to a service, as a share of the requests that
+/// it sent there for the first time. The sum over all nodes keeps the same
+/// share without shared state.
+typedef struct {
+    double ratio;      ///< repeats for each first request
+    double slack;      ///< repeats in a window without any first request
+    int64_t window_us; ///< over which both are counted
+} service_retry_limits_t;
+
+typedef struct {
+    const clock_source_t *clock;
+    service_retry_limits_t limits;
+    GHashTable *services; ///< name to service_counts_t
+} service_retry_budget_t;
+
+void service_retry_budget_init(service_retry_budget_t *budget,
+                               const clock_source_t *clock,
+                               const service_retry_limits_t *limits);
+void service_retry_budget_finish(service_retry_budget_t *budget);
+void service_retry_budget_first(service_retry_budget_t *budget,
+                                const char *service);
+bool service_retry_budget_take(service_retry_budget_t *budget,
+                               const char *service);
+
+#endif
