Halve the retry budget of a service with each level of calls below it

Change: guards report how many levels of calls their upstream leads to, learned from the calls it makes; a node's share of the ratio is a half at the last service and halves with each level above. The own upstream's calls are told from callers' by their address. No slack for each node.

--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -53,13 +53,15 @@
 const char *outcome_token(outcome_t outcome);
 
 /// Load of a guard, carried on each of its answers. Text form in the header
-/// ibisfield-load: "inflight=3;limit=85;queue=0;service_us=1200;min_worth=0".
+/// ibisfield-load:
+/// "inflight=3;limit=85;queue=0;service_us=1200;min_worth=0;depth=1".
 typedef struct {
     uint32_t in_flight;  ///< running at the upstream
     uint32_t limit;      ///< current concurrency limit
     uint32_t queue;      ///< waiting in the guard's queue
     uint32_t service_us; ///< recent mean service time
     int32_t min_worth;   ///< lowest worth admitted now; 0 when not shedding
+    uint32_t depth;      ///< levels of calls below the upstream
 } guard_load_t;
 
 void guard_load_format(const guard_load_t *load, char *text, size_t size);
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -112,11 +112,11 @@
 /// Units of a call that has no account. A request of the own upstream without
 /// a valid account gets none, else each hop would add its own.
 static uint32_t
-units_of(const entry_intake_t *intake)
+units_of(const entry_intake_t *intake, bool unchained)
 {
     uint32_t retries =
         (uint32_t)kind_limits(intake->contract, intake->kind).attempts_max - 1;
-    if (intake->request->egress) {
+    if (intake->request->egress && !unchained) {
         return 0;
     }
     return intake->request->from_peer ? MIN(intake->request->retries, retries)
@@ -152,7 +152,7 @@
         .hedge = request->key.len == 0 &&
                  kind_limits(intake->contract, intake->kind).hedge,
         .account = intake->account == NULL ? 0 : request->request_id,
-        .units = units_of(intake),
+        .units = units_of(intake, entry->options.unchained),
         .source = request->source,
         .kind_hash = kind_hash_of(intake),
         .worth = worth_of(intake),
@@ -166,6 +166,9 @@
     g_strlcpy(call->kind, intake->kind->name, sizeof(call->kind));
     g_strlcpy(call->service, traffic_split_next(intake->kind),
               sizeof(call->service));
+    if (request->egress && entry->options.depths != NULL) {
+        call_depths_called(entry->options.depths, call->service);
+    }
     return call;
 }
 
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -11,6 +11,7 @@
 #include "ibisfield/retry/client_retry_budget.h"
 #include "ibisfield/retry/retry_account.h"
 #include "ibisfield/retry/service_retry_budget.h"
+#include "ibisfield/routing/call_depth.h"
 #include "ibisfield/routing/picker.h"
 
 /// A request from a caller, from this VM's own upstream (egress), or forwarded
@@ -124,6 +125,7 @@
     bool unchained;
     /// Repeats that may reach a service; NULL: bounded by units only.
     service_retry_budget_t *service_retries;
+    call_depths_t *depths; ///< NULL: not learned
 } entry_options_t;
 
 typedef struct {
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -321,6 +321,14 @@
     send_attempt(entry, call, vm);
 }
 
+static uint32_t
+depth_of(const entry_t *entry, const entry_call_t *call)
+{
+    return entry->options.depths == NULL
+               ? 0
+               : call_depths_of(entry->options.depths, call->service);
+}
+
 /// Sends one more attempt, for one unit unless @p is_free. Returns false if
 /// there is no unit, no budget, no time, no VM or nobody who waits.
 static bool
@@ -339,7 +347,8 @@
     }
     service_retry_budget_t *budget = entry->options.service_retries;
     if (!is_free && budget != NULL &&
-        !service_retry_budget_take(budget, call->service))
+        !service_retry_budget_take(budget, call->service,
+                                   depth_of(entry, call)))
     {
         metric_increment(METRIC_SERVICE_RETRIES_REFUSED_TOTAL);
         picker_report(entry->options.picker, vm, call->kind_hash,
@@ -459,6 +468,10 @@
     picker_report(entry->options.picker, attempt->vm, call->kind_hash,
                   report_of(result), attempt_age_us(entry, attempt),
                   result->has_load ? &result->load : NULL);
+    if (result->has_load && entry->options.depths != NULL) {
+        call_depths_reported(entry->options.depths, call->service,
+                             result->load.depth);
+    }
     // Nothing of a request that wasn't connected can hold units.
     give_back_units(entry, call,
                     result->kind == ATTEMPT_CONNECT_FAILED ? attempt->lent
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -40,6 +40,13 @@
     g_strlcpy(guard->service, service, sizeof(guard->service));
 }
 
+/// Sets the depth of the call graph below the upstream.
+void
+guard_set_depth(guard_t *guard, uint32_t depth)
+{
+    guard->depth = depth;
+}
+
 /// Sets the requests that the upstream runs at the same time.
 void
 guard_set_slots(guard_t *guard, uint32_t slots)
@@ -79,7 +86,7 @@
         .reason = reason,
         .outcome = outcome,
         .retries_left = retries_left,
-        .load = admission_load(&guard->admission),
+        .load = guard_load(guard),
     };
     if (outcome == OUTCOME_NOT_RUN && may_succeed_later(reason)) {
         answer.retry_after_ms = admission_retry_after_ms(&guard->admission);
@@ -335,7 +342,9 @@
 guard_load_t
 guard_load(const guard_t *guard)
 {
-    return admission_load(&guard->admission);
+    guard_load_t load = admission_load(&guard->admission);
+    load.depth = guard->depth;
+    return load;
 }
 
 /// Returns the number of requests that wait or run.
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -86,6 +86,7 @@
     slot_table_t slots;
     guarded_request_t *requests;
     bool leaving;
+    uint32_t depth; ///< levels of calls below the upstream, as reported
 } guard_t;
 
 void guard_init(guard_t *guard, const clock_source_t *clock, guard_io_t *io,
@@ -93,6 +94,7 @@
                 const admission_options_t *options);
 void guard_finish(guard_t *guard);
 void guard_set_service(guard_t *guard, const char *service);
+void guard_set_depth(guard_t *guard, uint32_t depth);
 void guard_set_slots(guard_t *guard, uint32_t slots);
 call_handle_t guard_request(guard_t *guard, const guard_request_t *request);
 void guard_upstream_done(guard_t *guard, call_handle_t handle,
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -463,6 +463,7 @@
         read_peer_fields(&taken, request);
     }
     if (server->options.wire != NULL) {
+        taken.egress = request->source == server->options.own_source;
         taken.key = (slice_t){NULL, 0};
         taken.source = 0;
         taken.budget_us = read_budget_us(server->options.wire, request);
--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -5,6 +5,7 @@
 
 #include "ibisfield/io/http_server.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -127,19 +128,31 @@
     }
 }
 
+static uint32_t
+hash_address(const struct in_addr *address)
+{
+    return MAX((uint32_t)XXH3_64bits(address, sizeof(*address)), 1);
+}
+
+/// Returns the source of requests that come from an IPv4 address.
+uint32_t
+http_source_of(const char *address)
+{
+    struct in_addr parsed = {0};
+    inet_pton(AF_INET, address, &parsed);
+    return hash_address(&parsed);
+}
+
 static uint32_t
 source_of(h2o_conn_t *connection)
 {
     struct sockaddr_storage address;
     socklen_t size = connection->callbacks->get_peername(
         connection, (struct sockaddr *)&address);
-    uint64_t hash = 0;
-    if (size >= sizeof(struct sockaddr_in) && address.ss_family == AF_INET) {
-        const struct in_addr *ip =
-            &((const struct sockaddr_in *)&address)->sin_addr;
-        hash = XXH3_64bits(ip, sizeof(*ip));
+    if (size < sizeof(struct sockaddr_in) || address.ss_family != AF_INET) {
+        return 1;
     }
-    return MAX((uint32_t)hash, 1);
+    return hash_address(&((const struct sockaddr_in *)&address)->sin_addr);
 }
 
 static slice_t
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -22,11 +22,6 @@
 /// Keys of one node that are issued or kept at a time.
 #define KEY_RECORDS_MAX 65536
 #define CONTRACT_PREFIX "contract/"
-/// Part of a service's retry budget that one node's repeats may use. The rest
-/// is for the calls that a repeated request makes again further down.
-#define RETRY_BUDGET_SHARE 0.5
-/// Repeats of one node in a window in which it sends a service little else.
-#define RETRY_SLACK 1.0
 
 static void
 tick(void *context)
@@ -35,6 +30,7 @@
     entry_tick(&node->entry);
     guard_tick(&node->guard);
     key_table_tick(&node->keys);
+    guard_set_depth(&node->guard, call_depths_own(&node->depths));
     guard_load_t load = guard_load(&node->guard);
     uint32_t held = guard_in_flight(&node->guard);
     metric_set(METRIC_GUARD_IN_FLIGHT, held);
@@ -329,11 +325,11 @@
                     .remote_cost_us = settings->remote_cost_us,
                     .seed = seeds[0],
                 });
+    call_depths_init(&node->depths, &node->clock);
     service_retry_budget_init(
         &node->service_retries, &node->clock,
         &(service_retry_limits_t){
-            .ratio = RETRY_BUDGET_SHARE * settings->retry_ratio,
-            .slack = RETRY_SLACK,
+            .ratio = settings->retry_ratio,
             .window_us = (int64_t)(settings->retry_window_s * US_PER_S),
         });
     retry_accounts_init(&node->accounts, (uint32_t)settings->max_calls,
@@ -354,6 +350,7 @@
                    .unchained = node->adapter != NULL,
                    .service_retries =
                        node->adapter == NULL ? NULL : &node->service_retries,
+                   .depths = &node->depths,
                });
     guard_init(&node->guard, &node->clock, &node->peer_server.io,
                &node->accounts,
@@ -374,17 +371,20 @@
     const wire_t *wire = node->adapter == NULL ? NULL : node->adapter->wire;
     upstream_client_init(&node->upstream, &node->loop, settings, wire,
                          upstream_draining, node);
-    caller_server_init(&node->caller_server, &(caller_server_options_t){
-                                                 .loop = &node->loop,
-                                                 .entry = &node->entry,
-                                                 .picker = &node->picker,
-                                                 .customers = &node->customers,
-                                                 .vms = &node->vms,
-                                                 .peers = &node->peers,
-                                                 .spans = &node->spans,
-                                                 .wire = wire,
-                                                 .service = settings->service,
-                                             });
+    caller_server_init(
+        &node->caller_server,
+        &(caller_server_options_t){
+            .loop = &node->loop,
+            .entry = &node->entry,
+            .picker = &node->picker,
+            .customers = &node->customers,
+            .vms = &node->vms,
+            .peers = &node->peers,
+            .spans = &node->spans,
+            .wire = wire,
+            .service = settings->service,
+            .own_source = http_source_of(settings->upstream.address),
+        });
     peer_server_init(&node->peer_server, &(peer_server_options_t){
                                              .guard = &node->guard,
                                              .upstream = &node->upstream,
@@ -458,6 +458,7 @@
     entry_finish(&node->entry);
     guard_finish(&node->guard);
     service_retry_budget_finish(&node->service_retries);
+    call_depths_finish(&node->depths);
     client_retry_budget_finish(&node->client_retries);
     retry_accounts_finish(&node->accounts);
     key_table_finish(&node->keys);
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -46,6 +46,7 @@
     config_agent_t *agent;   ///< NULL with an adapter
     config_source_t *source; ///< NULL without an adapter
     service_retry_budget_t service_retries;
+    call_depths_t depths;
     loop_timer_t tick_timer;
     loop_timer_t shutdown_timer;
     unsigned int leave_causes; ///< of leave_cause_t
--- a/src/ibisfield/retry/service_retry_budget.c
+++ b/src/ibisfield/retry/service_retry_budget.c
@@ -5,6 +5,11 @@
 
 #include "ibisfield/retry/service_retry_budget.h"
 
+#include <math.h>
+
+/// Share of the ratio for a service that calls no other; the levels above it
+/// have half of it, a quarter and so on.
+#define FIRST_LEVEL_SHARE 0.5
 /// A sliding window is counted in this many parts.
 #define WINDOW_PARTS 10
 
@@ -65,18 +70,20 @@
     counts->first[counts->part % WINDOW_PARTS]++;
 }
 
-/// Takes a repeat from the budget; false if there is none left.
+/// Takes a repeat of a request that leads to @p depth further levels of calls;
+/// false if there is none left.
 bool
-service_retry_budget_take(service_retry_budget_t *budget, const char *service)
+service_retry_budget_take(service_retry_budget_t *budget, const char *service,
+                          uint32_t depth)
 {
     service_counts_t *counts = counts_of(budget, service);
-    double allowed = budget->limits.slack;
+    double allowed = 0;
     uint32_t repeats = 0;
     for (int i = 0; i < WINDOW_PARTS; i++) {
         allowed += budget->limits.ratio * counts->first[i];
         repeats += counts->repeats[i];
     }
-    if (repeats + 1 > allowed) {
+    if (repeats + 1 > ldexp(allowed * FIRST_LEVEL_SHARE, -(int)depth)) {
         return false;
     }
     counts->repeats[counts->part % WINDOW_PARTS]++;
--- a/src/ibisfield/retry/service_retry_budget.h
+++ b/src/ibisfield/retry/service_retry_budget.h
@@ -9,10 +9,11 @@
 
 /// Repeats that a node may send to a service, as a share of the requests that
 /// it sent there for the first time. The sum over all nodes keeps the same
-/// share without shared state.
+/// share without shared state. A repeat also repeats every call below it, so
+/// the share halves with each level of calls below the service: all levels of
+/// a chain together then stay below the ratio at the last service.
 typedef struct {
     double ratio;      ///< repeats for each first request
-    double slack;      ///< repeats in a window without any first request
     int64_t window_us; ///< over which both are counted
 } service_retry_limits_t;
 
@@ -29,6 +30,6 @@
 void service_retry_budget_first(service_retry_budget_t *budget,
                                 const char *service);
 bool service_retry_budget_take(service_retry_budget_t *budget,
-                               const char *service);
+                               const char *service, uint32_t depth);
 
 #endif
