--- /dev/null
+++ b/test/platform/test_decoders.c
@@ -0,0 +1,166 @@
+/// @file
+/// The platform's desired state and server entries, whole and broken.
+
+#include "ibisfield/contract/contract.h"
+#include "platform/desired_state.h"
+#include "platform/server_entry.h"
+
+#include "common/suite.h"
+
+#define SERVICES "\"services\":[{\"name\":\"s1\"},{\"name\":\"s2\"}]"
+
+static desired_state_t state;
+static GPtrArray *problems;
+
+static bool
+parse(const char *text)
+{
+    problems = g_ptr_array_new_with_free_func(g_free);
+    return desired_state_parse(&state, slice_from_string(text), problems);
+}
+
+static void
+finish(void)
+{
+    for (guint i = 0; state.contracts != NULL && i < state.contracts->len; i++)
+    {
+        contract_finish(state.contracts->pdata[i]);
+        g_free(state.contracts->pdata[i]);
+    }
+    if (state.contracts != NULL) {
+        g_ptr_array_free(state.contracts, TRUE);
+    }
+    g_ptr_array_unref(problems);
+}
+
+static const kind_t *
+match(const char *path)
+{
+    return contract_match(state.contracts->pdata[0], SLICE_LITERAL("GET"),
+                          slice_from_string(path));
+}
+
+/// Guards against routes that are read differently from what they say.
+static void
+test_desired_state(void)
+{
+    CU_ASSERT_TRUE_FATAL(parse(
+        "{\"version\":7,\"later\":1,\"routes\":["
+        "{\"name\":\"r1\",\"host\":\"H.example\",\"prefix\":\"/a/\","
+        "\"kind\":\"idempotent\",\"timeout_s\":0.8,\"target_latency_s\":1.5,"
+        "\"priority\":0,\"service\":\"s1\",\"max_attempts\":2},"
+        "{\"name\":\"r2\",\"host\":\"h.example\",\"prefix\":\"/a/b/\","
+        "\"kind\":\"non_idempotent\",\"timeout_s\":5,\"priority\":2,"
+        "\"traffic_split\":[{\"service\":\"s1\",\"weight\":9},"
+        "{\"service\":\"s2\",\"weight\":1}],\"max_attempts\":3}]," SERVICES
+        "}"));
+    CU_ASSERT_EQUAL(state.version, 7);
+    CU_ASSERT_EQUAL_FATAL(state.contracts->len, 1);
+    const kind_t *kind = match("/a/x?q=1");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(kind);
+    CU_ASSERT_STRING_EQUAL(kind->name, "r1");
+    CU_ASSERT_EQUAL(kind->run, RUN_REPEATABLE);
+    CU_ASSERT_EQUAL(kind->deadline_ms, 800);
+    CU_ASSERT_EQUAL(kind->target_ms, 1500);
+    CU_ASSERT_EQUAL(kind->attempts_max, 2);
+    const kind_t *longer = match("/a/b/x");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(longer);
+    CU_ASSERT_STRING_EQUAL(longer->name, "r2");
+    CU_ASSERT_EQUAL(longer->run, RUN_ONCE_UNKEYED);
+    CU_ASSERT_EQUAL(longer->part_count, 2);
+    CU_ASSERT_TRUE(longer->worth < kind->worth);
+    CU_ASSERT_PTR_NULL(match("/a"));
+    CU_ASSERT_PTR_NULL(match("/"));
+    finish();
+}
+
+/// Guards against a broken desired state that comes into force in part.
+static void
+test_broken_desired_states(void)
+{
+    static const char route[] =
+        "{\"version\":%s,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+        "\"prefix\":\"%s\",\"kind\":\"%s\",\"timeout_s\":%s,"
+        "\"service\":\"%s\",\"max_attempts\":%s}]," SERVICES "}";
+    static const char *const cases[][6] = {
+        {"0", "/a/", "idempotent", "1", "s1", "1"},
+        {"\"x\"", "/a/", "idempotent", "1", "s1", "1"},
+        {"1", "a/", "idempotent", "1", "s1", "1"},
+        {"1", "/a", "idempotent", "1", "s1", "1"},
+        {"1", "/a/", "other", "1", "s1", "1"},
+        {"1", "/a/", "idempotent", "-1", "s1", "1"},
+        {"1", "/a/", "idempotent", "\"1\"", "s1", "1"},
+        {"1", "/a/", "idempotent", "1", "s9", "1"},
+        {"1", "/a/", "idempotent", "1", "s1", "0"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const char *const *c = cases[i];
+        char *text =
+            g_strdup_printf(route, c[0], c[1], c[2], c[3], c[4], c[5]);
+        CU_ASSERT_FALSE(parse(text));
+        CU_ASSERT_TRUE(problems->len > 0);
+        CU_ASSERT_PTR_NULL(state.contracts);
+        finish();
+        g_free(text);
+    }
+    CU_ASSERT_FALSE(parse("{\"version\":1,\"rou"));
+    finish();
+    CU_ASSERT_FALSE(parse("[]"));
+    finish();
+}
+
+static bool
+parse_entry(vm_info_t *info, const char *key, const char *text)
+{
+    static const settings_t settings = {.upstream = {"10.0.0.9", 8080},
+                                        .peer_listen = {"10.0.0.1", 8300}};
+    return server_entry_parse(info, key, slice_from_string(text), &settings);
+}
+
+/// Guards against entries of other writers that are taken for servers.
+static void
+test_server_entries(void)
+{
+    vm_info_t info;
+    CU_ASSERT_TRUE(parse_entry(
+        &info, "servers/i-1",
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+        "\"version\":\"v1\",\"slots\":34,\"state\":\"draining\","
+        "\"cold_left_s\":0,\"sequence\":4}"));
+    CU_ASSERT_STRING_EQUAL(info.vm, "i-1");
+    CU_ASSERT_STRING_EQUAL(info.data_centre, "z");
+    CU_ASSERT_EQUAL(info.peer_port, 8300);
+    CU_ASSERT_EQUAL(info.slots, 34);
+    CU_ASSERT_TRUE(info.own);
+    CU_ASSERT_TRUE(info.leaving);
+    static const char *const broken[] = {
+        "",
+        "x",
+        "[1]",
+        "{\"service\":\"s\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+        "\"slots\":1,\"state\":\"odd\"}",
+        "{\"service\":5,\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"host:8080\",\"zone\":\"z\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+        "\"slots\":\"1\",\"state\":\"ready\"}",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(broken); i++) {
+        CU_ASSERT_FALSE(parse_entry(&info, "servers/i-1", broken[i]));
+    }
+    CU_ASSERT_FALSE(parse_entry(&info, "servers/", "{}"));
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"desired state", test_desired_state},
+        {"broken desired states", test_broken_desired_states},
+        {"server entries", test_server_entries},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("platform decoders", tests);
+}
--- /dev/null
+++ b/test/unit/test_published_list.c
@@ -0,0 +1,150 @@
+/// @file
+/// Removals of listed VMs, believed at once or doubted after an outage, and
+/// the shares of a traffic split.
+
+#include "ibisfield/config/published_list.h"
+#include "ibisfield/routing/traffic_split.h"
+
+#include "common/suite.h"
+
+static manual_clock_t test_clock;
+static published_list_t list;
+static int listed_count;
+static int removed_count;
+
+static void
+on_listed(void *context, const vm_info_t *info)
+{
+    (void)context;
+    (void)info;
+    listed_count++;
+}
+
+static void
+on_removed(void *context, const char *vm)
+{
+    (void)context;
+    (void)vm;
+    removed_count++;
+}
+
+static void
+start(void)
+{
+    listed_count = 0;
+    removed_count = 0;
+    manual_clock_init(&test_clock, 100 * US_PER_S);
+    published_list_init(&list, &test_clock.base,
+                        &(published_list_hooks_t){on_listed, on_removed},
+                        NULL);
+}
+
+static void
+put(const char *vm, uint64_t revision, bool leaving)
+{
+    vm_info_t info = {.leaving = leaving};
+    g_strlcpy(info.vm, vm, sizeof(info.vm));
+    published_list_put(&list, &info, revision);
+}
+
+static void
+lose_source(int64_t for_us)
+{
+    published_list_source_lost(&list);
+    manual_clock_advance(&test_clock, for_us);
+    published_list_source_back(&list);
+}
+
+/// Guards against requests to a VM that is gone while the source works: its
+/// removal counts at once (DRAIN).
+static void
+test_removals_count_at_once(void)
+{
+    start();
+    put("a", 5, false);
+    put("a", 6, false);
+    CU_ASSERT_EQUAL(listed_count, 1);
+    published_list_remove(&list, "a", 4);
+    CU_ASSERT_EQUAL(removed_count, 0);
+    published_list_remove(&list, "a", 7);
+    CU_ASSERT_EQUAL(removed_count, 1);
+    // A short outage lets no entry lapse, so a removal after it is meant.
+    put("a", 8, false);
+    lose_source(500 * US_PER_MS);
+    published_list_remove(&list, "a", 9);
+    CU_ASSERT_EQUAL(removed_count, 2);
+    published_list_finish(&list);
+}
+
+/// Guards against losing every VM because entries lapsed while the source was
+/// away; those that don't return in time are gone.
+static void
+test_removals_after_an_outage_wait(void)
+{
+    start();
+    put("returns", 5, false);
+    put("dead", 5, false);
+    put("leaving", 5, true);
+    lose_source(5 * US_PER_S);
+    published_list_begin(&list);
+    published_list_end(&list, 9);
+    CU_ASSERT_EQUAL(removed_count, 1);
+    manual_clock_advance(&test_clock, 1900 * US_PER_MS);
+    put("returns", 12, false);
+    published_list_tick(&list);
+    CU_ASSERT_EQUAL(removed_count, 1);
+    manual_clock_advance(&test_clock, 500 * US_PER_MS);
+    published_list_tick(&list);
+    CU_ASSERT_EQUAL(removed_count, 2);
+    CU_ASSERT_EQUAL(g_hash_table_size(list.entries), 1);
+    published_list_finish(&list);
+}
+
+/// Guards against a whole list that forgets what it lacks, or drops what it
+/// holds.
+static void
+test_whole_lists_remove_what_they_lack(void)
+{
+    start();
+    put("a", 1, false);
+    put("b", 2, false);
+    published_list_begin(&list);
+    put("b", 2, false);
+    published_list_end(&list, 6);
+    CU_ASSERT_EQUAL(removed_count, 1);
+    CU_ASSERT_EQUAL(listed_count, 2);
+    published_list_finish(&list);
+}
+
+/// Guards against a split whose parts are off their weights in a short time.
+static void
+test_splits_keep_their_weights(void)
+{
+    split_part_t parts[] = {
+        {"a", 70, 0}, {"b", 25, 0}, {"c", 5, 0}, {"none", 0, 0}};
+    kind_t kind = {.parts = parts, .part_count = G_N_ELEMENTS(parts)};
+    int counts[4] = {0};
+    for (int i = 1; i <= 100; i++) {
+        const char *service = traffic_split_next(&kind);
+        counts[strcmp(service, "none") == 0 ? 3 : service[0] - 'a']++;
+        CU_ASSERT_TRUE(ABS(counts[0] - 0.70 * i) <= 1);
+        CU_ASSERT_TRUE(ABS(counts[1] - 0.25 * i) <= 1);
+    }
+    CU_ASSERT_EQUAL(counts[2], 5);
+    CU_ASSERT_EQUAL(counts[3], 0);
+    kind_t single = {.service = "only"};
+    CU_ASSERT_STRING_EQUAL(traffic_split_next(&single), "only");
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"at once", test_removals_count_at_once},
+        {"after an outage", test_removals_after_an_outage_wait},
+        {"whole lists", test_whole_lists_remove_what_they_lack},
+        {"splits", test_splits_keep_their_weights},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("published list", tests);
+}
