Refuse whole requests at the first entry by the pressure further down

Change: calls are told by their id, which begins with that of a request that runs at the own upstream; they take its worth and deadline. A guard computes its pressure from the work that arrives and reports the highest on the request's way with each answer; an entry refuses callers' requests by it, lower worth first. The highest worth has a rest of each service's retry budget.

--- a/src/ibisfield/admission/admission.c
+++ b/src/ibisfield/admission/admission.c
@@ -194,6 +194,7 @@
         admission->last_shed_us[i] = INT64_MIN / 2;
     }
     limiter_init(&admission->limiter, options->slots, clock_now_us(clock));
+    pressure_init(&admission->pressure, clock_now_us(clock));
     wait_queue_init(&admission->queues[0], options->order);
     wait_queue_init(&admission->queues[1], options->order);
 }
@@ -262,6 +263,9 @@
         return ADMIT_REFUSE_DEADLINE;
     }
     service_time_arrived(&admission->times, request->kind);
+    pressure_arrived(
+        &admission->pressure,
+        service_time_expected_us(&admission->times, request->kind));
     if (may_run_at_once(admission, request->kind)) {
         count_start(admission, request->kind, worth);
         return ADMIT_RUN;
@@ -316,6 +320,8 @@
 static void
 adapt(admission_t *admission)
 {
+    pressure_tick(&admission->pressure, limiter_limit(&admission->limiter),
+                  clock_now_us(admission->clock));
     if (limiter_tick(&admission->limiter, clock_now_us(admission->clock),
                      admission->times.median_us))
     {
@@ -411,6 +417,14 @@
     return 0;
 }
 
+/// Returns the share of the requests that lead here to refuse before they
+/// start, in thousandths.
+uint32_t
+admission_pressure(const admission_t *admission)
+{
+    return pressure_permille(&admission->pressure);
+}
+
 /// Returns the load that is reported to senders.
 guard_load_t
 admission_load(const admission_t *admission)
--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "ibisfield/admission/limiter.h"
+#include "ibisfield/admission/pressure.h"
 #include "ibisfield/admission/service_time.h"
 #include "ibisfield/admission/wait_queue.h"
 #include "ibisfield/base/clock.h"
@@ -65,6 +66,7 @@
     uint32_t running[ADMISSION_KINDS_MAX]; ///< by kind
     service_time_t times;
     limiter_t limiter;
+    pressure_t pressure;
     wait_queue_t queues[2]; ///< short kinds, long kinds
     GArray *evicted;        ///< tickets (uint64_t) not yet handed out
     double waiting_us[2][CONTRACT_WORTH_MAX + 1]; ///< expected, by worth
@@ -86,6 +88,7 @@
 void admission_done(admission_t *admission, uint32_t kind, int64_t service_us,
                     bool completed);
 void admission_upstream_shed(admission_t *admission);
+uint32_t admission_pressure(const admission_t *admission);
 guard_load_t admission_load(const admission_t *admission);
 int32_t admission_retry_after_ms(admission_t *admission);
 
--- /dev/null
+++ b/src/ibisfield/admission/root_gate.c
@@ -0,0 +1,84 @@
+/// @file
+/// Refusal of whole requests at the first entry. A chain that is refused deep
+/// down has wasted the work above; refused here it has cost nothing, and the
+/// caller learns at once when to come back.
+
+#include "ibisfield/admission/root_gate.h"
+
+#include <math.h>
+
+/// Weight of a report: the mean age of the learned pressure is 5 answers.
+#define REPORT_WEIGHT 0.2
+/// Without reports the pressure halves in this time, so that requests are let
+/// in again.
+#define HALF_LIFE_US (700 * US_PER_MS)
+/// Requests of lower worth are refused more than the pressure says and those
+/// of the highest less: they begin when the pressure is above TOP_FROM.
+#define LOWER_FACTOR 1.4
+#define TOP_FROM 0.5
+/// No kind is refused above this share: each gets some answers.
+#define REFUSED_MAX 0.9
+
+typedef struct {
+    double pressure; ///< 0 to 1
+    int64_t noted_us;
+} gate_kind_t;
+
+/// Initialises a gate that lets everything in.
+void
+root_gate_init(root_gate_t *gate, const clock_source_t *clock, uint32_t seed)
+{
+    *gate = (root_gate_t){
+        .clock = clock,
+        .kinds =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free),
+        .random = g_rand_new_with_seed(seed),
+    };
+}
+
+void
+root_gate_finish(root_gate_t *gate)
+{
+    g_hash_table_destroy(gate->kinds);
+    g_rand_free(gate->random);
+}
+
+static double
+pressure_now(const root_gate_t *gate, const gate_kind_t *kind)
+{
+    double age_us = (double)(clock_now_us(gate->clock) - kind->noted_us);
+    return kind->pressure * exp2(-MAX(age_us, 0) / HALF_LIFE_US);
+}
+
+/// An answer to a request of the kind reported the highest pressure on its
+/// way, in thousandths.
+void
+root_gate_note(root_gate_t *gate, uint64_t kind_hash, uint32_t permille)
+{
+    gate_kind_t *kind = g_hash_table_lookup(gate->kinds, &kind_hash);
+    if (kind == NULL) {
+        kind = g_new0(gate_kind_t, 1);
+        g_hash_table_insert(gate->kinds,
+                            g_memdup2(&kind_hash, sizeof(kind_hash)), kind);
+    }
+    double before = kind->noted_us == 0 ? 0 : pressure_now(gate, kind);
+    kind->pressure =
+        before + REPORT_WEIGHT * (MIN(permille, 1000) / 1000.0 - before);
+    kind->noted_us = clock_now_us(gate->clock);
+}
+
+/// Whether a caller's request of the kind is refused before it starts.
+bool
+root_gate_refuses(root_gate_t *gate, uint64_t kind_hash, int32_t worth)
+{
+    gate->top_worth = MAX(gate->top_worth, worth);
+    const gate_kind_t *kind = g_hash_table_lookup(gate->kinds, &kind_hash);
+    if (kind == NULL) {
+        return false;
+    }
+    double pressure = pressure_now(gate, kind);
+    double refused = worth < gate->top_worth
+                         ? LOWER_FACTOR * pressure
+                         : (pressure - TOP_FROM) / (1 - TOP_FROM);
+    return g_rand_double(gate->random) < MIN(refused, REFUSED_MAX);
+}
--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -28,6 +28,8 @@
       "Calls refused and not run.")                                           \
     X(CALLS_UNKNOWN_TOTAL, "ibisfield_calls_unknown_total", "counter",        \
       "Calls whose outcome is unknown.")                                      \
+    X(CALLS_HELD_OFF_TOTAL, "ibisfield_calls_held_off_total", "counter",      \
+      "Requests refused before they started, by the pressure further down.")  \
     X(CALLS_IN_FLIGHT, "ibisfield_calls_in_flight", "gauge",                  \
       "Calls that wait for their answer.")                                    \
     X(CONNECTIONS, "ibisfield_connections", "gauge",                          \
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -151,7 +151,10 @@
         .single = intake->kind->run == RUN_ONCE_UNKEYED,
         .hedge = request->key.len == 0 &&
                  kind_limits(intake->contract, intake->kind).hedge,
-        .account = intake->account == NULL ? 0 : request->request_id,
+        .account = intake->account == NULL || entry->options.unchained
+                       ? 0
+                       : request->request_id,
+        .parent = intake->account == NULL ? 0 : request->request_id,
         .units = units_of(intake, entry->options.unchained),
         .source = request->source,
         .kind_hash = kind_hash_of(intake),
@@ -166,7 +169,7 @@
     g_strlcpy(call->kind, intake->kind->name, sizeof(call->kind));
     g_strlcpy(call->service, traffic_split_next(intake->kind),
               sizeof(call->service));
-    if (request->egress && entry->options.depths != NULL) {
+    if (intake->account != NULL && entry->options.depths != NULL) {
         call_depths_called(entry->options.depths, call->service);
     }
     return call;
@@ -210,6 +213,14 @@
                NULL);
         return 0;
     }
+    if (intake->account == NULL && entry->options.gate != NULL &&
+        root_gate_refuses(entry->options.gate, kind_hash_of(intake),
+                          intake->kind->worth))
+    {
+        metric_increment(METRIC_CALLS_HELD_OFF_TOTAL);
+        refuse(entry, intake, REASON_OVERLOADED, OUTCOME_NOT_RUN, NULL);
+        return 0;
+    }
     if (intake->kind->run == RUN_ONCE) {
         require_key(entry, intake);
         return 0;
@@ -355,9 +366,9 @@
 }
 
 static slice_t
-customer_of(const entry_intake_t *intake)
+customer_of(const entry_t *entry, const entry_intake_t *intake)
 {
-    return intake->account == NULL
+    return intake->account == NULL || entry->options.unchained
                ? intake->request->customer
                : slice_from_string(intake->account->customer);
 }
@@ -378,7 +389,7 @@
             retry_accounts_find(entry->options.accounts, request->request_id);
     }
     intake.contract = entry->options.lookup(entry->options.lookup_context,
-                                            customer_of(&intake));
+                                            customer_of(entry, &intake));
     if (intake.contract != NULL) {
         intake.kind =
             contract_match(intake.contract, request->method, request->path);
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "ibisfield/admission/root_gate.h"
 #include "ibisfield/base/clock.h"
 #include "ibisfield/base/slot_table.h"
 #include "ibisfield/call/call_defs.h"
@@ -126,6 +127,7 @@
     /// Repeats that may reach a service; NULL: bounded by units only.
     service_retry_budget_t *service_retries;
     call_depths_t *depths; ///< NULL: not learned
+    root_gate_t *gate;     ///< NULL: every request may start
 } entry_options_t;
 
 typedef struct {
@@ -148,6 +150,7 @@
     bool may_have_run;  ///< an attempt was lost
     key_handle_t key;   ///< 0 if none
     uint64_t account;   ///< egress: holds the units; 0: units is used
+    uint64_t parent;    ///< account of the request that it is a call of; 0
     uint32_t units;     ///< extra attempts still to spend
     uint32_t source;    ///< hash of the caller's address
     uint64_t kind_hash; ///< of customer and kind
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -316,7 +316,7 @@
     }
     if (entry->options.service_retries != NULL) {
         service_retry_budget_first(entry->options.service_retries,
-                                   call->service);
+                                   call->service, call->worth);
     }
     send_attempt(entry, call, vm);
 }
@@ -348,7 +348,7 @@
     service_retry_budget_t *budget = entry->options.service_retries;
     if (!is_free && budget != NULL &&
         !service_retry_budget_take(budget, call->service,
-                                   depth_of(entry, call)))
+                                   depth_of(entry, call), call->worth))
     {
         metric_increment(METRIC_SERVICE_RETRIES_REFUSED_TOTAL);
         picker_report(entry->options.picker, vm, call->kind_hash,
@@ -472,6 +472,14 @@
         call_depths_reported(entry->options.depths, call->service,
                              result->load.depth);
     }
+    if (result->has_load && call->parent != 0) {
+        retry_accounts_note_pressure(entry->options.accounts, call->parent,
+                                     result->load.pressure);
+    }
+    else if (result->has_load && entry->options.gate != NULL) {
+        root_gate_note(entry->options.gate, call->kind_hash,
+                       result->load.pressure);
+    }
     // Nothing of a request that wasn't connected can hold units.
     give_back_units(entry, call,
                     result->kind == ATTEMPT_CONNECT_FAILED ? attempt->lent
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -80,7 +80,7 @@
 
 static void
 send_answer(guard_t *guard, call_handle_t handle, void *user, reason_t reason,
-            outcome_t outcome, uint32_t retries_left)
+            outcome_t outcome, uint32_t retries_left, uint32_t pressure)
 {
     guard_answer_t answer = {
         .reason = reason,
@@ -88,6 +88,7 @@
         .retries_left = retries_left,
         .load = guard_load(guard),
     };
+    answer.load.pressure = MAX(answer.load.pressure, pressure);
     if (outcome == OUTCOME_NOT_RUN && may_succeed_later(reason)) {
         answer.retry_after_ms = admission_retry_after_ms(&guard->admission);
     }
@@ -99,6 +100,11 @@
 end_request(guard_t *guard, guarded_request_t *request, reason_t reason,
             outcome_t outcome)
 {
+    const retry_account_t *account =
+        request->account == 0
+            ? NULL
+            : retry_accounts_find(guard->accounts, request->account);
+    uint32_t pressure = account == NULL ? 0 : account->pressure;
     uint32_t units =
         request->account == 0
             ? request->retries
@@ -108,7 +114,7 @@
     bool sender_gone = request->sender_gone;
     slot_table_release(&guard->slots, handle);
     if (!sender_gone) {
-        send_answer(guard, handle, user, reason, outcome, units);
+        send_answer(guard, handle, user, reason, outcome, units, pressure);
     }
 }
 
@@ -124,7 +130,10 @@
     g_strlcpy(account.customer, request->customer, sizeof(account.customer));
     request->running = true;
     request->started_us = now_us;
-    request->account = retry_accounts_open(guard->accounts, &account);
+    request->account = request->lineage == 0
+                           ? retry_accounts_open(guard->accounts, &account)
+                           : retry_accounts_open_as(
+                                 guard->accounts, request->lineage, &account);
     guard->io->vtable->start(guard->io, request->handle, request->user,
                              request->account, request->deadline_us - now_us,
                              request->wait_end_us - now_us);
@@ -179,6 +188,7 @@
         .handle = handle,
         .user = request->user,
         .once = request->once,
+        .lineage = request->lineage,
         .kind = admission_kind(&guard->admission, request->customer,
                                request->kind),
         .retries = MIN(request->retries, CONTRACT_RETRIES_MAX),
@@ -215,7 +225,7 @@
     }
     if (reason != REASON_NONE) {
         send_answer(guard, 0, request->user, reason, OUTCOME_NOT_RUN,
-                    request->retries);
+                    request->retries, 0);
         return 0;
     }
     call_handle_t handle = held->handle;
@@ -344,6 +354,7 @@
 {
     guard_load_t load = admission_load(&guard->admission);
     load.depth = guard->depth;
+    load.pressure = admission_pressure(&guard->admission);
     return load;
 }
 
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -16,6 +16,7 @@
     int64_t budget_us; ///< rest of the deadline at arrival
     uint32_t retries;  ///< units lent to this call
     bool once;         ///< carries a key: once started it is never cancelled
+    uint64_t lineage;  ///< id that its calls are told by; 0: a random one
     void *user;        ///< the adapter's own object
 } guard_request_t;
 
@@ -66,6 +67,7 @@
     void *user;
     bool once;
     bool running;
+    uint64_t lineage; ///< 0: none given
     bool sender_gone;
     uint32_t kind; ///< admission's number
     uint32_t retries;
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -430,6 +430,22 @@
     return MAX(budget_ms, 1) * US_PER_MS;
 }
 
+/// Tells a call of the own upstream by its id, which begins with that of a
+/// request that runs there. Callers' requests come to the same address.
+static void
+read_lineage(caller_server_t *server, entry_request_t *taken,
+             const http_request_t *request)
+{
+    const wire_t *wire = server->options.wire;
+    slice_t parent =
+        wire->parent_id(http_request_header(request, wire->request_id));
+    if (parent.len > 0) {
+        taken->egress = true;
+        taken->request_id = lineage_of(parent);
+        call_depths_told_apart(server->options.depths);
+    }
+}
+
 static void
 handle(caller_server_t *server, http_request_t *request, origin_t origin)
 {
@@ -463,7 +479,7 @@
         read_peer_fields(&taken, request);
     }
     if (server->options.wire != NULL) {
-        taken.egress = request->source == server->options.own_source;
+        read_lineage(server, &taken, request);
         taken.key = (slice_t){NULL, 0};
         taken.source = 0;
         taken.budget_us = read_budget_us(server->options.wire, request);
--- a/src/ibisfield/io/caller_server.h
+++ b/src/ibisfield/io/caller_server.h
@@ -21,9 +21,7 @@
     span_source_t *spans;
     const wire_t *wire;  ///< NULL: the project's own headers
     const char *service; ///< of the upstream on this VM
-    /// With a wire: source of the own upstream's calls, which come to the same
-    /// address as callers' requests.
-    uint32_t own_source;
+    call_depths_t *depths;
 } caller_server_options_t;
 
 /// Adapter between the entry and HTTP: callers, own upstream (egress) and
--- a/src/ibisfield/io/message.c
+++ b/src/ibisfield/io/message.c
@@ -5,6 +5,7 @@
 
 #include <inttypes.h>
 #include <json-c/json.h>
+#include <xxhash.h>
 
 /// Headers that concern one connection only, and those that the HTTP client
 /// and server write themselves.
@@ -300,6 +301,14 @@
     return true;
 }
 
+/// Returns the number that stands for a request id among those of the requests
+/// that run at one upstream; never 0.
+uint64_t
+lineage_of(slice_t request_id)
+{
+    return MAX(XXH3_64bits(request_id.data, request_id.len), 1);
+}
+
 /// Parses a decimal number from 0 to @p max.
 bool
 parse_number(slice_t text, int64_t max, int64_t *value)
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -68,6 +68,7 @@
 void answer_serialise(GByteArray *out, const http_answer_t *answer);
 bool answer_deserialise(message_t *message, slice_t stored);
 
+uint64_t lineage_of(slice_t request_id);
 bool parse_number(slice_t text, int64_t max, int64_t *value);
 bool parse_hex(slice_t text, uint64_t *value);
 
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -326,6 +326,7 @@
                     .seed = seeds[0],
                 });
     call_depths_init(&node->depths, &node->clock);
+    root_gate_init(&node->gate, &node->clock, seeds[0]);
     service_retry_budget_init(
         &node->service_retries, &node->clock,
         &(service_retry_limits_t){
@@ -351,6 +352,7 @@
                    .service_retries =
                        node->adapter == NULL ? NULL : &node->service_retries,
                    .depths = &node->depths,
+                   .gate = node->adapter == NULL ? NULL : &node->gate,
                });
     guard_init(&node->guard, &node->clock, &node->peer_server.io,
                &node->accounts,
@@ -371,25 +373,24 @@
     const wire_t *wire = node->adapter == NULL ? NULL : node->adapter->wire;
     upstream_client_init(&node->upstream, &node->loop, settings, wire,
                          upstream_draining, node);
-    caller_server_init(
-        &node->caller_server,
-        &(caller_server_options_t){
-            .loop = &node->loop,
-            .entry = &node->entry,
-            .picker = &node->picker,
-            .customers = &node->customers,
-            .vms = &node->vms,
-            .peers = &node->peers,
-            .spans = &node->spans,
-            .wire = wire,
-            .service = settings->service,
-            .own_source = http_source_of(settings->upstream.address),
-        });
+    caller_server_init(&node->caller_server, &(caller_server_options_t){
+                                                 .loop = &node->loop,
+                                                 .entry = &node->entry,
+                                                 .picker = &node->picker,
+                                                 .customers = &node->customers,
+                                                 .vms = &node->vms,
+                                                 .peers = &node->peers,
+                                                 .spans = &node->spans,
+                                                 .wire = wire,
+                                                 .service = settings->service,
+                                                 .depths = &node->depths,
+                                             });
     peer_server_init(&node->peer_server, &(peer_server_options_t){
                                              .guard = &node->guard,
                                              .upstream = &node->upstream,
                                              .callers = &node->caller_server,
                                              .spans = &node->spans,
+                                             .depths = &node->depths,
                                              .wire = wire,
                                          });
 }
@@ -459,6 +460,7 @@
     guard_finish(&node->guard);
     service_retry_budget_finish(&node->service_retries);
     call_depths_finish(&node->depths);
+    root_gate_finish(&node->gate);
     client_retry_budget_finish(&node->client_retries);
     retry_accounts_finish(&node->accounts);
     key_table_finish(&node->keys);
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -47,6 +47,7 @@
     config_source_t *source; ///< NULL without an adapter
     service_retry_budget_t service_retries;
     call_depths_t depths;
+    root_gate_t gate;
     loop_timer_t tick_timer;
     loop_timer_t shutdown_timer;
     unsigned int leave_causes; ///< of leave_cause_t
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -275,6 +275,15 @@
         refuse(request, REASON_MALFORMED);
         return;
     }
+    const wire_t *wire = server->options.wire;
+    slice_t id = wire == NULL ? (slice_t){NULL, 0}
+                              : http_request_header(request, wire->request_id);
+    if (id.len > 0) {
+        taken.lineage = lineage_of(id);
+        if (wire->parent_id(id).len > 0) {
+            call_depths_told_apart(server->options.depths);
+        }
+    }
     guard_take(server, request, &taken);
 }
 
--- a/src/ibisfield/io/peer_server.h
+++ b/src/ibisfield/io/peer_server.h
@@ -8,6 +8,7 @@
 #include "ibisfield/io/span.h"
 #include "ibisfield/io/upstream_client.h"
 #include "ibisfield/io/wire.h"
+#include "ibisfield/routing/call_depth.h"
 
 /// What the adapter works with; owned by the node.
 typedef struct {
@@ -16,6 +17,7 @@
     caller_server_t *callers; ///< takes forwarded requests
     span_source_t *spans;
     const wire_t *wire; ///< NULL: the project's own headers
+    call_depths_t *depths;
 } peer_server_options_t;
 
 /// Adapter between the guard and HTTP: requests of other nodes for this VM's
--- a/src/ibisfield/retry/retry_account.c
+++ b/src/ibisfield/retry/retry_account.c
@@ -48,13 +48,24 @@
 uint64_t
 retry_accounts_open(retry_accounts_t *accounts, const retry_account_t *account)
 {
-    uint64_t handle = slot_table_take(&accounts->slots);
+    return retry_accounts_open_as(accounts, draw_id(accounts), account);
+}
+
+/// Opens an account under an id that the request's own calls can be told by.
+/// Returns it, 0 if it is in use or the table is full.
+uint64_t
+retry_accounts_open_as(retry_accounts_t *accounts, uint64_t id,
+                       const retry_account_t *account)
+{
+    uint64_t handle = find_slot(accounts, id) == NULL
+                          ? slot_table_take(&accounts->slots)
+                          : 0;
     if (handle == 0) {
         return 0;
     }
     retry_account_slot_t *slot =
         &accounts->accounts[slot_table_find(&accounts->slots, handle)];
-    slot->id = draw_id(accounts);
+    slot->id = id;
     slot->handle = handle;
     slot->account = *account;
     g_hash_table_insert(accounts->index, &slot->id, slot);
@@ -107,3 +118,14 @@
         slot->account.units += units;
     }
 }
+
+/// A call of the request reported a pressure.
+void
+retry_accounts_note_pressure(retry_accounts_t *accounts, uint64_t id,
+                             uint32_t permille)
+{
+    retry_account_slot_t *slot = find_slot(accounts, id);
+    if (slot != NULL) {
+        slot->account.pressure = MAX(slot->account.pressure, permille);
+    }
+}
--- a/src/ibisfield/retry/retry_account.h
+++ b/src/ibisfield/retry/retry_account.h
@@ -15,10 +15,11 @@
     int32_t worth;       ///< of the root request
     int64_t deadline_us; ///< absolute, own clock
     uint32_t units;      ///< extra attempts still to spend
+    uint32_t pressure;   ///< highest that a call reported, in thousandths
 } retry_account_t;
 
 typedef struct {
-    uint64_t id; ///< random; key of the index
+    uint64_t id; ///< random, or given by the opener; key of the index
     uint64_t handle;
     retry_account_t account;
 } retry_account_slot_t;
@@ -35,11 +36,15 @@
 void retry_accounts_finish(retry_accounts_t *accounts);
 uint64_t retry_accounts_open(retry_accounts_t *accounts,
                              const retry_account_t *account);
+uint64_t retry_accounts_open_as(retry_accounts_t *accounts, uint64_t id,
+                                const retry_account_t *account);
 uint32_t retry_accounts_close(retry_accounts_t *accounts, uint64_t id);
 const retry_account_t *retry_accounts_find(const retry_accounts_t *accounts,
                                            uint64_t id);
 uint32_t retry_accounts_take(retry_accounts_t *accounts, uint64_t id,
                              uint32_t wanted);
+void retry_accounts_note_pressure(retry_accounts_t *accounts, uint64_t id,
+                                  uint32_t permille);
 void retry_accounts_give_back(retry_accounts_t *accounts, uint64_t id,
                               uint32_t units);
 
--- a/src/ibisfield/retry/service_retry_budget.c
+++ b/src/ibisfield/retry/service_retry_budget.c
@@ -10,13 +10,17 @@
 /// Share of the ratio for a service that calls no other; the levels above it
 /// have half of it, a quarter and so on.
 #define FIRST_LEVEL_SHARE 0.5
+/// Part of a budget that requests below the highest worth may use. When most
+/// answers fail, the rest still carries the requests that are shed last.
+#define LOWER_WORTH_SHARE 0.6
 /// A sliding window is counted in this many parts.
 #define WINDOW_PARTS 10
 
 typedef struct {
     uint32_t first[WINDOW_PARTS];
     uint32_t repeats[WINDOW_PARTS];
-    int64_t part; ///< number of the newest part since the clock's start
+    int32_t top_worth; ///< highest of the window's first requests
+    int64_t part;      ///< number of the newest part since the clock's start
 } service_counts_t;
 
 /// Initialises a budget without counts.
@@ -64,17 +68,19 @@
 
 /// A request is sent to the service for the first time.
 void
-service_retry_budget_first(service_retry_budget_t *budget, const char *service)
+service_retry_budget_first(service_retry_budget_t *budget, const char *service,
+                           int32_t worth)
 {
     service_counts_t *counts = counts_of(budget, service);
     counts->first[counts->part % WINDOW_PARTS]++;
+    counts->top_worth = MAX(counts->top_worth, worth);
 }
 
 /// Takes a repeat of a request that leads to @p depth further levels of calls;
 /// false if there is none left.
 bool
 service_retry_budget_take(service_retry_budget_t *budget, const char *service,
-                          uint32_t depth)
+                          uint32_t depth, int32_t worth)
 {
     service_counts_t *counts = counts_of(budget, service);
     double allowed = 0;
@@ -83,7 +89,11 @@
         allowed += budget->limits.ratio * counts->first[i];
         repeats += counts->repeats[i];
     }
-    if (repeats + 1 > ldexp(allowed * FIRST_LEVEL_SHARE, -(int)depth)) {
+    allowed *= ldexp(FIRST_LEVEL_SHARE, -(int)depth);
+    if (worth < counts->top_worth) {
+        allowed *= LOWER_WORTH_SHARE;
+    }
+    if (repeats + 1 > allowed) {
         return false;
     }
     counts->repeats[counts->part % WINDOW_PARTS]++;
--- a/src/ibisfield/retry/service_retry_budget.h
+++ b/src/ibisfield/retry/service_retry_budget.h
@@ -28,8 +28,9 @@
                                const service_retry_limits_t *limits);
 void service_retry_budget_finish(service_retry_budget_t *budget);
 void service_retry_budget_first(service_retry_budget_t *budget,
-                                const char *service);
+                                const char *service, int32_t worth);
 bool service_retry_budget_take(service_retry_budget_t *budget,
-                               const char *service, uint32_t depth);
+                               const char *service, uint32_t depth,
+                               int32_t worth);
 
 #endif
--- a/src/ibisfield/routing/call_depth.c
+++ b/src/ibisfield/routing/call_depth.c
@@ -4,8 +4,6 @@
 
 #include "ibisfield/routing/call_depth.h"
 
-#include <stdbool.h>
-
 /// A service that the upstream has not called for this time is no longer
 /// taken for one that it calls.
 #define CALL_LIFE_US (60 * US_PER_S)
@@ -71,13 +69,20 @@
     entry_for(depths, service)->called_us = clock_now_us(depths->clock);
 }
 
-/// Returns the depth below a service, CALL_DEPTH_MAX if it isn't known.
+/// A request was seen whose id names the request that it is a call of.
+void
+call_depths_told_apart(call_depths_t *depths)
+{
+    depths->told_apart = true;
+}
+
+/// Returns the depth below a service, CALL_DEPTH_UNKNOWN if it isn't known.
 uint32_t
 call_depths_of(const call_depths_t *depths, const char *service)
 {
     const service_depth_t *entry =
         g_hash_table_lookup(depths->services, service);
-    return entry == NULL || !entry->is_reported ? CALL_DEPTH_MAX
+    return entry == NULL || !entry->is_reported ? CALL_DEPTH_UNKNOWN
                                                 : entry->depth;
 }
 
@@ -85,7 +90,7 @@
 uint32_t
 call_depths_own(const call_depths_t *depths)
 {
-    uint32_t own = 0;
+    uint32_t own = depths->told_apart ? 0 : CALL_DEPTH_UNKNOWN;
     int64_t now_us = clock_now_us(depths->clock);
     GHashTableIter iter;
     void *pointer = NULL;
--- a/src/ibisfield/routing/call_depth.h
+++ b/src/ibisfield/routing/call_depth.h
@@ -2,13 +2,16 @@
 #define IBISFIELD_ROUTING_CALL_DEPTH_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "ibisfield/base/clock.h"
 
-/// Longest chain that is told apart; also what is taken for a service of which
-/// nothing is known.
+/// Longest chain that is told apart.
 #define CALL_DEPTH_MAX 6
+/// What is taken for a service of which nothing is known, and for the own one
+/// until calls can be told from callers' requests: the usual chain.
+#define CALL_DEPTH_UNKNOWN 3
 
 /// How many levels of further calls the requests for a service lead to: 0 for
 /// a service that calls no other. Guards report their own; the node learns
@@ -16,12 +19,14 @@
 typedef struct {
     const clock_source_t *clock;
     GHashTable *services; ///< name to service_depth_t
+    bool told_apart;      ///< calls are told from callers' requests
 } call_depths_t;
 
 void call_depths_init(call_depths_t *depths, const clock_source_t *clock);
 void call_depths_finish(call_depths_t *depths);
 void call_depths_reported(call_depths_t *depths, const char *service,
                           uint32_t depth);
+void call_depths_told_apart(call_depths_t *depths);
 void call_depths_called(call_depths_t *depths, const char *service);
 uint32_t call_depths_of(const call_depths_t *depths, const char *service);
 uint32_t call_depths_own(const call_depths_t *depths);
--- a/test/unit/test_retry_chain.c
+++ b/test/unit/test_retry_chain.c
@@ -27,7 +27,7 @@
 static void
 send_request(chain_t *chain, uint32_t depth, bool is_repeat)
 {
-    service_retry_budget_first(&chain->budget, services[depth]);
+    service_retry_budget_first(&chain->budget, services[depth], 1);
     for (int attempt = 0; attempt < 2; attempt++) {
         bool repeats = is_repeat || attempt > 0;
         chain->arrivals[depth]++;
@@ -35,8 +35,8 @@
         for (int i = 0; depth > 0 && i < FANOUT; i++) {
             send_request(chain, depth - 1, repeats);
         }
-        if (!service_retry_budget_take(&chain->budget, services[depth], depth))
-        {
+        if (!service_retry_budget_take(&chain->budget, services[depth], depth,
+                                       1)) {
             return;
         }
     }
@@ -71,22 +71,47 @@
     manual_clock_init(&test_clock, 100 * US_PER_S);
     service_retry_budget_init(&budget, &test_clock.base,
                               &(service_retry_limits_t){RATIO, WINDOW_US});
-    CU_ASSERT_FALSE(service_retry_budget_take(&budget, "s", 0));
+    CU_ASSERT_FALSE(service_retry_budget_take(&budget, "s", 0, 1));
     for (int i = 0; i < 100; i++) {
-        service_retry_budget_first(&budget, "s");
+        service_retry_budget_first(&budget, "s", 1);
     }
     int taken = 0;
-    while (service_retry_budget_take(&budget, "s", 0)) {
+    while (service_retry_budget_take(&budget, "s", 0, 1)) {
         taken++;
     }
     CU_ASSERT_EQUAL(taken, 10);
-    CU_ASSERT_FALSE(service_retry_budget_take(&budget, "other", 0));
+    CU_ASSERT_FALSE(service_retry_budget_take(&budget, "other", 0, 1));
     manual_clock_advance(&test_clock, 2 * WINDOW_US);
-    CU_ASSERT_FALSE(service_retry_budget_take(&budget, "s", 0));
+    CU_ASSERT_FALSE(service_retry_budget_take(&budget, "s", 0, 1));
     for (int i = 0; i < 100; i++) {
-        service_retry_budget_first(&budget, "s");
+        service_retry_budget_first(&budget, "s", 1);
     }
-    CU_ASSERT_TRUE(service_retry_budget_take(&budget, "s", 0));
+    CU_ASSERT_TRUE(service_retry_budget_take(&budget, "s", 0, 1));
+    service_retry_budget_finish(&budget);
+}
+
+/// Guards against repeats of lookups that leave none for bookings when most
+/// answers of a service fail.
+static void
+test_lower_worth_leaves_a_rest(void)
+{
+    service_retry_budget_t budget;
+    manual_clock_init(&test_clock, 100 * US_PER_S);
+    service_retry_budget_init(&budget, &test_clock.base,
+                              &(service_retry_limits_t){RATIO, WINDOW_US});
+    for (int i = 0; i < 200; i++) {
+        service_retry_budget_first(&budget, "s", i % 2 == 0 ? 80 : 100);
+    }
+    int lookups = 0;
+    while (service_retry_budget_take(&budget, "s", 0, 80)) {
+        lookups++;
+    }
+    int bookings = 0;
+    while (service_retry_budget_take(&budget, "s", 0, 100)) {
+        bookings++;
+    }
+    CU_ASSERT_EQUAL(lookups, 12);
+    CU_ASSERT_EQUAL(bookings, 8);
     service_retry_budget_finish(&budget);
 }
 
@@ -97,8 +122,10 @@
     call_depths_t depths;
     manual_clock_init(&test_clock, 100 * US_PER_S);
     call_depths_init(&depths, &test_clock.base);
+    CU_ASSERT_EQUAL(call_depths_own(&depths), CALL_DEPTH_UNKNOWN);
+    call_depths_told_apart(&depths);
     CU_ASSERT_EQUAL(call_depths_own(&depths), 0);
-    CU_ASSERT_EQUAL(call_depths_of(&depths, "low"), CALL_DEPTH_MAX);
+    CU_ASSERT_EQUAL(call_depths_of(&depths, "low"), CALL_DEPTH_UNKNOWN);
     call_depths_called(&depths, "low");
     CU_ASSERT_EQUAL(call_depths_own(&depths), 1);
     call_depths_reported(&depths, "low", 1);
@@ -124,6 +151,7 @@
         {"failing chain",
          test_repeats_of_a_failing_chain_stay_within_the_ratio},
         {"window", test_budget_follows_the_window},
+        {"worth", test_lower_worth_leaves_a_rest},
         {"depth", test_depth_is_learned_from_calls_and_reports},
         CU_TEST_INFO_NULL,
     };
