--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -205,6 +205,29 @@
     }
 }
 
+/// Whether a request that isn't a call of the own upstream may start. Calls
+/// belong to work that has started, which is carried to its end.
+static bool
+may_start(entry_t *entry, const entry_intake_t *intake, reason_t *reason)
+{
+    if (intake->account != NULL) {
+        return true;
+    }
+    if (entry->closing) {
+        *reason = REASON_LEAVING;
+        return false;
+    }
+    if (entry->options.gate != NULL &&
+        root_gate_refuses(entry->options.gate, kind_hash_of(intake),
+                          intake->kind->worth))
+    {
+        metric_increment(METRIC_CALLS_HELD_OFF_TOTAL);
+        *reason = REASON_OVERLOADED;
+        return false;
+    }
+    return true;
+}
+
 static call_handle_t
 request_without_key(entry_t *entry, const entry_intake_t *intake)
 {
@@ -213,12 +236,9 @@
                NULL);
         return 0;
     }
-    if (intake->account == NULL && entry->options.gate != NULL &&
-        root_gate_refuses(entry->options.gate, kind_hash_of(intake),
-                          intake->kind->worth))
-    {
-        metric_increment(METRIC_CALLS_HELD_OFF_TOTAL);
-        refuse(entry, intake, REASON_OVERLOADED, OUTCOME_NOT_RUN, NULL);
+    reason_t reason = REASON_NONE;
+    if (!may_start(entry, intake, &reason)) {
+        refuse(entry, intake, reason, OUTCOME_NOT_RUN, NULL);
         return 0;
     }
     if (intake->kind->run == RUN_ONCE) {
@@ -462,6 +482,14 @@
     entry->ready = ready;
 }
 
+/// The process ends soon: callers' requests are refused as not run, calls of
+/// the own upstream go on.
+void
+entry_set_closing(entry_t *entry)
+{
+    entry->closing = true;
+}
+
 /// Stops minting keys; submissions of own keys are still served.
 void
 entry_set_leaving(entry_t *entry, bool leaving)
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -175,6 +175,7 @@
     GRand *random;
     bool ready;
     bool leaving;
+    bool closing; ///< too late for callers' requests to end in time
 } entry_t;
 
 void entry_init(entry_t *entry, const entry_options_t *options);
@@ -187,6 +188,7 @@
 void entry_caller_gone(entry_t *entry, call_handle_t handle);
 void entry_tick(entry_t *entry);
 void entry_set_ready(entry_t *entry, bool ready);
+void entry_set_closing(entry_t *entry);
 void entry_set_leaving(entry_t *entry, bool leaving);
 uint32_t entry_in_flight(const entry_t *entry);
 
--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -278,7 +278,7 @@
 
 /// A node must end by itself some time before it is ended, so that the last
 /// answers leave its sockets.
-#define STOP_MARGIN_MS 600
+#define STOP_MARGIN_MS 250
 
 /// Fits the limits of the shutdown into the time that the operator leaves.
 static void
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -550,6 +550,9 @@
         loop_stop(&node->loop);
         return;
     }
+    if (passed_ms >= node->settings->key_linger_ms && node->adapter != NULL) {
+        entry_set_closing(&node->entry);
+    }
     // A request that runs at the upstream may still need the egress.
     if (passed_ms >= node->settings->key_linger_ms &&
         guard_in_flight(&node->guard) == 0 && end_listening(node) &&
