Refuse requests that cost the scarce service most first

Cause: under pressure all kinds of equal worth were refused alike, though one hours lookup takes as much of the scarce service as several status checks.

--- a/src/ibisfield/admission/admission.c
+++ b/src/ibisfield/admission/admission.c
@@ -425,6 +425,14 @@
     return pressure_permille(&admission->pressure);
 }
 
+/// Returns what a request that ran for @p service_us has cost the upstream.
+uint32_t
+admission_cost(const admission_t *admission, int64_t service_us)
+{
+    return pressure_cost(&admission->pressure, service_us,
+                         limiter_limit(&admission->limiter));
+}
+
 /// Returns the load that is reported to senders.
 guard_load_t
 admission_load(const admission_t *admission)
--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -89,6 +89,7 @@
                     bool completed);
 void admission_upstream_shed(admission_t *admission);
 uint32_t admission_pressure(const admission_t *admission);
+uint32_t admission_cost(const admission_t *admission, int64_t service_us);
 guard_load_t admission_load(const admission_t *admission);
 int32_t admission_retry_after_ms(admission_t *admission);
 
--- a/src/ibisfield/admission/pressure.c
+++ b/src/ibisfield/admission/pressure.c
@@ -22,6 +22,8 @@
 /// Exponent of a period's correction. Entries act about half a second later,
 /// so a correction is spread over that time.
 #define GAIN 0.15
+/// Loads above it cost no more.
+#define LOAD_COST_MAX 2.0
 /// Some requests are let in always, so that the end of the load is seen.
 #define OPEN_MIN 0.05
 
@@ -59,6 +61,17 @@
     pressure->open = CLAMP(pressure->open * correction, OPEN_MIN, 1);
 }
 
+/// Returns what a request costs the upstream: the part of its slots' time that
+/// it took, in nanoseconds, weighed by the square of the load. Time at an idle
+/// upstream costs nothing, so costs add up to the use of what is scarce.
+uint32_t
+pressure_cost(const pressure_t *pressure, int64_t service_us, uint32_t slots)
+{
+    double load = MIN(pressure->load, LOAD_COST_MAX);
+    double cost = (double)MAX(service_us, 0) * 1000 / MAX(slots, 1);
+    return (uint32_t)MIN(cost * load * load, G_MAXINT32);
+}
+
 /// Returns the share of new requests to refuse, in thousandths.
 uint32_t
 pressure_permille(const pressure_t *pressure)
--- a/src/ibisfield/admission/pressure.h
+++ b/src/ibisfield/admission/pressure.h
@@ -15,6 +15,8 @@
 void pressure_init(pressure_t *pressure, int64_t now_us);
 void pressure_arrived(pressure_t *pressure, double expected_us);
 void pressure_tick(pressure_t *pressure, uint32_t slots, int64_t now_us);
+uint32_t pressure_cost(const pressure_t *pressure, int64_t service_us,
+                       uint32_t slots);
 uint32_t pressure_permille(const pressure_t *pressure);
 
 #endif
--- a/src/ibisfield/admission/root_gate.c
+++ b/src/ibisfield/admission/root_gate.c
@@ -12,15 +12,24 @@
 /// Without reports the pressure halves in this time, so that requests are let
 /// in again.
 #define HALF_LIFE_US (700 * US_PER_MS)
+/// Weight of a report in the learned costs, which change slowly.
+#define COST_WEIGHT 0.05
 /// Requests of lower worth are refused more than the pressure says and those
 /// of the highest less: they begin when the pressure is above TOP_FROM.
 #define LOWER_FACTOR 1.4
-#define TOP_FROM 0.5
-/// No kind is refused above this share: each gets some answers.
+#define TOP_FROM 0.75
+/// Among requests of lower worth those that take less of what is scarce go
+/// first: their share of refusals follows the cost, within these bounds.
+#define COST_FACTOR_MIN 0.3
+#define COST_FACTOR_MAX 3.0
+/// No kind is refused above this share while others can still give way, and
+/// none above REFUSED_MAX ever: each gets some answers.
+#define REFUSED_FAIR 0.6
 #define REFUSED_MAX 0.9
 
 typedef struct {
     double pressure; ///< 0 to 1
+    double cost;     ///< moving average; 0: not known
     int64_t noted_us;
 } gate_kind_t;
 
@@ -50,10 +59,17 @@
     return kind->pressure * exp2(-MAX(age_us, 0) / HALF_LIFE_US);
 }
 
-/// An answer to a request of the kind reported the highest pressure on its
-/// way, in thousandths.
+static void
+learn_cost(double *learned, uint32_t cost)
+{
+    *learned =
+        *learned <= 0 ? cost : *learned + COST_WEIGHT * (cost - *learned);
+}
+
+/// An answer to a request of the kind has come.
 void
-root_gate_note(root_gate_t *gate, uint64_t kind_hash, uint32_t permille)
+root_gate_note(root_gate_t *gate, uint64_t kind_hash, int32_t worth,
+               const gate_report_t *report)
 {
     gate_kind_t *kind = g_hash_table_lookup(gate->kinds, &kind_hash);
     if (kind == NULL) {
@@ -62,9 +78,28 @@
                             g_memdup2(&kind_hash, sizeof(kind_hash)), kind);
     }
     double before = kind->noted_us == 0 ? 0 : pressure_now(gate, kind);
-    kind->pressure =
-        before + REPORT_WEIGHT * (MIN(permille, 1000) / 1000.0 - before);
+    double pressure = MIN(report->permille, 1000) / 1000.0;
+    kind->pressure = before + REPORT_WEIGHT * (pressure - before);
     kind->noted_us = clock_now_us(gate->clock);
+    if (report->cost > 0) {
+        learn_cost(&kind->cost, report->cost);
+        if (worth < gate->top_worth) {
+            learn_cost(&gate->mean_cost, report->cost);
+        }
+    }
+}
+
+/// Share of the requests below the highest worth to refuse.
+static double
+refused_of_lower(const root_gate_t *gate, const gate_kind_t *kind,
+                 double pressure)
+{
+    double factor = 1;
+    if (kind->cost > 0 && gate->mean_cost > 0) {
+        factor = CLAMP(kind->cost / gate->mean_cost, COST_FACTOR_MIN,
+                       COST_FACTOR_MAX);
+    }
+    return MIN(LOWER_FACTOR * factor * pressure, MAX(REFUSED_FAIR, pressure));
 }
 
 /// Whether a caller's request of the kind is refused before it starts.
@@ -78,7 +113,7 @@
     }
     double pressure = pressure_now(gate, kind);
     double refused = worth < gate->top_worth
-                         ? LOWER_FACTOR * pressure
+                         ? refused_of_lower(gate, kind, pressure)
                          : (pressure - TOP_FROM) / (1 - TOP_FROM);
     return g_rand_double(gate->random) < MIN(refused, REFUSED_MAX);
 }
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -473,12 +473,18 @@
                              result->load.depth);
     }
     if (result->has_load && call->parent != 0) {
-        retry_accounts_note_pressure(entry->options.accounts, call->parent,
-                                     result->load.pressure);
+        retry_accounts_note_call(entry->options.accounts, call->parent,
+                                 result->load.pressure, result->load.cost);
     }
     else if (result->has_load && entry->options.gate != NULL) {
-        root_gate_note(entry->options.gate, call->kind_hash,
-                       result->load.pressure);
+        // Of a chain that failed, some of the cost is missing.
+        bool is_whole =
+            result->kind == ATTEMPT_ANSWERED && result->status < 500;
+        root_gate_note(entry->options.gate, call->kind_hash, call->worth,
+                       &(gate_report_t){
+                           .permille = result->load.pressure,
+                           .cost = is_whole ? result->load.cost : 0,
+                       });
     }
     // Nothing of a request that wasn't connected can hold units.
     give_back_units(entry, call,
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -80,7 +80,8 @@
 
 static void
 send_answer(guard_t *guard, call_handle_t handle, void *user, reason_t reason,
-            outcome_t outcome, uint32_t retries_left, uint32_t pressure)
+            outcome_t outcome, uint32_t retries_left,
+            const retry_account_t *account)
 {
     guard_answer_t answer = {
         .reason = reason,
@@ -88,7 +89,10 @@
         .retries_left = retries_left,
         .load = guard_load(guard),
     };
-    answer.load.pressure = MAX(answer.load.pressure, pressure);
+    if (account != NULL) {
+        answer.load.pressure = MAX(answer.load.pressure, account->pressure);
+        answer.load.cost = account->cost;
+    }
     if (outcome == OUTCOME_NOT_RUN && may_succeed_later(reason)) {
         answer.retry_after_ms = admission_retry_after_ms(&guard->admission);
     }
@@ -100,11 +104,19 @@
 end_request(guard_t *guard, guarded_request_t *request, reason_t reason,
             outcome_t outcome)
 {
-    const retry_account_t *account =
+    retry_account_t account = {0};
+    const retry_account_t *open =
         request->account == 0
             ? NULL
             : retry_accounts_find(guard->accounts, request->account);
-    uint32_t pressure = account == NULL ? 0 : account->pressure;
+    if (open != NULL) {
+        account = *open;
+    }
+    if (outcome == OUTCOME_ANSWERED) {
+        account.cost +=
+            admission_cost(&guard->admission,
+                           clock_now_us(guard->clock) - request->started_us);
+    }
     uint32_t units =
         request->account == 0
             ? request->retries
@@ -114,7 +126,7 @@
     bool sender_gone = request->sender_gone;
     slot_table_release(&guard->slots, handle);
     if (!sender_gone) {
-        send_answer(guard, handle, user, reason, outcome, units, pressure);
+        send_answer(guard, handle, user, reason, outcome, units, &account);
     }
 }
 
@@ -225,7 +237,7 @@
     }
     if (reason != REASON_NONE) {
         send_answer(guard, 0, request->user, reason, OUTCOME_NOT_RUN,
-                    request->retries, 0);
+                    request->retries, NULL);
         return 0;
     }
     call_handle_t handle = held->handle;
--- a/src/ibisfield/retry/retry_account.c
+++ b/src/ibisfield/retry/retry_account.c
@@ -119,13 +119,14 @@
     }
 }
 
-/// A call of the request reported a pressure.
+/// A call of the request reported a pressure and its cost.
 void
-retry_accounts_note_pressure(retry_accounts_t *accounts, uint64_t id,
-                             uint32_t permille)
+retry_accounts_note_call(retry_accounts_t *accounts, uint64_t id,
+                         uint32_t permille, uint32_t cost)
 {
     retry_account_slot_t *slot = find_slot(accounts, id);
     if (slot != NULL) {
         slot->account.pressure = MAX(slot->account.pressure, permille);
+        slot->account.cost += MIN(cost, UINT32_MAX - slot->account.cost);
     }
 }
--- a/src/ibisfield/retry/retry_account.h
+++ b/src/ibisfield/retry/retry_account.h
@@ -16,6 +16,7 @@
     int64_t deadline_us; ///< absolute, own clock
     uint32_t units;      ///< extra attempts still to spend
     uint32_t pressure;   ///< highest that a call reported, in thousandths
+    uint32_t cost;       ///< sum of what the calls reported
 } retry_account_t;
 
 typedef struct {
@@ -43,8 +44,8 @@
                                            uint64_t id);
 uint32_t retry_accounts_take(retry_accounts_t *accounts, uint64_t id,
                              uint32_t wanted);
-void retry_accounts_note_pressure(retry_accounts_t *accounts, uint64_t id,
-                                  uint32_t permille);
+void retry_accounts_note_call(retry_accounts_t *accounts, uint64_t id,
+                              uint32_t permille, uint32_t cost);
 void retry_accounts_give_back(retry_accounts_t *accounts, uint64_t id,
                               uint32_t units);
 
