Avoid VMs that can't be connected to, and log each decision on a request

Decisions on requests were logged at level debug only, without their id.

Change: a VM without a connection is avoided for a second however many are, then one attempt tries; connect timeout 300 ms, unacknowledged data 1 s. Log lines on standard output with the request's id and what decided, bounded, never blocking.

--- a/src/ibisfield/admission/root_gate.c
+++ b/src/ibisfield/admission/root_gate.c
@@ -102,6 +102,15 @@
     return MIN(LOWER_FACTOR * factor * pressure, MAX(REFUSED_FAIR, pressure));
 }
 
+/// Returns the pressure learned for a kind, in thousandths.
+uint32_t
+root_gate_pressure(const root_gate_t *gate, uint64_t kind_hash)
+{
+    const gate_kind_t *kind = g_hash_table_lookup(gate->kinds, &kind_hash);
+    return kind == NULL ? 0
+                        : (uint32_t)lround(1000 * pressure_now(gate, kind));
+}
+
 /// Whether a caller's request of the kind is refused before it starts.
 bool
 root_gate_refuses(root_gate_t *gate, uint64_t kind_hash, int32_t worth)
--- a/src/ibisfield/admission/root_gate.h
+++ b/src/ibisfield/admission/root_gate.h
@@ -28,6 +28,7 @@
 void root_gate_finish(root_gate_t *gate);
 void root_gate_note(root_gate_t *gate, uint64_t kind, int32_t worth,
                     const gate_report_t *report);
+uint32_t root_gate_pressure(const root_gate_t *gate, uint64_t kind);
 bool root_gate_refuses(root_gate_t *gate, uint64_t kind, int32_t worth);
 
 #endif
--- a/src/ibisfield/base/log.c
+++ b/src/ibisfield/base/log.c
@@ -1,11 +1,19 @@
 /// @file
-/// Log lines of key=value pairs, one for each event, written to standard error
-/// through GLib's logging.
+/// Log lines of key=value pairs, one for each event, written to standard
+/// output through GLib's logging. A line that the reader of the output has no
+/// room for is dropped and counted: logging never blocks the process.
 
 #include "ibisfield/base/log.h"
 
-#include <stdio.h>
+#include <poll.h>
+#include <stdbool.h>
 #include <string.h>
+#include <unistd.h>
+
+#include "ibisfield/base/metrics.h"
+
+/// A pipe with room takes this many bytes at once without blocking (PIPE_BUF).
+#define LINE_MAX_BYTES 4096
 
 static GLogLevelFlags lowest_enabled_level = G_LOG_LEVEL_MESSAGE;
 
@@ -25,6 +33,13 @@
     }
 }
 
+static bool
+has_room(int fd)
+{
+    struct pollfd state = {.fd = fd, .events = POLLOUT};
+    return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
 static GLogWriterOutput
 write_line(GLogLevelFlags level, const GLogField *fields, gsize field_count,
            gpointer user_data)
@@ -40,9 +55,17 @@
         }
     }
     gint64 now_us = g_get_real_time();
-    fprintf(stderr, "time=%" G_GINT64_FORMAT ".%06d level=%s %s\n",
-            now_us / G_USEC_PER_SEC, (int)(now_us % G_USEC_PER_SEC),
-            level_name(level), message);
+    char line[LINE_MAX_BYTES];
+    int len = g_snprintf(
+        line, sizeof(line) - 1, "time=%" G_GINT64_FORMAT ".%06d level=%s %s",
+        now_us / G_USEC_PER_SEC, (int)(now_us % G_USEC_PER_SEC),
+        level_name(level), message);
+    len = MIN(len, (int)sizeof(line) - 2);
+    line[len++] = '\n';
+    if (!has_room(STDOUT_FILENO) ||
+        write(STDOUT_FILENO, line, (size_t)len) != len) {
+        metric_increment(METRIC_LOG_LINES_DROPPED_TOTAL);
+    }
     return G_LOG_WRITER_HANDLED;
 }
 
--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -53,6 +53,10 @@
       "Requests of nodes for the upstream on this VM.")                       \
     X(KEYS_FORWARDED_TOTAL, "ibisfield_keys_forwarded_total", "counter",      \
       "Requests forwarded to the owner of their key.")                        \
+    X(LOG_LINES_DROPPED_TOTAL, "ibisfield_log_lines_dropped_total",           \
+      "counter", "Log lines for which the output had no room.")               \
+    X(LOG_LINES_LIMITED_TOTAL, "ibisfield_log_lines_limited_total",           \
+      "counter", "Log lines left out by the limit of lines a second.")        \
     X(PEER_ANSWERS_LOST_TOTAL, "ibisfield_peer_answers_lost_total",           \
       "counter", "Requests sent to a node without a whole answer.")           \
     X(PEER_CONNECT_FAILURES_TOTAL, "ibisfield_peer_connect_failures_total",   \
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -40,6 +40,15 @@
     int64_t key_life_us;            ///< 0 if the kind needs no key
 } entry_intake_t;
 
+static uint64_t
+kind_hash_of(const entry_intake_t *intake)
+{
+    const char *customer = intake->contract->customer;
+    const char *kind = intake->kind->name;
+    uint64_t hash = XXH3_64bits(customer, strlen(customer));
+    return XXH3_64bits_withSeed(kind, strlen(kind), hash);
+}
+
 /// Refuses a request that has no call.
 static void
 refuse(entry_t *entry, const entry_intake_t *intake, reason_t reason,
@@ -50,6 +59,12 @@
         .outcome = outcome,
         .retry_after_ms = entry_retry_after_ms(entry, reason, outcome),
     };
+    if (reason == REASON_OVERLOADED && entry->options.gate != NULL &&
+        intake->kind != NULL)
+    {
+        answer.pressure =
+            root_gate_pressure(entry->options.gate, kind_hash_of(intake));
+    }
     if (fresh_key != NULL) {
         g_strlcpy(answer.fresh_key, fresh_key, sizeof(answer.fresh_key));
     }
@@ -123,15 +138,6 @@
                                       : retries;
 }
 
-static uint64_t
-kind_hash_of(const entry_intake_t *intake)
-{
-    const char *customer = intake->contract->customer;
-    const char *kind = intake->kind->name;
-    uint64_t hash = XXH3_64bits(customer, strlen(customer));
-    return XXH3_64bits_withSeed(kind, strlen(kind), hash);
-}
-
 /// Makes a call of a request. Returns NULL if all slots are in use.
 static entry_call_t *
 make_call(entry_t *entry, const entry_intake_t *intake)
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -72,6 +72,8 @@
     reason_t reason; ///< REASON_NONE: pass on the answer
     outcome_t outcome;
     uint32_t attempt;       ///< attempt whose answer is passed on; 0: stored
+    uint32_t attempts;      ///< sent in all
+    uint32_t pressure;      ///< that refused the request, in thousandths
     slice_t stored_answer;  ///< replay of a kept answer, valid in the call
     int32_t retry_after_ms; ///< 0: no hint
     char fresh_key[KEY_TEXT_MAX + 1]; ///< "" for none
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -214,6 +214,7 @@
         return;
     }
     call->caller_waits = false;
+    answer->attempts = call->attempt_count;
     entry_count_answer(answer->outcome);
     entry->options.io->vtable->answer(entry->options.io, call->handle,
                                       call->user, answer);
@@ -385,6 +386,8 @@
         return result->reason == REASON_LEAVING       ? REPORT_LEAVING
                : result->reason == REASON_NO_UPSTREAM ? REPORT_FAILED
                                                       : REPORT_REFUSED;
+    case ATTEMPT_CONNECT_FAILED:
+        return REPORT_UNREACHABLE;
     default:
         return REPORT_FAILED;
     }
--- a/src/ibisfield/cli/main.c
+++ b/src/ibisfield/cli/main.c
@@ -74,7 +74,7 @@
         .parser = parse_file_argument,
         .args_doc = "SETTINGS",
         .doc = "Run a node with the settings file SETTINGS.\v"
-               "The node logs to standard error. SIGTERM shuts it down "
+               "The node logs to standard output. SIGTERM shuts it down "
                "gracefully: it refuses new work, finishes the calls in "
                "flight and exits with 0, or with 1 when drain_limit_ms cut "
                "off a call. A second SIGTERM, or SIGINT, stops it at once "
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -4,6 +4,7 @@
 
 #include "ibisfield/io/caller_server.h"
 
+#include <inttypes.h>
 #include <xxhash.h>
 
 #include "ibisfield/base/log.h"
@@ -11,6 +12,8 @@
 #include "ibisfield/io/message.h"
 
 #define ATTEMPTS_MAX (1 + CONTRACT_RETRIES_MAX)
+/// Part of a path that is logged.
+#define PATH_LOGGED_MAX ((size_t)64)
 
 /// Where a request comes from.
 typedef enum { FROM_CALLER, FROM_EGRESS, FROM_PEER } origin_t;
@@ -31,6 +34,7 @@
     caller_call_t *call;
     uint32_t number; ///< 0: forwarded to the owner of the key
     bool once;
+    char vm[VM_NAME_MAX + 1];
     http_exchange_t *exchange;
     loop_timer_t failure_timer;
 };
@@ -130,12 +134,64 @@
     return status == 503 || status == 429 ? 502 : status;
 }
 
+static int64_t
+age_ms(const caller_call_t *call)
+{
+    const clock_source_t *clock = call->server->options.loop->clock;
+    return (clock_now_us(clock) - call->request->received_us) / US_PER_MS;
+}
+
+/// The id by which the caller knows its request, for logs.
+static slice_t
+logged_id(const caller_call_t *call)
+{
+    const wire_t *wire = call->server->options.wire;
+    return http_request_header(call->request, wire == NULL ? HEADER_TRACEPARENT
+                                                           : wire->request_id);
+}
+
+static void
+log_refusal(caller_call_t *call, const entry_answer_t *answer, int status)
+{
+    caller_server_t *server = call->server;
+    if (!log_limit_allows(&server->refused_lines, server->options.loop->clock))
+    {
+        return;
+    }
+    slice_t id = logged_id(call);
+    log_info("call_refused",
+             "id=%.*s kind=\"%s\" path=\"%.*s\" reason=%s outcome=%s "
+             "status=%d age_ms=%" PRId64 " attempts=%u pressure=%u "
+             "retry_after_ms=%d contracts=%" PRIu64,
+             (int)id.len, id.data == NULL ? "" : id.data, call->kind,
+             (int)MIN(call->request->path.len, PATH_LOGGED_MAX),
+             call->request->path.data, reason_token(answer->reason),
+             outcome_token(answer->outcome), status, age_ms(call),
+             answer->attempts, answer->pressure, answer->retry_after_ms,
+             server->options.customers->version);
+}
+
+/// Logs a failure that the upstream itself answered.
+static void
+log_failure(caller_call_t *call, const entry_answer_t *answer, int status)
+{
+    caller_server_t *server = call->server;
+    if (!log_limit_allows(&server->failed_lines, server->options.loop->clock))
+    {
+        return;
+    }
+    slice_t id = logged_id(call);
+    log_info("call_failed_upstream",
+             "id=%.*s kind=\"%s\" status=%d age_ms=%" PRId64
+             " attempt=%u attempts=%u",
+             (int)id.len, id.data == NULL ? "" : id.data, call->kind, status,
+             age_ms(call), answer->attempt, answer->attempts);
+}
+
 static void
 refuse(caller_call_t *call, const entry_answer_t *answer)
 {
     const wire_t *wire = call->server->options.wire;
-    log_debug("call_refused", "kind=\"%s\" reason=%s outcome=%s", call->kind,
-              reason_token(answer->reason), outcome_token(answer->outcome));
     refusal_t refusal = {
         .reason = answer->reason,
         .outcome = answer->outcome,
@@ -150,6 +206,7 @@
         message_add(&message, wire->request_id,
                     http_request_header(call->request, wire->request_id));
     }
+    log_refusal(call, answer, message.status);
     send_answer(call, &message, outcome_token(answer->outcome));
     message_finish(&message);
 }
@@ -168,11 +225,42 @@
         replay(call, answer->stored_answer);
     }
     else {
+        if (server->current->status >= 500) {
+            log_failure(call, answer, server->current->status);
+        }
         pass_on(call, server->current);
     }
     release_call(call);
 }
 
+/// Logs an attempt that brought no answer of the upstream.
+static void
+log_attempt(const caller_attempt_t *attempt, const attempt_result_t *result,
+            const char *error)
+{
+    static const char *const results[] = {
+        [ATTEMPT_ANSWERED] = "answered",
+        [ATTEMPT_CONNECT_FAILED] = "connect-failed",
+        [ATTEMPT_REFUSED] = "refused",
+        [ATTEMPT_LOST] = "lost",
+    };
+    caller_call_t *call = attempt->call;
+    caller_server_t *server = call->server;
+    if (result->kind == ATTEMPT_ANSWERED || call->request == NULL ||
+        !log_limit_allows(&server->attempt_lines, server->options.loop->clock))
+    {
+        return;
+    }
+    slice_t id = logged_id(call);
+    log_info("attempt_failed",
+             "id=%.*s kind=\"%s\" attempt=%u upstream_vm=%s result=%s "
+             "reason=%s age_ms=%" PRId64 " error=\"%s\"",
+             (int)id.len, id.data == NULL ? "" : id.data, call->kind,
+             attempt->number, attempt->vm, results[result->kind],
+             reason_token(result->reason), age_ms(call),
+             error == NULL ? "" : error);
+}
+
 static void
 report_attempt(caller_attempt_t *attempt, const http_answer_t *answer)
 {
@@ -180,6 +268,7 @@
     caller_server_t *server = call->server;
     attempt_result_t result;
     peer_client_read_result(&result, answer);
+    log_attempt(attempt, &result, answer->error);
     GByteArray *stored = NULL;
     if (attempt->once && result.kind == ATTEMPT_ANSWERED) {
         stored = g_byte_array_new();
@@ -250,8 +339,6 @@
         metric_increment(answer->result == HTTP_CONNECT_FAILED
                              ? METRIC_PEER_CONNECT_FAILURES_TOTAL
                              : METRIC_PEER_ANSWERS_LOST_TOTAL);
-        log_debug("attempt_failed", "attempt=%u error=\"%s\"", attempt->number,
-                  answer->error);
     }
     if (attempt->number == 0) {
         report_forward(attempt, answer);
@@ -313,6 +400,7 @@
     caller_call_t *call = attempt->call;
     const caller_server_options_t *options = &call->server->options;
     g_strlcpy(call->kind, info->kind, sizeof(call->kind));
+    g_strlcpy(attempt->vm, vm == NULL ? "" : vm, sizeof(attempt->vm));
     const vm_info_t *peer = vm == NULL ? NULL : vm_view_find(options->vms, vm);
     if (peer == NULL) {
         loop_timer_start(options->loop, &attempt->failure_timer, 0,
--- a/src/ibisfield/io/caller_server.h
+++ b/src/ibisfield/io/caller_server.h
@@ -4,6 +4,7 @@
 #include "ibisfield/call/entry.h"
 #include "ibisfield/io/customers.h"
 #include "ibisfield/io/http_server.h"
+#include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/peer_client.h"
 #include "ibisfield/io/span.h"
 #include "ibisfield/io/wire.h"
@@ -31,6 +32,9 @@
     caller_server_options_t options;
     /// Answer of the attempt whose result the entry is being told.
     const http_answer_t *current;
+    log_limit_t refused_lines;
+    log_limit_t failed_lines;
+    log_limit_t attempt_lines;
 } caller_server_t;
 
 void caller_server_init(caller_server_t *server,
--- a/src/ibisfield/io/log_limit.h
+++ b/src/ibisfield/io/log_limit.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "ibisfield/base/clock.h"
+#include "ibisfield/base/metrics.h"
 
 /// Log lines of one event in one second; the metrics count every event. A
 /// peer must not be able to fill the log.
@@ -23,7 +24,11 @@
     if (limit->second_us == 0 || now_us - limit->second_us >= US_PER_S) {
         *limit = (log_limit_t){.second_us = now_us};
     }
-    return limit->lines++ < LOG_LIMIT_PER_S;
+    if (limit->lines++ < LOG_LIMIT_PER_S) {
+        return true;
+    }
+    metric_increment(METRIC_LOG_LINES_LIMITED_TOTAL);
+    return false;
 }
 
 #endif
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -117,6 +117,17 @@
     node_leave(context, LEAVE_UPSTREAM, draining);
 }
 
+static void
+vm_use_changed(void *context, const picker_change_t *change)
+{
+    (void)context;
+    log_info("vm_use_changed",
+             "upstream_vm=%s service=%s ejected=%d unreachable=%d failures=%u "
+             "slowness=%.2f",
+             change->vm, change->service, change->ejected, change->unreachable,
+             change->failures, change->slowness);
+}
+
 static void
 forget_vm(node_t *node, const char *vm)
 {
@@ -321,6 +332,7 @@
     picker_init(&node->picker, &node->clock,
                 &(picker_options_t){
                     .own_vm = settings->vm,
+                    .changed = vm_use_changed,
                     .own_data_centre = settings->data_centre,
                     .remote_cost_us = settings->remote_cost_us,
                     .seed = seeds[0],
--- a/src/ibisfield/io/peer_client.c
+++ b/src/ibisfield/io/peer_client.c
@@ -10,9 +10,9 @@
 /// target size's upstreams (140), so that only an overloaded guard is reached.
 #define CONNECTIONS_PER_VM_MAX 256
 
-/// A node that doesn't accept in this time is down or cut off. Ten times the
-/// round trip between distant data centres (55 ms).
-#define CONNECT_TIMEOUT_US (550 * US_PER_MS)
+/// A node that does not accept in this time is down or cut off. It is over two
+/// round trips between distant data centres (55 ms one way).
+#define CONNECT_TIMEOUT_US (300 * US_PER_MS)
 
 typedef struct {
     char vm[VM_NAME_MAX + 1];
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -51,6 +51,41 @@
     message_add_number(message, HEADER_RETRIES_LEFT, answer->retries_left);
 }
 
+static bool
+may_log(peer_server_t *server)
+{
+    return log_limit_allows(&server->refusal_lines,
+                            server->options.spans->clock);
+}
+
+static slice_t
+logged_id(const peer_server_t *server, const http_request_t *request)
+{
+    const wire_t *wire = server->options.wire;
+    return http_request_header(request, wire == NULL ? HEADER_TRACEPARENT
+                                                     : wire->request_id);
+}
+
+static void
+log_refusal(guarded_t *guarded, const guard_answer_t *answer)
+{
+    peer_server_t *server = guarded->server;
+    if (!may_log(server)) {
+        return;
+    }
+    slice_t id = logged_id(server, guarded->request);
+    int64_t age_us = clock_now_us(server->options.spans->clock) -
+                     guarded->request->received_us;
+    log_info("guard_refused",
+             "id=%.*s kind=\"%s\" reason=%s outcome=%s age_ms=%" PRId64
+             " in_flight=%u limit=%u queue=%u pressure=%u leaving=%d",
+             (int)id.len, id.data == NULL ? "" : id.data, guarded->kind,
+             reason_token(answer->reason), outcome_token(answer->outcome),
+             age_us / US_PER_MS, answer->load.in_flight, answer->load.limit,
+             answer->load.queue, answer->load.pressure,
+             guard_is_leaving(server->options.guard));
+}
+
 static void
 io_answer(guard_io_t *io, call_handle_t handle, void *user,
           const guard_answer_t *answer)
@@ -78,6 +113,7 @@
         message_init_refusal(&message, &refusal);
         body = message_body(&message);
         metric_increment(METRIC_GUARD_REFUSALS_TOTAL);
+        log_refusal(guarded, answer);
     }
     add_guard_headers(&message, answer);
     http_request_answer(take_request(guarded, outcome), message.status,
@@ -230,13 +266,6 @@
     release_guarded(guarded);
 }
 
-static bool
-may_log(peer_server_t *server)
-{
-    return log_limit_allows(&server->refusal_lines,
-                            server->options.spans->clock);
-}
-
 static void
 refuse_protocol(peer_server_t *server, http_request_t *request,
                 slice_t protocol)
--- a/src/ibisfield/io/socket_options.c
+++ b/src/ibisfield/io/socket_options.c
@@ -9,7 +9,7 @@
 
 /// A peer that acknowledges nothing for this time is gone. Nodes must notice a
 /// silent peer within the usual deadline of a call (seconds).
-#define UNACKNOWLEDGED_LIMIT_MS 2000
+#define UNACKNOWLEDGED_LIMIT_MS 1000
 /// Probes of a connection on which nothing arrives: a silent peer is noticed
 /// after KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S.
 #define KEEPALIVE_IDLE_S 1
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -23,6 +23,12 @@
 /// How long a VM that answered "leaving" is avoided although its list item
 /// says that it is live.
 #define LEAVING_LIFE_US (10 * US_PER_S)
+/// How long a VM to which no connection could be opened is avoided. A cut
+/// between data centres takes away most VMs of a service at once, so this has
+/// no bound by the number of VMs as ejection has.
+#define UNREACHABLE_LIFE_US US_PER_S
+/// After it one attempt tries; the others wait this long for its result.
+#define UNREACHABLE_TRIAL_US (400 * US_PER_MS)
 #define PROBE_DELAY_PER_WORTH_US (5 * US_PER_MS)
 /// How long a refusal shows that a service is overloaded.
 #define OVERLOAD_LIFE_US (500 * US_PER_MS)
@@ -37,6 +43,8 @@
     service_entry_t *service;
     bool leaving;
     int64_t said_leaving_until_us;
+    bool unreachable;
+    int64_t unreachable_until_us;
     vm_health_t health;
     guard_load_t load;
     int64_t load_until_us;
@@ -163,20 +171,29 @@
     return false;
 }
 
-/// Collects the VMs of the subset that may be used. Ejected ones are left out
-/// unless @p with_ejected, those that said "leaving" unless @p with_leaving.
+/// VMs that a choice may take although something speaks against them.
+typedef enum {
+    WITH_EJECTED = 1,
+    WITH_LEAVING = 2,     ///< their guard said so
+    WITH_UNREACHABLE = 4, ///< no connection lately
+} collect_t;
+
+/// Collects the VMs of the subset that may be used, with those that @p with
+/// (collect_t bits) names.
 static void
 collect(picker_t *picker, const service_entry_t *service,
-        const vm_handle_t *tried, uint32_t tried_count, bool with_ejected,
-        bool with_leaving)
+        const vm_handle_t *tried, uint32_t tried_count, unsigned int with)
 {
     int64_t now_us = clock_now_us(picker->clock);
     g_array_set_size(picker->candidates, 0);
     for (guint i = 0; i < service->subset->len; i++) {
         vm_handle_t vm = g_array_index(service->subset, vm_handle_t, i);
         const vm_entry_t *entry = vm_at(picker, vm);
-        if ((with_leaving || now_us >= entry->said_leaving_until_us) &&
-            (with_ejected || !entry->health.ejected) &&
+        if (((with & WITH_LEAVING) != 0 ||
+             now_us >= entry->said_leaving_until_us) &&
+            ((with & WITH_UNREACHABLE) != 0 ||
+             now_us >= entry->unreachable_until_us) &&
+            ((with & WITH_EJECTED) != 0 || !entry->health.ejected) &&
             !was_tried(vm, tried, tried_count))
         {
             g_array_append_val(picker->candidates, vm);
@@ -329,6 +346,10 @@
 {
     vm_entry_t *entry = vm_at(picker, vm);
     vm_health_picked(&entry->health, clock_now_us(picker->clock));
+    if (entry->unreachable) {
+        entry->unreachable_until_us =
+            clock_now_us(picker->clock) + UNREACHABLE_TRIAL_US;
+    }
     entry->expected_us += latency_us;
 }
 
@@ -447,8 +468,8 @@
     return entry == NULL ? NULL : entry->name;
 }
 
-/// Collects untried healthy VMs, else untried ones, else untried ones that
-/// said "leaving", else any.
+/// Collects untried healthy VMs, else untried ones that the fewest objections
+/// speak against, else any.
 static void
 collect_best(picker_t *picker, service_entry_t *service,
              const vm_handle_t *tried, uint32_t tried_count)
@@ -456,18 +477,21 @@
     if (service->changed) {
         update_subset(picker, service);
     }
-    collect(picker, service, tried, tried_count, false, false);
-    if (picker->candidates->len == 0) {
-        collect(picker, service, tried, tried_count, true, false);
-    }
-    if (picker->candidates->len == 0) {
+    static const unsigned int allowed[] = {
+        0,
+        WITH_EJECTED,
         // In a rolling replacement a VM that said "leaving" is often back long
         // before this is forgotten, and its guard refuses as long as it isn't.
-        collect(picker, service, tried, tried_count, true, true);
-    }
-    if (picker->candidates->len == 0) {
-        collect(picker, service, NULL, 0, true, true);
+        WITH_EJECTED | WITH_LEAVING,
+        WITH_EJECTED | WITH_LEAVING | WITH_UNREACHABLE,
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(allowed); i++) {
+        collect(picker, service, tried, tried_count, allowed[i]);
+        if (picker->candidates->len > 0) {
+            return;
+        }
     }
+    collect(picker, service, NULL, 0, allowed[G_N_ELEMENTS(allowed) - 1]);
 }
 
 /// Chooses a VM for one attempt and counts it as in flight there. @p tried
@@ -517,6 +541,24 @@
     return now_us - service->refused_us < OVERLOAD_LIFE_US;
 }
 
+static void
+tell_change(const picker_t *picker, const vm_entry_t *entry, int64_t now_us)
+{
+    if (picker->options.changed == NULL) {
+        return;
+    }
+    picker->options.changed(
+        picker->options.context,
+        &(picker_change_t){
+            .vm = entry->name,
+            .service = entry->service->name,
+            .ejected = entry->health.ejected,
+            .unreachable = entry->unreachable,
+            .failures = entry->health.failures,
+            .slowness = vm_health_slowness(&entry->health, now_us),
+        });
+}
+
 /// Ejects the VM if it is bad and no more than half of the subset is ejected.
 static void
 check_health(picker_t *picker, vm_entry_t *entry)
@@ -545,6 +587,7 @@
           vm_health_is_slow(&entry->health, best, now_us))))
     {
         vm_health_eject(&entry->health, now_us);
+        tell_change(picker, entry, now_us);
     }
 }
 
@@ -587,12 +630,32 @@
     case REPORT_FAILED:
         vm_health_failed(&entry->health);
         break;
+    case REPORT_UNREACHABLE:
+        entry->unreachable_until_us = now_us + UNREACHABLE_LIFE_US;
+        break;
     case REPORT_CANCELLED:
         vm_health_stopped(&entry->health, latency_us, mean_us, now_us);
         break;
     }
 }
 
+/// An answer of any kind shows that the VM can be reached.
+static void
+note_reach(const picker_t *picker, vm_entry_t *entry, report_t report)
+{
+    bool before = entry->unreachable;
+    if (report == REPORT_UNREACHABLE) {
+        entry->unreachable = true;
+    }
+    else if (report != REPORT_FAILED && report != REPORT_CANCELLED) {
+        entry->unreachable = false;
+        entry->unreachable_until_us = 0;
+    }
+    if (entry->unreachable != before) {
+        tell_change(picker, entry, clock_now_us(picker->clock));
+    }
+}
+
 static void
 end_probe(picker_t *picker, vm_entry_t *entry, uint64_t kind, report_t report,
           int64_t latency_us)
@@ -600,7 +663,12 @@
     double mean_us = kind_latency_mean_us(picker->latencies, kind);
     bool good = report == REPORT_ANSWERED &&
                 (double)latency_us <= PROBE_GOOD_RATIO * mean_us;
-    vm_health_end_probe(&entry->health, good, clock_now_us(picker->clock));
+    int64_t now_us = clock_now_us(picker->clock);
+    bool was_ejected = entry->health.ejected;
+    vm_health_end_probe(&entry->health, good, now_us);
+    if (was_ejected != entry->health.ejected) {
+        tell_change(picker, entry, now_us);
+    }
 }
 
 /// Ends an attempt that picker_pick() began. @p latency_us is from send to
@@ -625,6 +693,7 @@
         note_load(picker, entry, report, load);
     }
     learn(picker, entry, kind, report, latency_us);
+    note_reach(picker, entry, report);
     int64_t sent_us = clock_now_us(picker->clock) - latency_us;
     if (vm_health_was_probe(&entry->health, sent_us)) {
         end_probe(picker, entry, kind, report, latency_us);
--- a/src/ibisfield/routing/picker.h
+++ b/src/ibisfield/routing/picker.h
@@ -30,8 +30,21 @@
     PICKER_SLOW_START = 16, ///< less work for new VMs
 } picker_rule_t;
 
+/// A VM was taken out of use, or is used again, for one of two causes.
+typedef struct {
+    const char *vm;
+    const char *service;
+    bool ejected;
+    bool unreachable;
+    uint32_t failures; ///< in a row
+    double slowness;   ///< latency over the mean of its kinds
+} picker_change_t;
+
 typedef struct {
     pick_rule_t rule;
+    /// Told of each change; may be NULL.
+    void (*changed)(void *context, const picker_change_t *change);
+    void *context;
     const char *own_vm;
     const char *own_data_centre;
     int32_t remote_cost_us; ///< added to VMs of other data centres
@@ -56,10 +69,11 @@
 /// How an attempt ended, for the picker's learning.
 typedef enum {
     REPORT_ANSWERED,
-    REPORT_REFUSED,   ///< not run: overloaded
-    REPORT_LEAVING,   ///< not run: the VM is leaving
-    REPORT_FAILED,    ///< connect failed, lost, or the upstream failed
-    REPORT_CANCELLED, ///< stopped by the sender; nothing is learned but load
+    REPORT_REFUSED,     ///< not run: overloaded
+    REPORT_LEAVING,     ///< not run: the VM is leaving
+    REPORT_FAILED,      ///< lost, or the upstream failed
+    REPORT_UNREACHABLE, ///< no connection; nothing was sent
+    REPORT_CANCELLED,   ///< stopped by the sender; nothing is learned but load
 } report_t;
 
 /// Chooses the VM for each attempt.
--- a/test/unit/test_picker.c
+++ b/test/unit/test_picker.c
@@ -479,6 +479,42 @@
     }
 }
 
+/// Guards against attempts that wait for connections to VMs behind a cut, two
+/// of three here, and against VMs that are never tried again.
+static void
+test_unreachable_vms_are_avoided(void)
+{
+    start(3);
+    for (vm_handle_t cut = 0; cut < 2; cut++) {
+        picker_report(&picker, cut, KIND, REPORT_UNREACHABLE, 0, NULL);
+    }
+    for (int i = 0; i < 50; i++) {
+        CU_ASSERT_EQUAL(pick_worth(10), 2);
+        report(2, REPORT_ANSWERED, 10 * US_PER_MS);
+    }
+    manual_clock_advance(&test_clock, US_PER_S);
+    int tries = 0;
+    for (int i = 0; i < 50; i++) {
+        vm_handle_t vm = pick_worth(10);
+        tries += vm != 2 ? 1 : 0;
+        if (vm == 2) {
+            report(2, REPORT_ANSWERED, 10 * US_PER_MS);
+        }
+    }
+    // One attempt each, until its result is known.
+    CU_ASSERT_TRUE(tries >= 1 && tries <= 2);
+    picker_report(&picker, 0, KIND, REPORT_ANSWERED, 10 * US_PER_MS, NULL);
+    picker_report(&picker, 1, KIND, REPORT_REFUSED, 0, NULL);
+    int used = 0;
+    for (int i = 0; i < 100; i++) {
+        vm_handle_t vm = pick_worth(10);
+        used += vm == 0 ? 1 : 0;
+        report(vm, REPORT_ANSWERED, 10 * US_PER_MS);
+    }
+    CU_ASSERT_TRUE(used > 10);
+    picker_finish(&picker);
+}
+
 int
 main(void)
 {
@@ -502,6 +538,7 @@
         {"near", test_near_vm_is_preferred},
         {"handles", test_handle_in_use_is_not_given_to_another_vm},
         {"subset", test_subset_is_stable_and_even},
+        {"unreachable", test_unreachable_vms_are_avoided},
         CU_TEST_INFO_NULL,
     };
     return run_suite("picker", tests);
