Don't let quickly shedding or just started nodes mislead the others

Causes: (1) A server that sheds at once looks idle and drew every booking of a process test; the log lines of the refusals showed it. (2) A server that fails every second request never fails five times in a row and was not ejected.

Change: choice weighs the share of attempts that a VM shed; a VM that fails a third of its attempts, twice as often as those beside it, is ejected; a guard says nothing of its depth for 3 s. Process tests run nodes over stand-ins of the users' store and servers.

--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -383,9 +383,10 @@
                    ? REPORT_FAILED
                    : REPORT_ANSWERED;
     case ATTEMPT_REFUSED:
-        return result->reason == REASON_LEAVING       ? REPORT_LEAVING
-               : result->reason == REASON_NO_UPSTREAM ? REPORT_FAILED
-                                                      : REPORT_REFUSED;
+        return result->reason == REASON_LEAVING         ? REPORT_LEAVING
+               : result->reason == REASON_NO_UPSTREAM   ? REPORT_FAILED
+               : result->reason == REASON_UPSTREAM_SHED ? REPORT_SHED
+                                                        : REPORT_REFUSED;
     case ATTEMPT_CONNECT_FAILED:
         return REPORT_UNREACHABLE;
     default:
--- a/src/ibisfield/retry/service_retry_budget.c
+++ b/src/ibisfield/retry/service_retry_budget.c
@@ -13,6 +13,9 @@
 /// Part of a budget that requests below the highest worth may use. When most
 /// answers fail, the rest still carries the requests that are shed last.
 #define LOWER_WORTH_SHARE 0.6
+/// Repeats to a service that calls no other which a node may send in any
+/// window. A site's slack is several for each node.
+#define LAST_LEVEL_MIN 1.0
 /// A sliding window is counted in this many parts.
 #define WINDOW_PARTS 10
 
@@ -93,6 +96,9 @@
     if (worth < counts->top_worth) {
         allowed *= LOWER_WORTH_SHARE;
     }
+    if (depth == 0) {
+        allowed = MAX(allowed, LAST_LEVEL_MIN);
+    }
     if (repeats + 1 > allowed) {
         return false;
     }
--- a/src/ibisfield/routing/call_depth.c
+++ b/src/ibisfield/routing/call_depth.c
@@ -7,6 +7,9 @@
 /// A service that the upstream has not called for this time is no longer
 /// taken for one that it calls.
 #define CALL_LIFE_US (60 * US_PER_S)
+/// A node that has just started may not have seen its upstream's calls yet and
+/// would take a service in the middle of a chain for the last one.
+#define LEARN_TIME_US (3 * US_PER_S)
 /// A report counts for this time; guards of one service may differ while one
 /// of them has not seen a call yet, and the highest report wins.
 #define REPORT_LIFE_US (20 * US_PER_S)
@@ -50,6 +53,9 @@
 call_depths_reported(call_depths_t *depths, const char *service,
                      uint32_t depth)
 {
+    if (depth >= CALL_DEPTH_NOT_KNOWN) {
+        return;
+    }
     service_depth_t *entry = entry_for(depths, service);
     int64_t now_us = clock_now_us(depths->clock);
     depth = MIN(depth, CALL_DEPTH_MAX);
@@ -73,7 +79,9 @@
 void
 call_depths_told_apart(call_depths_t *depths)
 {
-    depths->told_apart = true;
+    if (depths->told_apart_us == 0) {
+        depths->told_apart_us = clock_now_us(depths->clock);
+    }
 }
 
 /// Returns the depth below a service, CALL_DEPTH_UNKNOWN if it isn't known.
@@ -86,12 +94,18 @@
                                                 : entry->depth;
 }
 
-/// Returns the depth below the own upstream.
+/// Returns the depth below the own upstream, CALL_DEPTH_NOT_KNOWN while the
+/// node has seen too little to say.
 uint32_t
 call_depths_own(const call_depths_t *depths)
 {
-    uint32_t own = depths->told_apart ? 0 : CALL_DEPTH_UNKNOWN;
     int64_t now_us = clock_now_us(depths->clock);
+    if (depths->told_apart_us == 0 ||
+        now_us - depths->told_apart_us < LEARN_TIME_US)
+    {
+        return CALL_DEPTH_NOT_KNOWN;
+    }
+    uint32_t own = 0;
     GHashTableIter iter;
     void *pointer = NULL;
     g_hash_table_iter_init(&iter, depths->services);
@@ -99,7 +113,8 @@
         const service_depth_t *entry = pointer;
         if (entry->called_us != 0 && now_us - entry->called_us < CALL_LIFE_US)
         {
-            own = MAX(own, 1 + (entry->is_reported ? entry->depth : 0));
+            own = MAX(own, 1 + (entry->is_reported ? entry->depth
+                                                   : CALL_DEPTH_UNKNOWN - 1));
         }
     }
     return MIN(own, CALL_DEPTH_MAX);
--- a/src/ibisfield/routing/call_depth.h
+++ b/src/ibisfield/routing/call_depth.h
@@ -9,6 +9,8 @@
 
 /// Longest chain that is told apart.
 #define CALL_DEPTH_MAX 6
+/// Reported by a guard that hasn't seen enough calls to know.
+#define CALL_DEPTH_NOT_KNOWN 15
 /// What is taken for a service of which nothing is known, and for the own one
 /// until calls can be told from callers' requests: the usual chain.
 #define CALL_DEPTH_UNKNOWN 3
@@ -18,8 +20,9 @@
 /// its own from the calls that its upstream makes.
 typedef struct {
     const clock_source_t *clock;
-    GHashTable *services; ///< name to service_depth_t
-    bool told_apart;      ///< calls are told from callers' requests
+    GHashTable *services;  ///< name to service_depth_t
+    int64_t told_apart_us; ///< since when calls are told from callers'
+                           ///< requests; 0: they aren't
 } call_depths_t;
 
 void call_depths_init(call_depths_t *depths, const clock_source_t *clock);
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -5,6 +5,8 @@
 
 #include "ibisfield/routing/picker.h"
 
+#include <math.h>
+
 #include "ibisfield/routing/shed_hint.h"
 #include "ibisfield/routing/subset.h"
 #include "ibisfield/routing/vm_health.h"
@@ -29,6 +31,19 @@
 #define UNREACHABLE_LIFE_US US_PER_S
 /// After it one attempt tries; the others wait this long for its result.
 #define UNREACHABLE_TRIAL_US (400 * US_PER_MS)
+/// Weight of an attempt in a share: a mean age of 10 attempts.
+#define SHARE_WEIGHT 0.1
+/// A share halves in this time, so that a VM that got no attempts for it is
+/// tried again; a share below SHARE_MIN is none.
+#define SHARE_HALF_LIFE_US US_PER_S
+#define SHARE_MIN 0.05
+/// An upstream that sheds at once looks idle and would get more than its part.
+/// All of its attempts shed count like this many times the usual latency.
+#define SHED_COST 10.0
+/// A VM of which this share fails is ejected, unless those beside it fail half
+/// as often: then the cause lies further down.
+#define FAILED_EJECT 0.35
+#define FAILED_OTHERS 0.5
 #define PROBE_DELAY_PER_WORTH_US (5 * US_PER_MS)
 /// How long a refusal shows that a service is overloaded.
 #define OVERLOAD_LIFE_US (500 * US_PER_MS)
@@ -37,6 +52,12 @@
 
 typedef struct service_entry service_entry_t;
 
+/// Share of the recent attempts at a VM that ended in some way.
+typedef struct {
+    double value; ///< 0 to 1
+    int64_t updated_us;
+} share_t;
+
 typedef struct {
     char *name;              ///< NULL: the handle is free
     const char *data_centre; ///< interned
@@ -45,6 +66,8 @@
     int64_t said_leaving_until_us;
     bool unreachable;
     int64_t unreachable_until_us;
+    share_t failed; ///< attempts that failed or were shed
+    share_t sheds;  ///< attempts that the upstream shed
     vm_health_t health;
     guard_load_t load;
     int64_t load_until_us;
@@ -201,6 +224,23 @@
     }
 }
 
+static double
+share_now(const share_t *share, int64_t now_us)
+{
+    double age_us = (double)MAX(now_us - share->updated_us, 0);
+    double value = share->value * exp2(-age_us / SHARE_HALF_LIFE_US);
+    return value < SHARE_MIN ? 0 : value;
+}
+
+static void
+share_learn(share_t *share, bool counts, int64_t now_us)
+{
+    double age_us = (double)MAX(now_us - share->updated_us, 0);
+    double value = share->value * exp2(-age_us / SHARE_HALF_LIFE_US);
+    share->value = value + SHARE_WEIGHT * ((counts ? 1 : 0) - value);
+    share->updated_us = now_us;
+}
+
 /// Time to an answer of the VM, for a kind that usually needs @p latency_us.
 static double
 expected_time(const picker_t *picker, vm_handle_t vm, double latency_us)
@@ -221,8 +261,8 @@
     // Under overload every queue is full and what counts is to spread evenly.
     bool overloaded = vm_health_is_overloaded(&entry->health, now_us);
     double crowd = 1 + entry->health.outstanding / (overloaded ? 1.0 : limit);
-    double own_us =
-        latency_us * vm_health_slowness(&entry->health, now_us) * crowd;
+    double own_us = latency_us * vm_health_slowness(&entry->health, now_us) *
+                    crowd * (1 + SHED_COST * share_now(&entry->sheds, now_us));
     if (is_on(picker, PICKER_SLOW_START)) {
         own_us *= vm_health_start_factor(&entry->health, now_us);
     }
@@ -569,6 +609,8 @@
     int64_t now_us = clock_now_us(picker->clock);
     const GArray *subset = entry->service->subset;
     double best = vm_health_slowness(&entry->health, now_us);
+    double failed = share_now(&entry->failed, now_us);
+    double least_failed = failed;
     uint32_t ejected = 0;
     for (guint i = 0; i < subset->len; i++) {
         const vm_entry_t *other =
@@ -579,10 +621,13 @@
         ejected += other->health.ejected ? 1 : 0;
         if (!other->health.ejected) {
             best = MIN(best, vm_health_slowness(&other->health, now_us));
+            least_failed =
+                MIN(least_failed, share_now(&other->failed, now_us));
         }
     }
     if (2 * (ejected + 1) <= subset->len &&
         (vm_health_is_failing(&entry->health) ||
+         (failed > FAILED_EJECT && least_failed < FAILED_OTHERS * failed) ||
          (!is_overloaded(entry->service, now_us) &&
           vm_health_is_slow(&entry->health, best, now_us))))
     {
@@ -611,6 +656,12 @@
 {
     int64_t now_us = clock_now_us(picker->clock);
     double mean_us = kind_latency_mean_us(picker->latencies, kind);
+    if (report == REPORT_ANSWERED || report == REPORT_FAILED ||
+        report == REPORT_SHED)
+    {
+        share_learn(&entry->sheds, report == REPORT_SHED, now_us);
+        share_learn(&entry->failed, report != REPORT_ANSWERED, now_us);
+    }
     switch (report) {
     case REPORT_ANSWERED:
         vm_health_answered(&entry->health, latency_us, mean_us, now_us);
@@ -630,6 +681,8 @@
     case REPORT_FAILED:
         vm_health_failed(&entry->health);
         break;
+    case REPORT_SHED:
+        break;
     case REPORT_UNREACHABLE:
         entry->unreachable_until_us = now_us + UNREACHABLE_LIFE_US;
         break;
--- a/src/ibisfield/routing/picker.h
+++ b/src/ibisfield/routing/picker.h
@@ -69,9 +69,11 @@
 /// How an attempt ended, for the picker's learning.
 typedef enum {
     REPORT_ANSWERED,
-    REPORT_REFUSED,     ///< not run: overloaded
-    REPORT_LEAVING,     ///< not run: the VM is leaving
-    REPORT_FAILED,      ///< lost, or the upstream failed
+    REPORT_SHED,    ///< not run: the upstream refused, though its guard had
+                    ///< room
+    REPORT_REFUSED, ///< not run: overloaded
+    REPORT_LEAVING, ///< not run: the VM is leaving
+    REPORT_FAILED,  ///< lost, or the upstream failed
     REPORT_UNREACHABLE, ///< no connection; nothing was sent
     REPORT_CANCELLED,   ///< stopped by the sender; nothing is learned but load
 } report_t;
--- a/test/unit/test_picker.c
+++ b/test/unit/test_picker.c
@@ -517,6 +517,63 @@
     picker_finish(&picker);
 }
 
+/// Guards against an upstream that sheds at once, looks idle by that and draws
+/// the requests (a server that fails while its health check passes).
+static void
+test_quick_failures_do_not_attract(void)
+{
+    start(3);
+    int got = 0;
+    int shed = 0;
+    for (int i = 0; i < 300; i++) {
+        vm_handle_t vm = pick_worth(10);
+        got += vm == 0 ? 1 : 0;
+        bool sheds = vm == 0 && i % 2 == 0;
+        shed += sheds ? 1 : 0;
+        report(vm, sheds ? REPORT_SHED : REPORT_ANSWERED,
+               sheds ? US_PER_MS : 10 * US_PER_MS);
+    }
+    CU_ASSERT_TRUE(got < 300 / 6);
+    CU_ASSERT_TRUE(shed > 0);
+    // It sheds no more: its part comes back.
+    got = 0;
+    for (int i = 0; i < 1200; i++) {
+        vm_handle_t vm = pick_worth(10);
+        got += vm == 0 && i >= 600 ? 1 : 0;
+        report(vm, REPORT_ANSWERED, 10 * US_PER_MS);
+    }
+    CU_ASSERT_TRUE(got > 600 / 6);
+    picker_finish(&picker);
+}
+
+/// Guards against a VM that fails every second request and is never ejected,
+/// since it never fails five times in a row; and against ejecting a VM for
+/// failures that come from further down.
+static void
+test_partly_failing_vm_is_ejected(void)
+{
+    start(3);
+    int got = 0;
+    for (int i = 0; i < 400; i++) {
+        vm_handle_t vm = pick_worth(10);
+        got += vm == 0 && i >= 100 ? 1 : 0;
+        report(vm, vm == 0 && i % 2 == 0 ? REPORT_FAILED : REPORT_ANSWERED,
+               10 * US_PER_MS);
+    }
+    CU_ASSERT_TRUE(got < 300 / 6);
+    picker_finish(&picker);
+    start(3);
+    int all[3] = {0};
+    for (int i = 0; i < 300; i++) {
+        vm_handle_t vm = pick_worth(10);
+        all[vm]++;
+        report(vm, i % 2 == 0 ? REPORT_FAILED : REPORT_ANSWERED,
+               10 * US_PER_MS);
+    }
+    CU_ASSERT_TRUE(MIN(all[0], MIN(all[1], all[2])) > 30);
+    picker_finish(&picker);
+}
+
 int
 main(void)
 {
@@ -541,6 +598,8 @@
         {"handles", test_handle_in_use_is_not_given_to_another_vm},
         {"subset", test_subset_is_stable_and_even},
         {"unreachable", test_unreachable_vms_are_avoided},
+        {"quick failures", test_quick_failures_do_not_attract},
+        {"partly failing", test_partly_failing_vm_is_ejected},
         CU_TEST_INFO_NULL,
     };
     return run_suite("picker", tests);
