--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -59,6 +59,7 @@
         .outcome = outcome,
         .retry_after_ms = entry_retry_after_ms(entry, reason, outcome),
     };
+    answer.kind = intake->kind == NULL ? NULL : intake->kind->name;
     if (reason == REASON_OVERLOADED && entry->options.gate != NULL &&
         intake->kind != NULL)
     {
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -163,7 +163,8 @@
              "id=%.*s kind=\"%s\" path=\"%.*s\" reason=%s outcome=%s "
              "status=%d age_ms=%" PRId64 " attempts=%u pressure=%u "
              "retry_after_ms=%d contracts=%" PRIu64,
-             (int)id.len, id.data == NULL ? "" : id.data, call->kind,
+             (int)id.len, id.data == NULL ? "" : id.data,
+             answer->kind == NULL ? call->kind : answer->kind,
              (int)MIN(call->request->path.len, PATH_LOGGED_MAX),
              call->request->path.data, reason_token(answer->reason),
              outcome_token(answer->outcome), status, age_ms(call),
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -282,11 +282,30 @@
     return (guint)g_rand_int_range(picker->random, 0, (gint32)count);
 }
 
+/// A random candidate of the own data centre, or of all if there is none. Work
+/// that stays near costs no bytes between data centres, and the second choice
+/// still takes it elsewhere where it is slower.
+static guint
+first_choice(picker_t *picker)
+{
+    guint count = picker->candidates->len;
+    guint start = random_index(picker, count);
+    for (guint i = 0; i < count; i++) {
+        guint index = (start + i) % count;
+        if (vm_at(picker, candidate(picker, index))->data_centre ==
+            picker->own_data_centre)
+        {
+            return index;
+        }
+    }
+    return start;
+}
+
 static vm_handle_t
 choose_of_two(picker_t *picker, double latency_us)
 {
     guint count = picker->candidates->len;
-    guint first = random_index(picker, count);
+    guint first = first_choice(picker);
     if (count == 1) {
         return candidate(picker, first);
     }
