--- a/src/ibisfield/base/metrics.c
+++ b/src/ibisfield/base/metrics.c
@@ -1,6 +1,6 @@
 /// @file
-/// Counters and gauges of the process and their text exposition format.
-/// Only the main loop's thread changes them.
+/// Counters, gauges and histograms of the process and their text exposition
+/// format. Only the main loop's thread changes them.
 
 #include "ibisfield/base/metrics.h"
 
@@ -21,6 +21,27 @@
 
 static int64_t metric_values[METRIC_COUNT];
 
+/// Upper bounds of the buckets in milliseconds; the last bucket has none.
+static const int64_t bucket_ms[] = {1,   2,   5,    10,   20,   50,   100,
+                                    200, 500, 1000, 2000, 5000, 10000};
+#define BUCKETS (G_N_ELEMENTS(bucket_ms) + 1)
+
+typedef struct {
+    uint64_t counts[BUCKETS];
+    int64_t sum_us;
+} histogram_t;
+
+static const struct {
+    const char *name;
+    const char *help;
+} histogram_infos[HISTOGRAM_COUNT] = {
+#define HISTOGRAM_INFO(id, name, help) {name, help},
+    HISTOGRAM_LIST(HISTOGRAM_INFO)
+#undef HISTOGRAM_INFO
+};
+
+static histogram_t histograms[HISTOGRAM_COUNT];
+
 /// Adds @p amount to a counter or gauge.
 void
 metric_add(metric_id_t id, int64_t amount)
@@ -49,6 +70,51 @@
     return metric_infos[id].name;
 }
 
+/// Counts a duration; a negative one, after a step of the clock, as 0.
+void
+histogram_observe(histogram_id_t id, int64_t duration_us)
+{
+    histogram_t *histogram = &histograms[id];
+    duration_us = MAX(duration_us, 0);
+    size_t bucket = 0;
+    while (bucket < G_N_ELEMENTS(bucket_ms) &&
+           duration_us > bucket_ms[bucket] * 1000)
+    {
+        bucket++;
+    }
+    histogram->counts[bucket]++;
+    histogram->sum_us += duration_us;
+}
+
+/// Returns the exposed name of the histogram.
+const char *
+histogram_name(histogram_id_t id)
+{
+    return histogram_infos[id].name;
+}
+
+static void
+write_histogram(GString *out, histogram_id_t id)
+{
+    const char *name = histogram_infos[id].name;
+    const histogram_t *histogram = &histograms[id];
+    uint64_t count = 0;
+    g_string_append_printf(out, "# HELP %s %s\n# TYPE %s histogram\n", name,
+                           histogram_infos[id].help, name);
+    for (size_t i = 0; i < BUCKETS; i++) {
+        char bound[32] = "+Inf";
+        if (i < G_N_ELEMENTS(bucket_ms)) {
+            g_ascii_formatd(bound, sizeof(bound), "%g",
+                            (double)bucket_ms[i] / 1000);
+        }
+        count += histogram->counts[i];
+        g_string_append_printf(out, "%s_bucket{le=\"%s\"} %" PRIu64 "\n", name,
+                               bound, count);
+    }
+    g_string_append_printf(out, "%s_sum %.6f\n%s_count %" PRIu64 "\n", name,
+                           (double)histogram->sum_us / 1e6, name, count);
+}
+
 /// Appends all metrics in the Prometheus text exposition format.
 void
 metrics_write_text(GString *out)
@@ -59,6 +125,9 @@
             out, "# HELP %s %s\n# TYPE %s %s\n%s %" PRId64 "\n", info->name,
             info->help, info->name, info->type, info->name, metric_values[i]);
     }
+    for (int i = 0; i < HISTOGRAM_COUNT; i++) {
+        write_histogram(out, (histogram_id_t)i);
+    }
 }
 
 /// Sets every metric to zero; for tests.
@@ -66,4 +135,5 @@
 metrics_reset(void)
 {
     memset(metric_values, 0, sizeof(metric_values));
+    memset(histograms, 0, sizeof(histograms));
 }
--- a/src/ibisfield/base/metrics.h
+++ b/src/ibisfield/base/metrics.h
@@ -10,6 +10,8 @@
 void metric_set(metric_id_t id, int64_t value);
 int64_t metric_value(metric_id_t id);
 const char *metric_name(metric_id_t id);
+void histogram_observe(histogram_id_t id, int64_t duration_us);
+const char *histogram_name(histogram_id_t id);
 void metrics_write_text(GString *out);
 void metrics_reset(void);
 
--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -116,6 +116,22 @@
     X(PLATFORM_WENT_BACK_TOTAL, "ibisfield_platform_went_back_total",         \
       "counter", "Answers with a revision below one seen before.")
 
+/// Every histogram of durations: X(identifier, name, help).
+#define HISTOGRAM_LIST(X)                                                     \
+    X(CALL_ANSWERED, "ibisfield_call_answered_seconds",                       \
+      "From a request's arrival at the entry to the upstream's answer.")      \
+    X(CALL_REFUSED, "ibisfield_call_refused_seconds",                         \
+      "From a request's arrival at the entry to its refusal.")                \
+    X(GUARD_HELD, "ibisfield_guard_held_seconds",                             \
+      "From a request's arrival at the guard to its answer, queue included.")
+
+typedef enum {
+#define HISTOGRAM_ENUM(id, name, help) HISTOGRAM_##id,
+    HISTOGRAM_LIST(HISTOGRAM_ENUM)
+#undef HISTOGRAM_ENUM
+        HISTOGRAM_COUNT
+} histogram_id_t;
+
 typedef enum {
 #define METRIC_ENUM(id, name, type, help) METRIC_##id,
     METRIC_LIST(METRIC_ENUM)
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -135,10 +135,16 @@
 }
 
 static int64_t
-age_ms(const caller_call_t *call)
+age_us(const caller_call_t *call)
 {
     const clock_source_t *clock = call->server->options.loop->clock;
-    return (clock_now_us(clock) - call->request->received_us) / US_PER_MS;
+    return clock_now_us(clock) - call->request->received_us;
+}
+
+static int64_t
+age_ms(const caller_call_t *call)
+{
+    return age_us(call) / US_PER_MS;
 }
 
 /// The id by which the caller knows its request, for logs.
@@ -219,6 +225,9 @@
     (void)handle;
     caller_server_t *server = (caller_server_t *)io;
     caller_call_t *call = user;
+    histogram_observe(answer->reason == REASON_NONE ? HISTOGRAM_CALL_ANSWERED
+                                                    : HISTOGRAM_CALL_REFUSED,
+                      age_us(call));
     if (answer->reason != REASON_NONE) {
         refuse(call, answer);
     }
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -96,6 +96,9 @@
     const char *outcome = outcome_token(answer->outcome);
     message_t message;
     slice_t body;
+    histogram_observe(HISTOGRAM_GUARD_HELD,
+                      clock_now_us(server->options.spans->clock) -
+                          guarded->request->received_us);
     if (answer->reason == REASON_NONE) {
         const http_answer_t *upstream = server->current;
         message_init(&message, upstream->status);
--- a/test/functional/test_docs.c
+++ b/test/functional/test_docs.c
@@ -298,6 +298,9 @@
                   strstr(text->str, line) != NULL ? "counter" : "gauge");
         g_free(line);
     }
+    for (int i = 0; i < HISTOGRAM_COUNT; i++) {
+        facts_add(code, histogram_name(i), "histogram");
+    }
     g_string_free(text, TRUE);
     assert_same(
         code, read_section("docs/OPERATIONS.md", "Metrics", second_column, 1),
--- a/test/unit/test_base.c
+++ b/test/unit/test_base.c
@@ -66,6 +66,33 @@
         slice_starts_with(SLICE_LITERAL("a"), SLICE_LITERAL("ab")));
 }
 
+/// Guards against durations in the wrong bucket and sums that don't add up.
+static void
+test_histograms_count_durations(void)
+{
+    metrics_reset();
+    histogram_observe(HISTOGRAM_CALL_ANSWERED, 1000);
+    histogram_observe(HISTOGRAM_CALL_ANSWERED, 1001);
+    histogram_observe(HISTOGRAM_CALL_ANSWERED, -5);
+    histogram_observe(HISTOGRAM_CALL_ANSWERED, 60000000);
+    GString *text = g_string_new(NULL);
+    metrics_write_text(text);
+    static const char *const lines[] = {
+        "\nibisfield_call_answered_seconds_bucket{le=\"0.001\"} 2\n",
+        "\nibisfield_call_answered_seconds_bucket{le=\"0.002\"} 3\n",
+        "\nibisfield_call_answered_seconds_bucket{le=\"10\"} 3\n",
+        "\nibisfield_call_answered_seconds_bucket{le=\"+Inf\"} 4\n",
+        "\nibisfield_call_answered_seconds_sum 60.002001\n",
+        "\nibisfield_call_answered_seconds_count 4\n",
+        "\nibisfield_guard_held_seconds_count 0\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+        CU_ASSERT_PTR_NOT_NULL(strstr(text->str, lines[i]));
+    }
+    g_string_free(text, TRUE);
+    metrics_reset();
+}
+
 int
 main(void)
 {
@@ -73,6 +100,7 @@
         {"manual clock", test_manual_clock_moves_only_when_advanced},
         {"boot clock", test_boot_clock_is_monotonic},
         {"error", test_error_names_step_and_peer},
+        {"histograms", test_histograms_count_durations},
         {"metrics", test_metrics_text_has_every_metric},
         {"slice", test_slices_compare_by_length},
         CU_TEST_INFO_NULL,
