Count an answer from another instance as an arrival, and remember it

Change: wrong-instance is a reason of its own that costs both; the guard refuses for a second what is meant for the instance that its upstream rejected; the VM is avoided. Tests fail without each.

--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -33,6 +33,7 @@
     X(ANSWER_TOO_LARGE, "answer-too-large", 502)                              \
     X(OVERLOADED, "overloaded", 503)                                          \
     X(UPSTREAM_SHED, "upstream-shed", 503)                                    \
+    X(WRONG_INSTANCE, "wrong-instance", 503)                                  \
     X(LEAVING, "leaving", 503)                                                \
     X(NO_UPSTREAM, "no-upstream", 503)                                        \
     X(NOT_READY, "not-ready", 503)                                            \
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -27,6 +27,7 @@
     case REASON_CUSTOMER_RETRY_BUDGET:
     case REASON_OVERLOADED:
     case REASON_UPSTREAM_SHED:
+    case REASON_WRONG_INSTANCE:
     case REASON_LEAVING:
     case REASON_NO_UPSTREAM:
     case REASON_NOT_READY:
@@ -371,7 +372,24 @@
     return entry->options.unchained &&
            (result->kind == ATTEMPT_CONNECT_FAILED ||
             (result->kind == ATTEMPT_REFUSED &&
-             result->reason != REASON_UPSTREAM_SHED));
+             result->reason != REASON_UPSTREAM_SHED &&
+             result->reason != REASON_WRONG_INSTANCE));
+}
+
+static report_t
+report_of_refusal(reason_t reason)
+{
+    switch (reason) {
+    case REASON_LEAVING:
+        return REPORT_LEAVING;
+    case REASON_NO_UPSTREAM:
+    case REASON_WRONG_INSTANCE:
+        return REPORT_UNREACHABLE;
+    case REASON_UPSTREAM_SHED:
+        return REPORT_SHED;
+    default:
+        return REPORT_REFUSED;
+    }
 }
 
 static report_t
@@ -383,10 +401,7 @@
                    ? REPORT_FAILED
                    : REPORT_ANSWERED;
     case ATTEMPT_REFUSED:
-        return result->reason == REASON_LEAVING         ? REPORT_LEAVING
-               : result->reason == REASON_NO_UPSTREAM   ? REPORT_FAILED
-               : result->reason == REASON_UPSTREAM_SHED ? REPORT_SHED
-                                                        : REPORT_REFUSED;
+        return report_of_refusal(result->reason);
     case ATTEMPT_CONNECT_FAILED:
         return REPORT_UNREACHABLE;
     default:
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -10,6 +10,9 @@
 /// rise above the declared slots.
 #define SLOTS_SPARE 1024
 #define SLOTS_FACTOR 4
+/// How long requests for an instance that the upstream rejected are refused
+/// here. An instance may come back under its old name.
+#define REJECTED_LIFE_US US_PER_S
 
 /// Initialises the guard. It shares @p accounts with the egress of its VM.
 void
@@ -63,6 +66,16 @@
            !slice_equal_string(request->service, guard->service);
 }
 
+/// Returns whether the upstream has just said that it isn't the instance that
+/// the sender means.
+static bool
+is_for_rejected_instance(const guard_t *guard, const guard_request_t *request)
+{
+    return request->instance != 0 &&
+           request->instance == guard->rejected_instance &&
+           clock_now_us(guard->clock) < guard->rejected_until_us;
+}
+
 static guarded_request_t *
 find_request(guard_t *guard, call_handle_t handle)
 {
@@ -73,9 +86,9 @@
 static bool
 may_succeed_later(reason_t reason)
 {
-    return reason == REASON_OVERLOADED || reason == REASON_UPSTREAM_SHED ||
-           reason == REASON_LEAVING || reason == REASON_NO_UPSTREAM ||
-           reason == REASON_DEADLINE;
+    return reason == REASON_WRONG_INSTANCE || reason == REASON_OVERLOADED ||
+           reason == REASON_UPSTREAM_SHED || reason == REASON_LEAVING ||
+           reason == REASON_NO_UPSTREAM || reason == REASON_DEADLINE;
 }
 
 static void
@@ -201,6 +214,7 @@
         .user = request->user,
         .once = request->once,
         .lineage = request->lineage,
+        .instance = request->instance,
         .kind = admission_kind(&guard->admission, request->customer,
                                request->kind),
         .retries = MIN(request->retries, CONTRACT_RETRIES_MAX),
@@ -226,7 +240,9 @@
     if (guard->leaving) {
         reason = REASON_LEAVING;
     }
-    else if (is_misdirected(guard, request)) {
+    else if (is_misdirected(guard, request) ||
+             is_for_rejected_instance(guard, request))
+    {
         reason = REASON_NO_UPSTREAM;
     }
     else if (request->budget_us <= 0) {
@@ -283,8 +299,13 @@
     case UPSTREAM_ANSWERED:
         end_request(guard, request, REASON_NONE, OUTCOME_ANSWERED);
         break;
-    case UPSTREAM_CONNECT_FAILED:
     case UPSTREAM_MISDIRECTED:
+        guard->rejected_instance = request->instance;
+        guard->rejected_until_us =
+            clock_now_us(guard->clock) + REJECTED_LIFE_US;
+        end_request(guard, request, REASON_WRONG_INSTANCE, OUTCOME_NOT_RUN);
+        break;
+    case UPSTREAM_CONNECT_FAILED:
         end_request(guard, request, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN);
         break;
     case UPSTREAM_SHED:
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -17,6 +17,7 @@
     uint32_t retries;  ///< units lent to this call
     bool once;         ///< carries a key: once started it is never cancelled
     uint64_t lineage;  ///< id that its calls are told by; 0: a random one
+    uint64_t instance; ///< hash of the instance that is meant; 0: not named
     void *user;        ///< the adapter's own object
 } guard_request_t;
 
@@ -68,6 +69,7 @@
     bool once;
     bool running;
     uint64_t lineage; ///< 0: none given
+    uint64_t instance;
     bool sender_gone;
     uint32_t kind; ///< admission's number
     uint32_t retries;
@@ -89,6 +91,8 @@
     guarded_request_t *requests;
     bool leaving;
     uint32_t depth; ///< levels of calls below the upstream, as reported
+    uint64_t rejected_instance; ///< that the upstream said it isn't
+    int64_t rejected_until_us;
 } guard_t;
 
 void guard_init(guard_t *guard, const clock_source_t *clock, guard_io_t *io,
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -311,7 +311,9 @@
     slice_t id = wire == NULL ? (slice_t){NULL, 0}
                               : http_request_header(request, wire->request_id);
     if (id.len > 0) {
+        slice_t vm = http_request_header(request, HEADER_VM);
         taken.lineage = lineage_of(id);
+        taken.instance = vm.len > 0 ? lineage_of(vm) : 0;
         if (wire->parent_id(id).len > 0) {
             call_depths_told_apart(server->options.depths);
         }
--- a/test/unit/test_guard.c
+++ b/test/unit/test_guard.c
@@ -261,6 +261,39 @@
     CU_ASSERT_EQUAL(reason_from_token(SLICE_LITERAL("")), REASON_NONE);
 }
 
+/// Guards against sending request after request to an upstream that has said
+/// that it isn't the instance they are for: each would count as an arrival
+/// (BUDGET). The refusal here reaches no upstream.
+static void
+test_rejected_instance_is_remembered(void)
+{
+    start_guard(4, 4);
+    guard_request_t taken = {
+        .customer = SLICE_LITERAL("c"),
+        .kind = SLICE_LITERAL("k"),
+        .worth = 5,
+        .budget_us = 100 * US_PER_MS,
+        .instance = 11,
+        .user = &senders[0],
+    };
+    call_handle_t handle = guard_request(&guard, &taken);
+    guard_upstream_done(&guard, handle, UPSTREAM_MISDIRECTED);
+    CU_ASSERT_EQUAL(senders[0].answer.reason, REASON_WRONG_INSTANCE);
+    CU_ASSERT_EQUAL(senders[0].answer.outcome, OUTCOME_NOT_RUN);
+    taken.user = &senders[1];
+    CU_ASSERT_EQUAL(guard_request(&guard, &taken), 0);
+    CU_ASSERT_EQUAL(senders[1].starts, 0);
+    CU_ASSERT_EQUAL(senders[1].answer.reason, REASON_NO_UPSTREAM);
+    taken.user = &senders[2];
+    taken.instance = 12;
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &taken), 0);
+    taken.user = &senders[3];
+    taken.instance = 11;
+    manual_clock_advance(&manual, 2 * US_PER_S);
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &taken), 0);
+    stop_guard();
+}
+
 int
 main(void)
 {
@@ -273,6 +306,7 @@
         {"cancellation", test_only_repeatable_work_is_cancelled},
         {"clock step back", test_clock_step_back},
         {"load text", test_load_text},
+        {"rejected instance", test_rejected_instance_is_remembered},
         CU_TEST_INFO_NULL,
     };
     return run_suite("guard", tests);
