--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -427,6 +427,28 @@
     stop_site();
 }
 
+/// Guards against a change that is missed for the whole wait of a watch (20 s)
+/// that was opened while the store recovered (CONFIG): half of that is
+/// allowed.
+static void
+test_watches_that_hear_nothing(void)
+{
+    start_site();
+    publish_all();
+    // Long enough for every node to wait in a watch again.
+    g_usleep(300000);
+    store_change("POST", "/test/mode/deaf", "");
+    store_change("POST", "/test/cut", "");
+    wait_nodes("event=store_lost");
+    g_usleep(300000);
+    store_change("POST", "/test/mode/up", "");
+    gint64 start_us = g_get_monotonic_time();
+    put_state(9, NULL);
+    wait_nodes("event=contracts_in_force version=9 ");
+    CU_ASSERT_TRUE(g_get_monotonic_time() - start_us < 10 * G_USEC_PER_SEC);
+    stop_site();
+}
+
 /// Guards against new work for a server that leaves.
 static void
 test_draining_server(void)
@@ -498,6 +520,7 @@
         {"bookings", test_bookings},
         {"another instance", test_another_instance_at_the_address},
         {"store outage", test_store_outage},
+        {"deaf watches", test_watches_that_hear_nothing},
         {"draining server", test_draining_server},
         {"stop and reload", test_stop_and_reload},
         CU_TEST_INFO_NULL,
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -20,6 +20,7 @@
 ///     POST /test/mode/many     status 429
 ///     POST /test/mode/garbled  status 200 with half an answer
 ///     POST /test/mode/hang     never answers
+///     POST /test/mode/deaf     watches that begin now hear of no change
 ///     POST /test/cut           ends all waiting watches with 503
 ///     POST /test/compact       forgets the history up to now, ends watches
 ///     GET /test/stats          {"reads", "waiting", "revision"}
@@ -43,7 +44,8 @@
     MODE_BUSY,
     MODE_MANY,
     MODE_GARBLED,
-    MODE_HANG
+    MODE_HANG,
+    MODE_DEAF
 } service_mode_t;
 
 /// One write or removal.
@@ -59,6 +61,7 @@
     char *prefix;
     uint64_t after;
     loop_timer_t timer;
+    bool deaf;
 } watch_t;
 
 static struct {
@@ -259,7 +262,8 @@
     if (watch->prefix == NULL) {
         watch->prefix = g_strdup("");
     }
-    if (store.revision > after) {
+    watch->deaf = store.mode == MODE_DEAF;
+    if (store.revision > after && !watch->deaf) {
         end_watch(watch);
         return;
     }
@@ -279,9 +283,17 @@
                 : g_base64_encode((const guchar *)value.data, value.len);
     g_ptr_array_add(store.changes, change);
     g_hash_table_replace(store.items, change->key, change);
-    while (store.mode == MODE_UP && store.watches != NULL) {
-        end_watch(store.watches->data);
+    if (store.mode != MODE_UP) {
+        return;
+    }
+    GList *watches = g_list_copy(store.watches);
+    for (GList *link = watches; link != NULL; link = link->next) {
+        watch_t *watch = link->data;
+        if (!watch->deaf) {
+            end_watch(watch);
+        }
     }
+    g_list_free(watches);
 }
 
 /// Ends all watches without an event.
@@ -301,7 +313,7 @@
 {
     static const char *const names[] = {
         [MODE_UP] = "up",           [MODE_BUSY] = "busy", [MODE_MANY] = "many",
-        [MODE_GARBLED] = "garbled", [MODE_HANG] = "hang",
+        [MODE_GARBLED] = "garbled", [MODE_HANG] = "hang", [MODE_DEAF] = "deaf",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         if (strcmp(names[i], name) == 0) {
