--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -506,8 +506,9 @@
 http_target_release(http_target_t *target)
 {
     target->released = true;
-    while (target->idle.length > 0) {
-        close_idle(target->idle.head->data);
+    GList *link;
+    while ((link = g_queue_pop_head_link(&target->idle)) != NULL) {
+        free_connection(link->data);
     }
     free_target_if_unused(target);
 }
