--- a/src/ibisfield/config/published_list.c
+++ b/src/ibisfield/config/published_list.c
@@ -3,8 +3,6 @@
 
 #include "ibisfield/config/published_list.h"
 
-#include <string.h>
-
 /// Live VMs whose entries lapsed are listed again within 2 s of the source's
 /// return, by the source's promise; the rest is for their way here.
 #define RETURN_TIME_US (2300 * US_PER_MS)
@@ -53,8 +51,7 @@
     else if (revision < entry->revision) {
         return;
     }
-    bool changed =
-        entry->revision == 0 || memcmp(&entry->info, info, sizeof(*info)) != 0;
+    bool changed = entry->revision == 0 || !vm_info_equal(&entry->info, info);
     entry->info = *info;
     entry->revision = revision;
     entry->listing = list->listing;
--- a/src/ibisfield/config/vm_view.c
+++ b/src/ibisfield/config/vm_view.c
@@ -133,6 +133,19 @@
     return ok;
 }
 
+/// Returns whether two entries say the same.
+bool
+vm_info_equal(const vm_info_t *a, const vm_info_t *b)
+{
+    return strcmp(a->vm, b->vm) == 0 &&
+           strcmp(a->data_centre, b->data_centre) == 0 &&
+           strcmp(a->service, b->service) == 0 &&
+           strcmp(a->address, b->address) == 0 &&
+           a->caller_port == b->caller_port && a->peer_port == b->peer_port &&
+           a->control_port == b->control_port && a->slots == b->slots &&
+           a->own == b->own && a->leaving == b->leaving;
+}
+
 void
 vm_view_init(vm_view_t *view)
 {
--- a/src/ibisfield/config/vm_view.h
+++ b/src/ibisfield/config/vm_view.h
@@ -31,6 +31,7 @@
 
 bool vm_info_parse(vm_info_t *info, const config_item_t *item,
                    GPtrArray *problems);
+bool vm_info_equal(const vm_info_t *a, const vm_info_t *b);
 bool item_is_vm(const char *name);
 
 void vm_view_init(vm_view_t *view);
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -11,6 +11,8 @@
 #include "common/suite.h"
 #include "common/testbed.h"
 
+#define PROGRAM IBISFIELD_BUILD_DIR "/ibisfield"
+#define STANDIN_STORE IBISFIELD_BUILD_DIR "/test/standin_store"
 #define PORT_STORE 9100
 #define PORT_READINESS 8010
 #define VMS 4
@@ -34,6 +36,8 @@
 } site_t;
 
 static site_t site;
+static const char standin_upstream[] =
+    IBISFIELD_BUILD_DIR "/test/standin_upstream";
 
 static void
 store_change(const char *method, const char *path, const char *body)
@@ -110,7 +114,7 @@
     g_snprintf(listen, sizeof(listen), "%s:%d", machine->address,
                PORT_UPSTREAM);
     g_snprintf(next, sizeof(next), "%s:%d", machine->address, PORT_CALLER);
-    const char *front[] = {IBISFIELD_BUILD_DIR "/test/standin_upstream",
+    const char *front[] = {standin_upstream,
                            "--listen",
                            listen,
                            "--instance",
@@ -150,8 +154,7 @@
     char *file = g_strdup_printf("%s/node%d.json", site.directory, number);
     char *log = g_strdup_printf("%s/node%d.log", site.directory, number);
     CU_ASSERT_TRUE_FATAL(g_file_set_contents(file, settings, -1, NULL));
-    const char *arguments[] = {IBISFIELD_BUILD_DIR "/ibisfield", "run", file,
-                               NULL};
+    const char *arguments[] = {PROGRAM, "run", file, NULL};
     CU_ASSERT_TRUE_FATAL(process_start(&machine->node, log, arguments));
     CU_ASSERT_TRUE_FATAL(process_wait_log(&machine->node, "event=started"));
     g_free(settings);
@@ -170,8 +173,7 @@
     char listen[32];
     g_snprintf(listen, sizeof(listen), "%s:%d", site.address, PORT_STORE);
     char *log = g_strdup_printf("%s/store.log", site.directory);
-    const char *arguments[] = {IBISFIELD_BUILD_DIR "/test/standin_store",
-                               "--listen", listen, NULL};
+    const char *arguments[] = {STANDIN_STORE, "--listen", listen, NULL};
     CU_ASSERT_TRUE_FATAL(process_start(&site.store, log, arguments));
     CU_ASSERT_TRUE_FATAL(process_wait_log(&site.store, "listening"));
     g_free(log);
@@ -445,7 +447,8 @@
     gint64 start_us = g_get_monotonic_time();
     put_state(9, NULL);
     wait_nodes("event=contracts_in_force version=9 ");
-    CU_ASSERT_TRUE(g_get_monotonic_time() - start_us < 10 * G_USEC_PER_SEC);
+    CU_ASSERT_TRUE(g_get_monotonic_time() - start_us <
+                   (gint64)10 * G_USEC_PER_SEC);
     stop_site();
 }
 
--- a/test/unit/test_entry_unkeyed.c
+++ b/test/unit/test_entry_unkeyed.c
@@ -14,8 +14,8 @@
 
 typedef struct {
     call_handle_t call;
-    uint32_t attempt;
     attempt_info_t info;
+    uint32_t attempt;
     bool cancelled;
 } sent_t;
 
@@ -59,7 +59,7 @@
     (void)user;
     (void)vm;
     CU_ASSERT_FATAL(sent_count < SENT_MAX);
-    sent[sent_count++] = (sent_t){call, attempt, *info, false};
+    sent[sent_count++] = (sent_t){call, *info, attempt, false};
 }
 
 static void
--- a/test/unit/test_root_gate.c
+++ b/test/unit/test_root_gate.c
@@ -147,11 +147,10 @@
     play->leaf_kind = admission_kind(&play->admission, SLICE_LITERAL("c"),
                                      SLICE_LITERAL("leaf"));
     root_gate_init(&play->gate, &play->clock.base, 1);
-    double due = 0;
     int number = 0;
     for (int64_t at = 0; at < PLAYED_US; at += STEP_US) {
-        due += load * CAPACITY * STEP_US / PLAYED_US;
-        for (; due >= 1; due -= 1) {
+        int due = (int)(load * CAPACITY * (double)(at + STEP_US) / PLAYED_US);
+        while (number < due) {
             new_root(play, number++ % 5 == 0 ? BOOKING : LOOKUP);
         }
         run_admission(play);
