--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -473,7 +473,7 @@
 main(void)
 {
     log_init();
-    log_set_level("warning");
+    log_set_level("error");
     print_slopes();
     printf("\nbad moments with %u nodes in %u data centres; KB and messages "
            "are of one node over the whole moment\n",
--- a/src/ibisfield/base/log.c
+++ b/src/ibisfield/base/log.c
@@ -76,13 +76,16 @@
     g_log_set_writer_func(write_line, NULL, NULL);
 }
 
-/// Drops events below the level "debug", "info" or "warning".
+/// Drops events below the level "debug", "info", "warning" or "error".
 void
 log_set_level(const char *name)
 {
     if (strcmp(name, "debug") == 0) {
         lowest_enabled_level = G_LOG_LEVEL_DEBUG;
     }
+    else if (strcmp(name, "error") == 0) {
+        lowest_enabled_level = G_LOG_LEVEL_CRITICAL;
+    }
     else if (strcmp(name, "warning") == 0) {
         lowest_enabled_level = G_LOG_LEVEL_WARNING;
     }
--- a/test/fuzz/fuzz_config.c
+++ b/test/fuzz/fuzz_config.c
@@ -351,7 +351,8 @@
 {
     (void)argc;
     (void)argv;
-    log_init(G_LOG_LEVEL_CRITICAL);
+    log_init();
+    log_set_level("error");
     return 0;
 }
 
