Let a few nodes of a data centre read the store and the others follow them

Cause: each change of a server or a version woke a watch of every node.

Change: in a data centre of eight nodes or more, two nodes chosen by rendezvous hashing over the list read the store. The others ask two of them for what changed after the revision that they hold (config/item_feed.c, io/change_feed.c; control messages over the port between nodes). A node that can't follow two readers, or that is asked itself, reads the store. Doubt about lapsed entries is passed on. Waiting followers don't count as requests in flight and keep no tick busy. The site of stand-in processes moved from test_store.c to common/store_site.c.

Smaller sites have four or five nodes a data centre and read as before. Tests: test_item_feed, functional_test_change_feed (two of twelve nodes read; a reader killed, one standing still, one stopped: a version is in force within 2 s; entries that lapse during an outage stay).

--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -97,6 +97,7 @@
       "Item versions that failed their checks.")                              \
     CONTROL_METRIC_LIST(X, COMPARE, "compare")                                \
     CONTROL_METRIC_LIST(X, FETCH, "fetch")                                    \
+    CONTROL_METRIC_LIST(X, FOLLOW, "follow")                                  \
     CONTROL_METRIC_LIST(X, HEARTBEAT, "heartbeat")                            \
     CONTROL_METRIC_LIST(X, LIST, "list")                                      \
     CONTROL_METRIC_LIST(X, OTHER, "other")                                    \
--- a/src/ibisfield/config/control_codec.c
+++ b/src/ibisfield/config/control_codec.c
@@ -217,6 +217,15 @@
     if (fields & FIELD_VERSIONS) {
         put_versions(out, message->versions);
     }
+    if (fields & FIELD_REVISION) {
+        put_uint(out, message->revision);
+    }
+    if (fields & FIELD_WHOLE) {
+        put_uint(out, message->whole);
+    }
+    if (fields & FIELD_DOUBT) {
+        put_uint(out, message->doubt_ms);
+    }
     if (fields & FIELD_ITEMS) {
         put_items(out, message->items);
     }
@@ -469,6 +478,11 @@
            (!(fields & FIELD_DIGESTS) || read_digests(reader, message)) &&
            (!(fields & FIELD_BUCKETS) || read_buckets(reader, message)) &&
            (!(fields & FIELD_VERSIONS) || read_versions(reader, message)) &&
+           (!(fields & FIELD_REVISION) ||
+            read_uint(reader, &message->revision)) &&
+           (!(fields & FIELD_WHOLE) || read_bool(reader, &message->whole)) &&
+           (!(fields & FIELD_DOUBT) ||
+            read_uint(reader, &message->doubt_ms)) &&
            (!(fields & FIELD_ITEMS) || read_items(reader, message));
 }
 
--- a/src/ibisfield/config/control_defs.h
+++ b/src/ibisfield/config/control_defs.h
@@ -31,7 +31,10 @@
     X(LIST, "list", LIST, FIELD_GROUP | FIELD_BUCKETS)                        \
     X(VERSIONS, "versions", LIST, FIELD_GROUP | FIELD_VERSIONS)               \
     X(FETCH, "fetch", FETCH, FIELD_VERSIONS)                                  \
-    X(ITEMS, "items", FETCH, FIELD_ITEMS)
+    X(ITEMS, "items", FETCH, FIELD_ITEMS)                                     \
+    X(FOLLOW, "follow", FOLLOW, FIELD_REVISION)                               \
+    X(CHANGES, "changes", FOLLOW,                                             \
+      FIELD_REVISION | FIELD_WHOLE | FIELD_DOUBT | FIELD_ITEMS)
 
 typedef enum {
 #define CONTROL_ENUM(id, name, group, fields) CONTROL_##id,
@@ -51,6 +54,9 @@
     FIELD_BUCKETS = 1 << 6,
     FIELD_VERSIONS = 1 << 7,
     FIELD_ITEMS = 1 << 8,
+    FIELD_REVISION = 1 << 9,
+    FIELD_WHOLE = 1 << 10,
+    FIELD_DOUBT = 1 << 11,
 } control_field_t;
 
 typedef struct {
@@ -82,10 +88,13 @@
     bool mutual; ///< the receiver may compare back
     uint64_t group;
     uint64_t buckets[ITEM_BUCKETS];
-    const char *text; ///< why a message was refused
-    GArray *digests;  ///< group_digest_t
-    GArray *versions; ///< item_version_t
-    GArray *items;    ///< config_item_t
+    const char *text;  ///< why a message was refused
+    uint64_t revision; ///< of the source, up to which the sender holds changes
+    bool whole;        ///< the items are all there are
+    uint64_t doubt_ms; ///< for how long removals may be entries that lapsed
+    GArray *digests;   ///< group_digest_t
+    GArray *versions;  ///< item_version_t
+    GArray *items;     ///< config_item_t
     GStringChunk *arena;
 } control_message_t;
 
--- a/src/ibisfield/config/published_list.c
+++ b/src/ibisfield/config/published_list.c
@@ -141,6 +141,21 @@
     list->lost_us = 0;
 }
 
+/// Removals are in doubt for this time at least.
+void
+published_list_doubt(published_list_t *list, int64_t for_us)
+{
+    list->doubt_until_us =
+        MAX(list->doubt_until_us, clock_now_us(list->clock) + for_us);
+}
+
+/// Returns how long removals are still in doubt; 0: they aren't.
+int64_t
+published_list_doubt_left_us(const published_list_t *list)
+{
+    return MAX(list->doubt_until_us - clock_now_us(list->clock), 0);
+}
+
 /// Drops the VMs that had time to return and did not. Call a few times a
 /// second.
 void
--- a/src/ibisfield/config/published_list.h
+++ b/src/ibisfield/config/published_list.h
@@ -34,6 +34,8 @@
 void published_list_end(published_list_t *list, uint64_t revision);
 void published_list_source_lost(published_list_t *list);
 void published_list_source_back(published_list_t *list);
+void published_list_doubt(published_list_t *list, int64_t for_us);
+int64_t published_list_doubt_left_us(const published_list_t *list);
 void published_list_tick(published_list_t *list);
 
 #endif
--- a/src/ibisfield/io/config_source.h
+++ b/src/ibisfield/io/config_source.h
@@ -6,6 +6,7 @@
 
 #include "ibisfield/config/vm_view.h"
 #include "ibisfield/contract/settings_defs.h"
+#include "ibisfield/io/change_feed.h"
 #include "ibisfield/io/loop.h"
 #include "ibisfield/io/wire.h"
 
@@ -37,7 +38,7 @@
     const wire_t *wire;
     config_source_t *(*source_new)(loop_t *loop, const settings_t *settings,
                                    const config_source_callbacks_t *callbacks,
-                                   void *context);
+                                   void *context, change_feed_t *feed);
 } node_adapter_t;
 
 #endif
--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -622,6 +622,15 @@
     loop_timer_stop(server->loop, &server->gone_timer);
 }
 
+/// The request waits for an event and is answered within seconds whatever
+/// happens: it doesn't count as in flight, and whether its sender has gone
+/// isn't checked meanwhile.
+void
+http_request_wait(http_request_t *request)
+{
+    forget_request(request);
+}
+
 /// Returns the value of the first header with this lower-case name; data is
 /// NULL if there is none.
 slice_t
--- a/src/ibisfield/io/http_server.h
+++ b/src/ibisfield/io/http_server.h
@@ -55,6 +55,7 @@
 uint32_t http_server_in_flight(const http_server_t *server);
 bool http_server_is_idle(const http_server_t *server);
 
+void http_request_wait(http_request_t *request);
 uint32_t http_source_of(const char *address);
 slice_t http_request_header(const http_request_t *request, const char *name);
 void http_request_answer(http_request_t *request, int status,
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -10,6 +10,7 @@
 
 #define HEADER_PREFIX "ibisfield-"
 #define HEADER_BUDGET_US "ibisfield-budget-us"
+#define HEADER_CONTROL "ibisfield-control"
 #define HEADER_CUSTOMER "ibisfield-customer"
 #define HEADER_FROM_PEER "ibisfield-from-peer"
 #define HEADER_KEY "ibisfield-key"
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -36,7 +36,7 @@
     metric_set(METRIC_GUARD_IN_FLIGHT, held);
     metric_set(METRIC_GUARD_LIMIT, load.limit);
     metric_set(METRIC_GUARD_QUEUE, load.queue);
-    bool busy = held > 0 || http_server_in_flight(node->server) > 0;
+    bool busy = held > 0 || entry_in_flight(&node->entry) > 0;
     loop_timer_start(&node->loop, &node->tick_timer,
                      busy ? BUSY_TICK_US : IDLE_TICK_US, tick, node);
 }
@@ -202,6 +202,7 @@
     node_t *node = context;
     vm_view_put(&node->vms, info);
     use_vm(node, info);
+    change_feed_vm_listed(&node->feed, info);
     own_upstream_changed(node);
     log_info("vm_listed",
              "upstream_vm=%s service=%s data_centre=%s address=%s slots=%u "
@@ -216,6 +217,7 @@
     node_t *node = context;
     vm_view_remove(&node->vms, vm);
     forget_vm(node, vm);
+    change_feed_vm_removed(&node->feed, vm);
     own_upstream_changed(node);
     log_info("vm_removed", "upstream_vm=%s", vm);
 }
@@ -404,7 +406,9 @@
                                              .spans = &node->spans,
                                              .depths = &node->depths,
                                              .wire = wire,
+                                             .feed = &node->feed,
                                          });
+    change_feed_init(&node->feed, &node->loop, settings);
 }
 
 static bool
@@ -465,6 +469,7 @@
     else {
         config_agent_free(node->agent);
     }
+    change_feed_finish(&node->feed);
     http_server_free(node->server);
     upstream_client_finish(&node->upstream);
     peer_client_finish(&node->peers);
@@ -500,8 +505,8 @@
                                        &agent_callbacks, node);
     }
     else {
-        node->source = node->adapter->source_new(&node->loop, node->settings,
-                                                 &source_callbacks, node);
+        node->source = node->adapter->source_new(
+            &node->loop, node->settings, &source_callbacks, node, &node->feed);
     }
 }
 
@@ -604,6 +609,7 @@
     node->shutdown_us = clock_now_us(&node->clock);
     log_info("shutdown_started", "unfinished=%u", unfinished_calls(node));
     node_leave(node, LEAVE_SHUTDOWN, true);
+    change_feed_set_leaving(&node->feed);
     http_server_set_draining(node->server);
     check_shutdown(node);
 }
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -45,6 +45,7 @@
     peer_server_t peer_server;
     config_agent_t *agent;   ///< NULL with an adapter
     config_source_t *source; ///< NULL without an adapter
+    change_feed_t feed;      ///< in use with an adapter only
     service_retry_budget_t service_retries;
     call_depths_t depths;
     root_gate_t gate;
--- a/src/ibisfield/io/operator_server.c
+++ b/src/ibisfield/io/operator_server.c
@@ -101,6 +101,7 @@
         add_number(status, "contracts_version",
                    (int64_t)node->customers.version);
         node->source->vtable->write_status(node->source, status);
+        change_feed_write_status(&node->feed, status);
     }
     answer_json(request, 200, status);
 }
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -293,6 +293,10 @@
         refuse_protocol(server, request, protocol);
         return;
     }
+    if (http_request_header(request, HEADER_CONTROL).data != NULL) {
+        change_feed_handle(server->options.feed, request);
+        return;
+    }
     if (http_request_header(request, HEADER_FROM_PEER).data != NULL) {
         caller_server_handle_forwarded(server->options.callers, request);
         return;
@@ -326,6 +330,10 @@
 peer_server_gone(void *context, http_request_t *request)
 {
     peer_server_t *server = context;
+    if (http_request_header(request, HEADER_CONTROL).data != NULL) {
+        change_feed_gone(server->options.feed, request);
+        return;
+    }
     if (http_request_header(request, HEADER_FROM_PEER).data != NULL) {
         caller_server_gone(server->options.callers, request);
         return;
--- a/src/ibisfield/io/peer_server.h
+++ b/src/ibisfield/io/peer_server.h
@@ -3,6 +3,7 @@
 
 #include "ibisfield/call/guard.h"
 #include "ibisfield/io/caller_server.h"
+#include "ibisfield/io/change_feed.h"
 #include "ibisfield/io/http_server.h"
 #include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/span.h"
@@ -18,6 +19,7 @@
     span_source_t *spans;
     const wire_t *wire; ///< NULL: the project's own headers
     call_depths_t *depths;
+    change_feed_t *feed; ///< takes the requests of followers
 } peer_server_options_t;
 
 /// Adapter between the guard and HTTP: requests of other nodes for this VM's
--- /dev/null
+++ b/test/functional/common/store_site.c
@@ -0,0 +1,262 @@
+/// @file
+/// An installation of the users' platform as separate processes: the stand-in
+/// of its store, and on each machine a node beside the stand-in of a server.
+
+#include "common/store_site.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "common/suite.h"
+
+#define PROGRAM IBISFIELD_BUILD_DIR "/ibisfield"
+#define STANDIN_STORE IBISFIELD_BUILD_DIR "/test/standin_store"
+#define PATH_MAX_LEN 64
+
+store_site_t site;
+static const char standin_upstream[] =
+    IBISFIELD_BUILD_DIR "/test/standin_upstream";
+
+void
+store_change(const char *method, const char *path, const char *body)
+{
+    answer_text_t answer =
+        call(site.address, PORT_STORE, method, path, NULL, body);
+    CU_ASSERT_EQUAL(answer.status, 200);
+    answer_text_free(&answer);
+}
+
+/// Returns a number of the store's statistics.
+int64_t
+store_stat(const char *name)
+{
+    answer_text_t answer =
+        call(site.address, PORT_STORE, "GET", "/test/stats", NULL, NULL);
+    struct json_object *json = json_tokener_parse(answer.body);
+    int64_t number = json_number(json, name);
+    json_object_put(json);
+    answer_text_free(&answer);
+    return number;
+}
+
+void
+put_entry(const machine_t *machine, const char *state)
+{
+    char path[PATH_MAX_LEN];
+    g_snprintf(path, sizeof(path), "/test/items/servers/%s",
+               machine->instance);
+    char *entry = g_strdup_printf(
+        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z\","
+        "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_s\":0,"
+        "\"sequence\":1}",
+        machine->service, machine->address, PORT_UPSTREAM, state);
+    store_change("PUT", path, entry);
+    g_free(entry);
+}
+
+void
+remove_entry(const machine_t *machine)
+{
+    char path[PATH_MAX_LEN];
+    g_snprintf(path, sizeof(path), "/test/items/servers/%s",
+               machine->instance);
+    store_change("DELETE", path, NULL);
+}
+
+/// Publishes a desired state with routes to both services; @p extra is NULL
+/// or the prefix of one route more.
+void
+put_state(int version, const char *extra)
+{
+    GString *state = g_string_new(NULL);
+    g_string_append_printf(
+        state,
+        "{\"version\":%d,\"routes\":["
+        "{\"name\":\"read\",\"host\":\"site.example\",\"prefix\":\"/read/\","
+        "\"kind\":\"idempotent\",\"timeout_s\":5,\"priority\":2,"
+        "\"service\":\"front\",\"max_attempts\":2},"
+        "{\"name\":\"book\",\"host\":\"site.example\",\"prefix\":\"/book/\","
+        "\"kind\":\"non_idempotent\",\"timeout_s\":5,\"priority\":0,"
+        "\"service\":\"back\",\"max_attempts\":2},"
+        "{\"name\":\"inner\",\"host\":\"site.example\",\"prefix\":\"/inner/\","
+        "\"kind\":\"idempotent\",\"timeout_s\":5,\"priority\":1,"
+        "\"service\":\"back\",\"max_attempts\":2}",
+        version);
+    if (extra != NULL) {
+        g_string_append_printf(
+            state,
+            ",{\"name\":\"extra\",\"host\":\"site.example\",\"prefix\":"
+            "\"%s\",\"kind\":\"idempotent\",\"timeout_s\":5,"
+            "\"service\":\"back\",\"max_attempts\":1}",
+            extra);
+    }
+    g_string_append(state, "],\"services\":[{\"name\":\"front\"},"
+                           "{\"name\":\"back\"}]}");
+    store_change("PUT", "/test/items/op/config", state->str);
+    g_string_free(state, TRUE);
+    site.version = version;
+}
+
+void
+start_server(machine_t *machine, int number)
+{
+    char listen[32];
+    char next[32];
+    g_snprintf(listen, sizeof(listen), "%s:%d", machine->address,
+               PORT_UPSTREAM);
+    g_snprintf(next, sizeof(next), "%s:%d", machine->address, PORT_CALLER);
+    const char *front[] = {standin_upstream,
+                           "--listen",
+                           listen,
+                           "--instance",
+                           machine->instance,
+                           "--slots",
+                           "8",
+                           "--service-us",
+                           "1000",
+                           "--next",
+                           next,
+                           "--next-path",
+                           "/inner/x",
+                           "--next-host",
+                           "site.example",
+                           NULL};
+    if (strcmp(machine->service, "back") == 0) {
+        front[9] = NULL;
+    }
+    char *log = g_strdup_printf("%s/server%d.log", site.directory, number);
+    CU_ASSERT_TRUE_FATAL(process_start(&machine->server, log, front));
+    CU_ASSERT_TRUE_FATAL(process_wait_log(&machine->server, "listening"));
+    g_free(log);
+}
+
+void
+start_node(machine_t *machine, int number)
+{
+    char *settings = g_strdup_printf(
+        "{\"vm\":\"vm-%d\",\"data_centre\":\"z\",\"service\":\"%s\","
+        "\"caller_listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
+        "\"readiness_listen\":\"%s:%d\",\"operator_listen\":\"%s:%d\","
+        "\"upstream\":\"%s:%d\",\"store\":\"%s:%d\",\"stop_limit_s\":6}",
+        number, machine->service, machine->address, PORT_CALLER,
+        machine->address, PORT_PEER, machine->address, PORT_READINESS,
+        machine->address, PORT_OPERATOR, machine->address, PORT_UPSTREAM,
+        site.address, PORT_STORE);
+    char *file = g_strdup_printf("%s/node%d.json", site.directory, number);
+    char *log = g_strdup_printf("%s/node%d.log", site.directory, number);
+    CU_ASSERT_TRUE_FATAL(g_file_set_contents(file, settings, -1, NULL));
+    const char *arguments[] = {PROGRAM, "run", file, NULL};
+    CU_ASSERT_TRUE_FATAL(process_start(&machine->node, log, arguments));
+    CU_ASSERT_TRUE_FATAL(process_wait_log(&machine->node, "event=started"));
+    g_free(settings);
+    g_free(file);
+    g_free(log);
+}
+
+void
+start_site(int machines)
+{
+    static int next_host = 1;
+    site =
+        (store_site_t){.directory = g_dir_make_tmp("ibisfield-XXXXXX", NULL),
+                       .machine_count = machines};
+    int net = 1 + (int)(getpid() % 200);
+    int host = next_host;
+    next_host += machines + 1;
+    g_snprintf(site.address, sizeof(site.address), "127.77.%d.%d", net, host);
+    char listen[32];
+    g_snprintf(listen, sizeof(listen), "%s:%d", site.address, PORT_STORE);
+    char *log = g_strdup_printf("%s/store.log", site.directory);
+    const char *arguments[] = {STANDIN_STORE, "--listen", listen, NULL};
+    CU_ASSERT_TRUE_FATAL(process_start(&site.store, log, arguments));
+    CU_ASSERT_TRUE_FATAL(process_wait_log(&site.store, "listening"));
+    g_free(log);
+    for (int i = 0; i < site.machine_count; i++) {
+        machine_t *machine = &site.machines[i];
+        g_snprintf(machine->address, sizeof(machine->address), "127.77.%d.%d",
+                   net, host + 1 + i);
+        g_snprintf(machine->instance, sizeof(machine->instance), "i-%d", i);
+        machine->service = i < site.machine_count / 2 ? "front" : "back";
+        start_server(machine, i);
+        start_node(machine, i);
+    }
+}
+
+void
+stop_site(void)
+{
+    for (int i = 0; i < site.machine_count; i++) {
+        process_finish(&site.machines[i].node);
+        process_finish(&site.machines[i].server);
+    }
+    process_finish(&site.store);
+    g_free(site.directory);
+}
+
+/// Waits until every node has logged @p text.
+void
+wait_nodes(const char *text)
+{
+    for (int i = 0; i < site.machine_count; i++) {
+        CU_ASSERT_TRUE(process_wait_log(&site.machines[i].node, text));
+    }
+}
+
+void
+publish_all(void)
+{
+    for (int i = 0; i < site.machine_count; i++) {
+        put_entry(&site.machines[i], "ready");
+    }
+    put_state(3, NULL);
+    wait_nodes("event=contracts_in_force version=3 ");
+    char last[32];
+    g_snprintf(last, sizeof(last), "upstream_vm=i-%d ",
+               site.machine_count - 1);
+    wait_nodes(last);
+}
+
+answer_text_t
+ask(int machine, const char *method, const char *path, const char *id)
+{
+    char *headers = g_strdup_printf("host: site.example\nx-request-id: %s\n"
+                                    "x-deadline-ms: 4000\n"
+                                    "x-caller-service: forged",
+                                    id);
+    answer_text_t answer = call(site.machines[machine].address, PORT_CALLER,
+                                method, path, headers, "");
+    g_free(headers);
+    return answer;
+}
+
+int64_t
+runs_at(int machine, const char *field)
+{
+    answer_text_t answer = call(site.machines[machine].address, PORT_UPSTREAM,
+                                "GET", "/count", NULL, NULL);
+    struct json_object *json = json_tokener_parse(answer.body);
+    int64_t number = json_number(json, field);
+    json_object_put(json);
+    answer_text_free(&answer);
+    return number;
+}
+
+void
+set_server(int machine, const char *path)
+{
+    answer_text_t answer = call(site.machines[machine].address, PORT_UPSTREAM,
+                                "POST", path, NULL, "");
+    CU_ASSERT_EQUAL(answer.status, 200);
+    answer_text_free(&answer);
+}
+
+int
+readiness(int machine)
+{
+    answer_text_t answer = call(site.machines[machine].address, PORT_READINESS,
+                                "GET", "/readyz", NULL, NULL);
+    int status = answer.status;
+    answer_text_free(&answer);
+    return status;
+}
--- /dev/null
+++ b/test/functional/common/store_site.h
@@ -0,0 +1,50 @@
+#ifndef IBISFIELD_TEST_STORE_SITE_H
+#define IBISFIELD_TEST_STORE_SITE_H
+
+#include "common/testbed.h"
+
+#define PORT_STORE 9100
+#define PORT_READINESS 8010
+#define MACHINES_MAX 96
+/// Nodes of the site that most tests use.
+#define MACHINES_USUAL 4
+
+/// One machine: a node, its server, and the entry of the server in the store.
+typedef struct {
+    char address[16];
+    char instance[16];
+    const char *service;
+    process_t node;
+    process_t server;
+} machine_t;
+
+/// Processes of one installation, of which a test program has one at a time.
+typedef struct {
+    char *directory;
+    char address[16]; ///< of the store
+    process_t store;
+    machine_t machines[MACHINES_MAX]; ///< "front", the second half "back"
+    int machine_count;
+    int version; ///< of the desired state
+} store_site_t;
+
+extern store_site_t site;
+
+void start_site(int machines);
+void stop_site(void);
+void start_server(machine_t *machine, int number);
+void start_node(machine_t *machine, int number);
+void store_change(const char *method, const char *path, const char *body);
+int64_t store_stat(const char *name);
+void put_entry(const machine_t *machine, const char *state);
+void remove_entry(const machine_t *machine);
+void put_state(int version, const char *extra);
+void wait_nodes(const char *text);
+void publish_all(void);
+answer_text_t ask(int machine, const char *method, const char *path,
+                  const char *id);
+int64_t runs_at(int machine, const char *field);
+void set_server(int machine, const char *path);
+int readiness(int machine);
+
+#endif
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -2,273 +2,19 @@
 /// Nodes on the users' platform as separate processes: over the stand-ins of
 /// its store and servers, through calms, changes, outages and stops.
 
-#include <glib/gstdio.h>
-#include <json-c/json.h>
 #include <signal.h>
 #include <stdio.h>
 #include <unistd.h>
 
+#include "common/store_site.h"
 #include "common/suite.h"
-#include "common/testbed.h"
-
-#define PROGRAM IBISFIELD_BUILD_DIR "/ibisfield"
-#define STANDIN_STORE IBISFIELD_BUILD_DIR "/test/standin_store"
-#define PORT_STORE 9100
-#define PORT_READINESS 8010
-#define VMS 4
-#define PATH_MAX_LEN 64
-
-/// One machine: a node, its server, and the entry of the server in the store.
-typedef struct {
-    char address[16];
-    char instance[16];
-    const char *service;
-    process_t node;
-    process_t server;
-} machine_t;
-
-typedef struct {
-    char *directory;
-    char address[16]; ///< of the store
-    process_t store;
-    machine_t machines[VMS]; ///< two of "front", then two of "back"
-    int version;
-} site_t;
-
-static site_t site;
-static const char standin_upstream[] =
-    IBISFIELD_BUILD_DIR "/test/standin_upstream";
-
-static void
-store_change(const char *method, const char *path, const char *body)
-{
-    answer_text_t answer =
-        call(site.address, PORT_STORE, method, path, NULL, body);
-    CU_ASSERT_EQUAL(answer.status, 200);
-    answer_text_free(&answer);
-}
-
-static void
-put_entry(const machine_t *machine, const char *state)
-{
-    char path[PATH_MAX_LEN];
-    g_snprintf(path, sizeof(path), "/test/items/servers/%s",
-               machine->instance);
-    char *entry = g_strdup_printf(
-        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z\","
-        "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_s\":0,"
-        "\"sequence\":1}",
-        machine->service, machine->address, PORT_UPSTREAM, state);
-    store_change("PUT", path, entry);
-    g_free(entry);
-}
-
-static void
-remove_entry(const machine_t *machine)
-{
-    char path[PATH_MAX_LEN];
-    g_snprintf(path, sizeof(path), "/test/items/servers/%s",
-               machine->instance);
-    store_change("DELETE", path, NULL);
-}
-
-/// Publishes a desired state with routes to both services; @p extra is NULL
-/// or the prefix of one route more.
-static void
-put_state(int version, const char *extra)
-{
-    GString *state = g_string_new(NULL);
-    g_string_append_printf(
-        state,
-        "{\"version\":%d,\"routes\":["
-        "{\"name\":\"read\",\"host\":\"site.example\",\"prefix\":\"/read/\","
-        "\"kind\":\"idempotent\",\"timeout_s\":5,\"priority\":2,"
-        "\"service\":\"front\",\"max_attempts\":2},"
-        "{\"name\":\"book\",\"host\":\"site.example\",\"prefix\":\"/book/\","
-        "\"kind\":\"non_idempotent\",\"timeout_s\":5,\"priority\":0,"
-        "\"service\":\"back\",\"max_attempts\":2},"
-        "{\"name\":\"inner\",\"host\":\"site.example\",\"prefix\":\"/inner/\","
-        "\"kind\":\"idempotent\",\"timeout_s\":5,\"priority\":1,"
-        "\"service\":\"back\",\"max_attempts\":2}",
-        version);
-    if (extra != NULL) {
-        g_string_append_printf(
-            state,
-            ",{\"name\":\"extra\",\"host\":\"site.example\",\"prefix\":"
-            "\"%s\",\"kind\":\"idempotent\",\"timeout_s\":5,"
-            "\"service\":\"back\",\"max_attempts\":1}",
-            extra);
-    }
-    g_string_append(state, "],\"services\":[{\"name\":\"front\"},"
-                           "{\"name\":\"back\"}]}");
-    store_change("PUT", "/test/items/op/config", state->str);
-    g_string_free(state, TRUE);
-    site.version = version;
-}
-
-static void
-start_server(machine_t *machine, int number)
-{
-    char listen[32];
-    char next[32];
-    g_snprintf(listen, sizeof(listen), "%s:%d", machine->address,
-               PORT_UPSTREAM);
-    g_snprintf(next, sizeof(next), "%s:%d", machine->address, PORT_CALLER);
-    const char *front[] = {standin_upstream,
-                           "--listen",
-                           listen,
-                           "--instance",
-                           machine->instance,
-                           "--slots",
-                           "8",
-                           "--service-us",
-                           "1000",
-                           "--next",
-                           next,
-                           "--next-path",
-                           "/inner/x",
-                           "--next-host",
-                           "site.example",
-                           NULL};
-    if (strcmp(machine->service, "back") == 0) {
-        front[9] = NULL;
-    }
-    char *log = g_strdup_printf("%s/server%d.log", site.directory, number);
-    CU_ASSERT_TRUE_FATAL(process_start(&machine->server, log, front));
-    CU_ASSERT_TRUE_FATAL(process_wait_log(&machine->server, "listening"));
-    g_free(log);
-}
-
-static void
-start_node(machine_t *machine, int number)
-{
-    char *settings = g_strdup_printf(
-        "{\"vm\":\"vm-%d\",\"data_centre\":\"z\",\"service\":\"%s\","
-        "\"caller_listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
-        "\"readiness_listen\":\"%s:%d\",\"operator_listen\":\"%s:%d\","
-        "\"upstream\":\"%s:%d\",\"store\":\"%s:%d\",\"stop_limit_s\":6}",
-        number, machine->service, machine->address, PORT_CALLER,
-        machine->address, PORT_PEER, machine->address, PORT_READINESS,
-        machine->address, PORT_OPERATOR, machine->address, PORT_UPSTREAM,
-        site.address, PORT_STORE);
-    char *file = g_strdup_printf("%s/node%d.json", site.directory, number);
-    char *log = g_strdup_printf("%s/node%d.log", site.directory, number);
-    CU_ASSERT_TRUE_FATAL(g_file_set_contents(file, settings, -1, NULL));
-    const char *arguments[] = {PROGRAM, "run", file, NULL};
-    CU_ASSERT_TRUE_FATAL(process_start(&machine->node, log, arguments));
-    CU_ASSERT_TRUE_FATAL(process_wait_log(&machine->node, "event=started"));
-    g_free(settings);
-    g_free(file);
-    g_free(log);
-}
-
-static void
-start_site(void)
-{
-    static int sites;
-    site = (site_t){.directory = g_dir_make_tmp("ibisfield-XXXXXX", NULL)};
-    int net = 1 + (int)(getpid() % 200);
-    int host = 1 + 8 * sites++;
-    g_snprintf(site.address, sizeof(site.address), "127.77.%d.%d", net, host);
-    char listen[32];
-    g_snprintf(listen, sizeof(listen), "%s:%d", site.address, PORT_STORE);
-    char *log = g_strdup_printf("%s/store.log", site.directory);
-    const char *arguments[] = {STANDIN_STORE, "--listen", listen, NULL};
-    CU_ASSERT_TRUE_FATAL(process_start(&site.store, log, arguments));
-    CU_ASSERT_TRUE_FATAL(process_wait_log(&site.store, "listening"));
-    g_free(log);
-    for (int i = 0; i < VMS; i++) {
-        machine_t *machine = &site.machines[i];
-        g_snprintf(machine->address, sizeof(machine->address), "127.77.%d.%d",
-                   net, host + 1 + i);
-        g_snprintf(machine->instance, sizeof(machine->instance), "i-%d", i);
-        machine->service = i < 2 ? "front" : "back";
-        start_server(machine, i);
-        start_node(machine, i);
-    }
-}
-
-static void
-stop_site(void)
-{
-    for (int i = 0; i < VMS; i++) {
-        process_finish(&site.machines[i].node);
-        process_finish(&site.machines[i].server);
-    }
-    process_finish(&site.store);
-    g_free(site.directory);
-}
-
-/// Waits until every node has logged @p text.
-static void
-wait_nodes(const char *text)
-{
-    for (int i = 0; i < VMS; i++) {
-        CU_ASSERT_TRUE(process_wait_log(&site.machines[i].node, text));
-    }
-}
-
-static void
-publish_all(void)
-{
-    for (int i = 0; i < VMS; i++) {
-        put_entry(&site.machines[i], "ready");
-    }
-    put_state(3, NULL);
-    wait_nodes("event=contracts_in_force version=3 ");
-    wait_nodes("upstream_vm=i-3 ");
-}
-
-static answer_text_t
-ask(int machine, const char *method, const char *path, const char *id)
-{
-    char *headers = g_strdup_printf("host: site.example\nx-request-id: %s\n"
-                                    "x-deadline-ms: 4000\n"
-                                    "x-caller-service: forged",
-                                    id);
-    answer_text_t answer = call(site.machines[machine].address, PORT_CALLER,
-                                method, path, headers, "");
-    g_free(headers);
-    return answer;
-}
-
-static int64_t
-runs_at(int machine, const char *field)
-{
-    answer_text_t answer = call(site.machines[machine].address, PORT_UPSTREAM,
-                                "GET", "/count", NULL, NULL);
-    struct json_object *json = json_tokener_parse(answer.body);
-    int64_t number = json_number(json, field);
-    json_object_put(json);
-    answer_text_free(&answer);
-    return number;
-}
-
-static void
-set_server(int machine, const char *path)
-{
-    answer_text_t answer = call(site.machines[machine].address, PORT_UPSTREAM,
-                                "POST", path, NULL, "");
-    CU_ASSERT_EQUAL(answer.status, 200);
-    answer_text_free(&answer);
-}
-
-static int
-readiness(int machine)
-{
-    answer_text_t answer = call(site.machines[machine].address, PORT_READINESS,
-                                "GET", "/readyz", NULL, NULL);
-    int status = answer.status;
-    answer_text_free(&answer);
-    return status;
-}
 
 /// Guards the whole path: before the first state, through a chain, and the
 /// headers that the node sets itself.
 static void
 test_path(void)
 {
-    start_site();
+    start_site(MACHINES_USUAL);
     answer_text_t answer = ask(0, "GET", "/read/a", "id-0");
     CU_ASSERT_EQUAL(answer.status, 503);
     char *retry = answer_header(&answer, "retry-after");
@@ -297,7 +43,7 @@
 static void
 test_desired_states(void)
 {
-    start_site();
+    start_site(MACHINES_USUAL);
     publish_all();
     put_state(7, "/new/");
     wait_nodes("event=contracts_in_force version=7 ");
@@ -328,7 +74,7 @@
 static void
 test_bookings(void)
 {
-    start_site();
+    start_site(MACHINES_USUAL);
     publish_all();
     set_server(2, "/test/reset/1");
     set_server(3, "/test/reset/1");
@@ -373,7 +119,7 @@
 static void
 test_another_instance_at_the_address(void)
 {
-    start_site();
+    start_site(MACHINES_USUAL);
     publish_all();
     // Its old entry is still listed when another server has the address.
     process_stop(&site.machines[2].server, SIGKILL);
@@ -399,7 +145,7 @@
 static void
 test_store_outage(void)
 {
-    start_site();
+    start_site(MACHINES_USUAL);
     publish_all();
     store_change("POST", "/test/mode/busy", "");
     store_change("POST", "/test/cut", "");
@@ -435,7 +181,7 @@
 static void
 test_watches_that_hear_nothing(void)
 {
-    start_site();
+    start_site(MACHINES_USUAL);
     publish_all();
     // Long enough for every node to wait in a watch again.
     g_usleep(300000);
@@ -456,10 +202,10 @@
 static void
 test_draining_server(void)
 {
-    start_site();
+    start_site(MACHINES_USUAL);
     publish_all();
     put_entry(&site.machines[2], "draining");
-    for (int i = 0; i < VMS; i++) {
+    for (int i = 0; i < MACHINES_USUAL; i++) {
         CU_ASSERT_TRUE(process_wait_log(&site.machines[i].node,
                                         "upstream_vm=i-2 service=back"));
     }
@@ -478,7 +224,7 @@
 static void
 test_stop_and_reload(void)
 {
-    start_site();
+    start_site(MACHINES_USUAL);
     publish_all();
     kill(site.machines[0].node.pid, SIGHUP);
     CU_ASSERT_TRUE(
--- /dev/null
+++ b/test/unit/test_item_feed.c
@@ -0,0 +1,170 @@
+/// @file
+/// What a feed tells of its items: changes after a revision, everything, or
+/// nothing.
+
+#include "ibisfield/config/control_codec.h"
+#include "ibisfield/config/item_feed.h"
+
+#include "common/suite.h"
+
+#define REMOVALS_LIMIT 4
+
+static void
+put(item_feed_t *feed, const char *name, uint64_t version, const char *value)
+{
+    item_feed_put(feed,
+                  &(config_item_t){name, version,
+                                   value == NULL ? (slice_t){NULL, 0}
+                                                 : slice_from_string(value)});
+}
+
+static void
+start(item_feed_t *feed)
+{
+    item_feed_init(feed, REMOVALS_LIMIT);
+    item_feed_list_begin(feed);
+    put(feed, "a", 3, "1");
+    put(feed, "b", 5, "1");
+    item_feed_list_end(feed, 6);
+}
+
+static gint
+compare_names(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/// Returns the names told after a revision, "-" before removed ones, sorted.
+static char *
+told(const item_feed_t *feed, uint64_t after, bool *whole)
+{
+    control_message_t message;
+    control_message_init(&message, CONTROL_CHANGES, "vm");
+    if (!item_feed_changes(feed, after, &message)) {
+        control_message_clear(&message);
+        return g_strdup("nothing");
+    }
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    for (guint i = 0; i < message.items->len; i++) {
+        const config_item_t *item =
+            &g_array_index(message.items, config_item_t, i);
+        g_ptr_array_add(names, g_strconcat(item->value.len == 0 ? "-" : "",
+                                           item->name, NULL));
+    }
+    g_ptr_array_sort(names, compare_names);
+    GString *text = g_string_new(NULL);
+    for (guint i = 0; i < names->len; i++) {
+        g_string_append(text, names->pdata[i]);
+    }
+    *whole = message.whole;
+    g_ptr_array_unref(names);
+    control_message_clear(&message);
+    return g_string_free(text, FALSE);
+}
+
+static void
+assert_told(const item_feed_t *feed, uint64_t after, const char *names,
+            bool whole)
+{
+    bool is_whole = false;
+    char *text = told(feed, after, &is_whole);
+    CU_ASSERT_STRING_EQUAL(text, names);
+    CU_ASSERT_EQUAL(is_whole, whole);
+    g_free(text);
+}
+
+/// Guards against followers that miss a change or get it as everything.
+static void
+test_changes(void)
+{
+    item_feed_t feed;
+    start(&feed);
+    assert_told(&feed, 6, "", false);
+    put(&feed, "c", 8, "1");
+    put(&feed, "a", 9, NULL);
+    put(&feed, "b", 4, "older");
+    item_feed_advance(&feed, 9);
+    assert_told(&feed, 6, "-ac", false);
+    assert_told(&feed, 8, "-a", false);
+    assert_told(&feed, 12, "", false);
+    item_feed_finish(&feed);
+}
+
+/// Guards against a follower that keeps what was removed before the feed's
+/// own history begins.
+static void
+test_everything_without_history(void)
+{
+    item_feed_t feed;
+    bool whole = false;
+    item_feed_init(&feed, REMOVALS_LIMIT);
+    char *text = told(&feed, 0, &whole);
+    CU_ASSERT_STRING_EQUAL(text, "nothing");
+    g_free(text);
+    item_feed_finish(&feed);
+    start(&feed);
+    assert_told(&feed, 5, "ab", true);
+    for (uint64_t i = 0; i < REMOVALS_LIMIT; i++) {
+        char name[2] = {(char)('p' + i), 0};
+        put(&feed, name, 10 + i, NULL);
+    }
+    item_feed_advance(&feed, 20);
+    assert_told(&feed, 6, "-p-q-r-s", false);
+    put(&feed, "t", 21, NULL);
+    item_feed_advance(&feed, 21);
+    assert_told(&feed, 20, "ab", true);
+    assert_told(&feed, 21, "", false);
+    item_feed_finish(&feed);
+}
+
+/// Guards against an item that a whole list lacks and that stays.
+static void
+test_whole_list_removes(void)
+{
+    item_feed_t feed;
+    start(&feed);
+    item_feed_list_begin(&feed);
+    put(&feed, "b", 5, "1");
+    item_feed_list_end(&feed, 11);
+    assert_told(&feed, 6, "-a", false);
+    assert_told(&feed, 0, "b", true);
+    // An item written while the list was read isn't lacking.
+    put(&feed, "d", 15, "1");
+    item_feed_list_begin(&feed);
+    put(&feed, "b", 5, "1");
+    item_feed_list_end(&feed, 14);
+    assert_told(&feed, 11, "d", false);
+    item_feed_finish(&feed);
+}
+
+/// Guards against a message that no decoder takes.
+static void
+test_too_much_for_a_message(void)
+{
+    item_feed_t feed;
+    bool whole = false;
+    start(&feed);
+    char *value = g_strnfill(CONTROL_MESSAGE_MAX_BYTES / 2, 'x');
+    put(&feed, "big1", 7, value);
+    put(&feed, "big2", 8, value);
+    item_feed_advance(&feed, 8);
+    char *text = told(&feed, 6, &whole);
+    CU_ASSERT_STRING_EQUAL(text, "nothing");
+    g_free(text);
+    assert_told(&feed, 7, "big2", false);
+    g_free(value);
+    item_feed_finish(&feed);
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"changes", test_changes},
+        {"everything without history", test_everything_without_history},
+        {"whole list removes", test_whole_list_removes},
+        {"too much for a message", test_too_much_for_a_message},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("item feed", tests);
+}
