Report the share of repeats from guards and repeat by it

Cause: each node kept to a fixed part of a service's retry ratio, halved with each level of calls.

Change: requests carry whether they repeat an earlier arrival or are called by such a run (ibisfield-repeat). The guard, which sees every arrival, counts the share over the window (retry/repeat_share.c) and reports the highest on a request's way with its load. Nodes repeat while share and own latest repeats are below a limit that falls with the levels of calls below and with lower worth; without reports the fixed parts stay.

--- a/src/ibisfield/call/call_defs.c
+++ b/src/ibisfield/call/call_defs.c
@@ -65,9 +65,10 @@
     snprintf(text, size,
              "inflight=%" PRIu32 ";limit=%" PRIu32 ";queue=%" PRIu32
              ";service_us=%" PRIu32 ";min_worth=%" PRId32 ";depth=%" PRIu32
-             ";pressure=%" PRIu32 ";cost=%" PRIu32,
+             ";pressure=%" PRIu32 ";cost=%" PRIu32 ";repeats=%" PRIu32,
              load->in_flight, load->limit, load->queue, load->service_us,
-             load->min_worth, load->depth, load->pressure, load->cost);
+             load->min_worth, load->depth, load->pressure, load->cost,
+             load->repeats);
 }
 
 static bool
@@ -108,7 +109,9 @@
         (text.len == 0 ||
          (parse_field(&text, ";depth=", UINT32_MAX, &parsed.depth) &&
           parse_field(&text, ";pressure=", UINT32_MAX, &parsed.pressure) &&
-          parse_field(&text, ";cost=", UINT32_MAX, &parsed.cost))) &&
+          parse_field(&text, ";cost=", UINT32_MAX, &parsed.cost) &&
+          (text.len == 0 ||
+           parse_field(&text, ";repeats=", UINT32_MAX, &parsed.repeats)))) &&
         text.len == 0;
     if (!valid) {
         return false;
--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -56,7 +56,7 @@
 /// Load of a guard, carried on each of its answers. Text form in the header
 /// ibisfield-load:
 /// "inflight=3;limit=85;queue=0;service_us=1200;min_worth=0;depth=1;
-/// pressure=0;cost=0".
+/// pressure=0;cost=0;repeats=0".
 typedef struct {
     uint32_t in_flight;  ///< running at the upstream
     uint32_t limit;      ///< current concurrency limit
@@ -66,6 +66,8 @@
     uint32_t depth;      ///< levels of calls below the upstream
     uint32_t pressure;   ///< highest on the request's way, in thousandths
     uint32_t cost;       ///< of the request so far; see pressure_cost()
+    uint32_t repeats;    ///< highest share of repeats on the request's way,
+                         ///< for each thousand first arrivals
 } guard_load_t;
 
 void guard_load_format(const guard_load_t *load, char *text, size_t size);
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -163,6 +163,7 @@
                        : request->request_id,
         .parent = intake->account == NULL ? 0 : request->request_id,
         .units = units_of(intake, entry->options.unchained),
+        .is_repeat = intake->account != NULL && intake->account->is_repeat,
         .source = request->source,
         .kind_hash = kind_hash_of(intake),
         .worth = worth_of(intake),
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -65,6 +65,7 @@
                        ///< than the budget when the request carries a key
     uint32_t retries;  ///< units lent
     bool once;         ///< not cancelled once it runs: unrepeatable
+    bool is_repeat;    ///< of an earlier arrival, or called by a repeat
 } attempt_info_t;
 
 /// What the caller gets.
@@ -151,6 +152,7 @@
     bool single;        ///< unrepeatable and without a key
     bool hedge;         ///< may be hedged
     bool may_have_run;  ///< an attempt was lost
+    bool is_repeat;     ///< called by a repeat, or sent to an upstream before
     key_handle_t key;   ///< 0 if none
     uint64_t account;   ///< egress: holds the units; 0: units is used
     uint64_t parent;    ///< account of the request that it is a call of; 0
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -169,6 +169,7 @@
         .wait_us = call->wait_end_us - now_us,
         .retries = attempt->lent,
         .once = call->once || call->single,
+        .is_repeat = call->is_repeat,
     };
     entry->options.io->vtable->send(entry->options.io, call->handle,
                                     call->user, attempt->number, vm, &info);
@@ -316,7 +317,8 @@
         call->hedge_due_us =
             delay_us == 0 ? 0 : clock_now_us(entry->options.clock) + delay_us;
     }
-    if (entry->options.service_retries != NULL) {
+    // Calls of a repeat are repeats at the services called.
+    if (entry->options.service_retries != NULL && !call->is_repeat) {
         service_retry_budget_first(entry->options.service_retries,
                                    call->service, call->worth);
     }
@@ -359,6 +361,7 @@
     }
     if (!is_free) {
         take_units(entry, call, 1);
+        call->is_repeat = true;
     }
     send_attempt(entry, call, vm);
     return true;
@@ -491,9 +494,17 @@
         call_depths_reported(entry->options.depths, call->service,
                              result->load.depth);
     }
+    if (result->has_load && entry->options.service_retries != NULL) {
+        service_retry_budget_reported(entry->options.service_retries,
+                                      call->service, result->load.repeats);
+    }
     if (result->has_load && call->parent != 0) {
         retry_accounts_note_call(entry->options.accounts, call->parent,
-                                 result->load.pressure, result->load.cost);
+                                 &(call_report_t){
+                                     .pressure = result->load.pressure,
+                                     .cost = result->load.cost,
+                                     .repeats = result->load.repeats,
+                                 });
     }
     else if (result->has_load && entry->options.gate != NULL) {
         // Of a chain that failed, some of the cost is missing.
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -14,6 +14,9 @@
 /// here. An instance may come back under its old name.
 #define REJECTED_LIFE_US US_PER_S
 
+/// Window of the share of repeats, unless it is set.
+#define REPEAT_WINDOW_US (10 * US_PER_S)
+
 /// Initialises the guard. It shares @p accounts with the egress of its VM.
 void
 guard_init(guard_t *guard, const clock_source_t *clock, guard_io_t *io,
@@ -21,6 +24,7 @@
 {
     *guard = (guard_t){.clock = clock, .io = io, .accounts = accounts};
     admission_init(&guard->admission, clock, options);
+    repeat_share_init(&guard->repeats, clock, REPEAT_WINDOW_US);
     uint32_t capacity =
         options->slots * SLOTS_FACTOR + options->queue_max + SLOTS_SPARE;
     slot_table_init(&guard->slots, capacity);
@@ -50,6 +54,13 @@
     guard->depth = depth;
 }
 
+/// Sets the window over which repeats are counted.
+void
+guard_set_retry_window(guard_t *guard, int64_t window_us)
+{
+    repeat_share_init(&guard->repeats, guard->clock, window_us);
+}
+
 /// Sets the requests that the upstream runs at the same time.
 void
 guard_set_slots(guard_t *guard, uint32_t slots)
@@ -105,6 +116,7 @@
     if (account != NULL) {
         answer.load.pressure = MAX(answer.load.pressure, account->pressure);
         answer.load.cost = account->cost;
+        answer.load.repeats = MAX(answer.load.repeats, account->repeats);
     }
     if (outcome == OUTCOME_NOT_RUN && may_succeed_later(reason)) {
         answer.retry_after_ms = admission_retry_after_ms(&guard->admission);
@@ -151,7 +163,9 @@
         .worth = request->worth,
         .deadline_us = request->deadline_us,
         .units = request->retries,
+        .is_repeat = request->is_repeat,
     };
+    repeat_share_arrived(&guard->repeats, request->is_repeat);
     g_strlcpy(account.customer, request->customer, sizeof(account.customer));
     request->running = true;
     request->started_us = now_us;
@@ -215,6 +229,7 @@
         .once = request->once,
         .lineage = request->lineage,
         .instance = request->instance,
+        .is_repeat = request->is_repeat,
         .kind = admission_kind(&guard->admission, request->customer,
                                request->kind),
         .retries = MIN(request->retries, CONTRACT_RETRIES_MAX),
@@ -388,6 +403,7 @@
     guard_load_t load = admission_load(&guard->admission);
     load.depth = guard->depth;
     load.pressure = admission_pressure(&guard->admission);
+    load.repeats = repeat_share_permille(&guard->repeats);
     return load;
 }
 
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -5,6 +5,7 @@
 #include "ibisfield/base/clock.h"
 #include "ibisfield/base/slot_table.h"
 #include "ibisfield/call/call_defs.h"
+#include "ibisfield/retry/repeat_share.h"
 #include "ibisfield/retry/retry_account.h"
 
 /// A request that another node (or this one) sends to this VM's upstream.
@@ -18,6 +19,7 @@
     bool once;         ///< carries a key: once started it is never cancelled
     uint64_t lineage;  ///< id that its calls are told by; 0: a random one
     uint64_t instance; ///< hash of the instance that is meant; 0: not named
+    bool is_repeat;    ///< of an earlier arrival, or called by a repeat
     void *user;        ///< the adapter's own object
 } guard_request_t;
 
@@ -70,6 +72,7 @@
     bool running;
     uint64_t lineage; ///< 0: none given
     uint64_t instance;
+    bool is_repeat;
     bool sender_gone;
     uint32_t kind; ///< admission's number
     uint32_t retries;
@@ -90,6 +93,7 @@
     slot_table_t slots;
     guarded_request_t *requests;
     bool leaving;
+    repeat_share_t repeats;
     uint32_t depth; ///< levels of calls below the upstream, as reported
     uint64_t rejected_instance; ///< that the upstream said it isn't
     int64_t rejected_until_us;
@@ -101,6 +105,7 @@
 void guard_finish(guard_t *guard);
 void guard_set_service(guard_t *guard, const char *service);
 void guard_set_depth(guard_t *guard, uint32_t depth);
+void guard_set_retry_window(guard_t *guard, int64_t window_us);
 void guard_set_slots(guard_t *guard, uint32_t slots);
 call_handle_t guard_request(guard_t *guard, const guard_request_t *request);
 void guard_upstream_done(guard_t *guard, call_handle_t handle,
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -20,6 +20,7 @@
 #define HEADER_OUTCOME "ibisfield-outcome"
 #define HEADER_PROTOCOL "ibisfield-protocol"
 #define HEADER_REASON "ibisfield-reason"
+#define HEADER_REPEAT "ibisfield-repeat"
 #define HEADER_REQUEST "ibisfield-request"
 #define HEADER_RETRIES "ibisfield-retries"
 #define HEADER_RETRIES_LEFT "ibisfield-retries-left"
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -375,6 +375,8 @@
                    .seed = seeds[3],
                });
     guard_set_service(&node->guard, settings->service);
+    guard_set_retry_window(&node->guard,
+                           (int64_t)(settings->retry_window_s * US_PER_S));
 }
 
 static void
--- /dev/null
+++ b/src/ibisfield/retry/repeat_share.c
@@ -0,0 +1,63 @@
+/// @file
+/// Share of repeats among the arrivals at an upstream. The guard sees all of
+/// them, whoever sent them, and reports the share to senders on each answer.
+
+#include "ibisfield/retry/repeat_share.h"
+
+#include <glib.h>
+
+/// Below this number of first arrivals a share says little; the few repeats
+/// are covered by the absolute part of the users' bound (47 for a service).
+#define FIRST_MIN 50
+
+/// Initialises a share without arrivals.
+void
+repeat_share_init(repeat_share_t *share, const clock_source_t *clock,
+                  int64_t window_us)
+{
+    *share = (repeat_share_t){.clock = clock, .window_us = window_us};
+}
+
+/// Drops the parts that the window has left behind.
+static void
+move_window(repeat_share_t *share)
+{
+    int64_t part = clock_now_us(share->clock) /
+                   MAX(share->window_us / REPEAT_SHARE_PARTS, 1);
+    int64_t passed = part - share->part;
+    if (passed < 0 || passed >= REPEAT_SHARE_PARTS) {
+        repeat_share_init(share, share->clock, share->window_us);
+        share->part = part;
+        return;
+    }
+    for (; share->part < part; share->part++) {
+        size_t next = (size_t)((share->part + 1) % REPEAT_SHARE_PARTS);
+        share->first[next] = 0;
+        share->repeats[next] = 0;
+    }
+}
+
+/// A request was sent to the upstream.
+void
+repeat_share_arrived(repeat_share_t *share, bool is_repeat)
+{
+    move_window(share);
+    size_t now = (size_t)(share->part % REPEAT_SHARE_PARTS);
+    share->first[now] += is_repeat ? 0 : 1;
+    share->repeats[now] += is_repeat ? 1 : 0;
+}
+
+/// Returns the repeats for each thousand first arrivals in the window.
+uint32_t
+repeat_share_permille(const repeat_share_t *share)
+{
+    repeat_share_t now = *share;
+    uint64_t first = 0;
+    uint64_t repeats = 0;
+    move_window(&now);
+    for (int i = 0; i < REPEAT_SHARE_PARTS; i++) {
+        first += now.first[i];
+        repeats += now.repeats[i];
+    }
+    return (uint32_t)(1000 * repeats / MAX(first, FIRST_MIN));
+}
--- /dev/null
+++ b/src/ibisfield/retry/repeat_share.h
@@ -0,0 +1,27 @@
+#ifndef IBISFIELD_RETRY_REPEAT_SHARE_H
+#define IBISFIELD_RETRY_REPEAT_SHARE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisfield/base/clock.h"
+
+/// A sliding window is counted in this many parts.
+#define REPEAT_SHARE_PARTS 10
+
+/// Arrivals at one upstream in a sliding window, and how many of them repeat
+/// an earlier arrival of the same request or were called by a run that did.
+typedef struct {
+    const clock_source_t *clock;
+    int64_t window_us;
+    uint32_t first[REPEAT_SHARE_PARTS];
+    uint32_t repeats[REPEAT_SHARE_PARTS];
+    int64_t part; ///< number of the newest part since the clock's start
+} repeat_share_t;
+
+void repeat_share_init(repeat_share_t *share, const clock_source_t *clock,
+                       int64_t window_us);
+void repeat_share_arrived(repeat_share_t *share, bool is_repeat);
+uint32_t repeat_share_permille(const repeat_share_t *share);
+
+#endif
--- a/src/ibisfield/retry/retry_account.c
+++ b/src/ibisfield/retry/retry_account.c
@@ -119,14 +119,16 @@
     }
 }
 
-/// A call of the request reported a pressure and its cost.
+/// A call of the request was answered.
 void
 retry_accounts_note_call(retry_accounts_t *accounts, uint64_t id,
-                         uint32_t permille, uint32_t cost)
+                         const call_report_t *report)
 {
     retry_account_slot_t *slot = find_slot(accounts, id);
     if (slot != NULL) {
-        slot->account.pressure = MAX(slot->account.pressure, permille);
-        slot->account.cost += MIN(cost, UINT32_MAX - slot->account.cost);
+        retry_account_t *account = &slot->account;
+        account->pressure = MAX(account->pressure, report->pressure);
+        account->repeats = MAX(account->repeats, report->repeats);
+        account->cost += MIN(report->cost, UINT32_MAX - account->cost);
     }
 }
--- a/src/ibisfield/retry/retry_account.h
+++ b/src/ibisfield/retry/retry_account.h
@@ -17,8 +17,17 @@
     uint32_t units;      ///< extra attempts still to spend
     uint32_t pressure;   ///< highest that a call reported, in thousandths
     uint32_t cost;       ///< sum of what the calls reported
+    uint32_t repeats;    ///< highest share that a call reported
+    bool is_repeat;      ///< so its calls are repeats as well
 } retry_account_t;
 
+/// What the answer to a call reported of its way.
+typedef struct {
+    uint32_t pressure; ///< highest, in thousandths
+    uint32_t cost;     ///< see pressure_cost()
+    uint32_t repeats;  ///< highest share, for each thousand first arrivals
+} call_report_t;
+
 typedef struct {
     uint64_t id; ///< random, or given by the opener; key of the index
     uint64_t handle;
@@ -45,7 +54,7 @@
 uint32_t retry_accounts_take(retry_accounts_t *accounts, uint64_t id,
                              uint32_t wanted);
 void retry_accounts_note_call(retry_accounts_t *accounts, uint64_t id,
-                              uint32_t permille, uint32_t cost);
+                              const call_report_t *report);
 void retry_accounts_give_back(retry_accounts_t *accounts, uint64_t id,
                               uint32_t units);
 
--- a/src/ibisfield/retry/service_retry_budget.c
+++ b/src/ibisfield/retry/service_retry_budget.c
@@ -7,8 +7,25 @@
 
 #include <math.h>
 
-/// Share of the ratio for a service that calls no other; the levels above it
-/// have half of it, a quarter and so on.
+/// Part of the ratio up to which requests are repeated, by the levels of calls
+/// below the service. One repeat near the end of a chain saves the whole chain
+/// and costs one arrival there, one at its beginning costs a chain. The rest
+/// covers what is sent before its effect is reported, about half a second.
+static const double use_limits[] = {0.85, 0.7, 0.6, 0.45};
+/// Requests below the highest worth end at this part of the limit.
+#define LOWER_WORTH_USE 0.7
+/// No request is repeated above this part of the ratio.
+#define USE_MAX 0.95
+#define LOWER_WORTH_USE_MAX 0.4
+/// Repeats of the newest parts of the window that reports may not hold yet.
+#define PENDING_PARTS 2
+#define PENDING_WEIGHT 2.0
+/// Weight of a report in the learned share: a mean age of 10 answers.
+#define REPORT_WEIGHT 0.1
+/// A share without reports for this time isn't known.
+#define REPORT_LIFE_US US_PER_S
+/// Without reports: share of the ratio for a service that calls no other; the
+/// levels above it have half of it, a quarter and so on.
 #define FIRST_LEVEL_SHARE 0.5
 /// Part of a budget that requests below the highest worth may use. When most
 /// answers fail, the rest still carries the requests that are shed last.
@@ -24,6 +41,8 @@
     uint32_t repeats[WINDOW_PARTS];
     int32_t top_worth; ///< highest of the window's first requests
     int64_t part;      ///< number of the newest part since the clock's start
+    double reported;   ///< learned share of repeats at the service and below
+    int64_t reported_us;
 } service_counts_t;
 
 /// Initialises a budget without counts.
@@ -58,7 +77,11 @@
                    MAX(budget->limits.window_us / WINDOW_PARTS, 1);
     int64_t passed = part - counts->part;
     if (passed < 0 || passed >= WINDOW_PARTS) {
-        *counts = (service_counts_t){.part = part};
+        *counts = (service_counts_t){
+            .part = part,
+            .reported = counts->reported,
+            .reported_us = counts->reported_us,
+        };
         return counts;
     }
     for (; counts->part < part; counts->part++) {
@@ -79,6 +102,75 @@
     counts->top_worth = MAX(counts->top_worth, worth);
 }
 
+/// An answer reported the share of repeats, for each thousand first arrivals.
+void
+service_retry_budget_reported(service_retry_budget_t *budget,
+                              const char *service, uint32_t permille)
+{
+    service_counts_t *counts = counts_of(budget, service);
+    int64_t now_us = clock_now_us(budget->clock);
+    double share = permille / 1000.0;
+    bool fresh = counts->reported_us != 0 &&
+                 now_us - counts->reported_us < REPORT_LIFE_US;
+    counts->reported =
+        fresh ? counts->reported + REPORT_WEIGHT * (share - counts->reported)
+              : share;
+    counts->reported_us = now_us;
+}
+
+static bool
+is_reported(const service_retry_budget_t *budget,
+            const service_counts_t *counts)
+{
+    return counts->reported_us != 0 &&
+           clock_now_us(budget->clock) - counts->reported_us < REPORT_LIFE_US;
+}
+
+/// Sum of one kind of count over the newest parts of the window.
+static double
+sum_of(const service_counts_t *counts, const uint32_t *values, int parts)
+{
+    double sum = 0;
+    for (int i = 0; i < parts; i++) {
+        int64_t part = counts->part - i + WINDOW_PARTS;
+        sum += values[part % WINDOW_PARTS];
+    }
+    return sum;
+}
+
+/// The reported share, with what was sent too lately to be in the reports. The
+/// other nodes and the other levels of the chain send alike.
+static double
+expected_share(const service_counts_t *counts)
+{
+    double first = sum_of(counts, counts->first, WINDOW_PARTS);
+    double pending = sum_of(counts, counts->repeats, PENDING_PARTS);
+    return counts->reported + PENDING_WEIGHT * pending / MAX(first, 1);
+}
+
+/// Repeats that the node may have sent to the service in the window.
+static double
+allowed_repeats(const service_retry_budget_t *budget,
+                const service_counts_t *counts, uint32_t depth, int32_t worth)
+{
+    double ratio = budget->limits.ratio;
+    double all = ratio * sum_of(counts, counts->first, WINDOW_PARTS);
+    bool lower = worth < counts->top_worth;
+    if (is_reported(budget, counts)) {
+        double share = expected_share(counts);
+        double limit = use_limits[MIN(depth, G_N_ELEMENTS(use_limits) - 1)];
+        if (share < limit * ratio * (lower ? LOWER_WORTH_USE : 1)) {
+            return MAX(all, LAST_LEVEL_MIN);
+        }
+        if (share >= ratio * (lower ? LOWER_WORTH_USE_MAX : USE_MAX)) {
+            return 0;
+        }
+    }
+    double part = all * ldexp(FIRST_LEVEL_SHARE, -(int)depth) *
+                  (lower ? LOWER_WORTH_SHARE : 1);
+    return depth == 0 ? MAX(part, LAST_LEVEL_MIN) : part;
+}
+
 /// Takes a repeat of a request that leads to @p depth further levels of calls;
 /// false if there is none left.
 bool
@@ -86,20 +178,8 @@
                           uint32_t depth, int32_t worth)
 {
     service_counts_t *counts = counts_of(budget, service);
-    double allowed = 0;
-    uint32_t repeats = 0;
-    for (int i = 0; i < WINDOW_PARTS; i++) {
-        allowed += budget->limits.ratio * counts->first[i];
-        repeats += counts->repeats[i];
-    }
-    allowed *= ldexp(FIRST_LEVEL_SHARE, -(int)depth);
-    if (worth < counts->top_worth) {
-        allowed *= LOWER_WORTH_SHARE;
-    }
-    if (depth == 0) {
-        allowed = MAX(allowed, LAST_LEVEL_MIN);
-    }
-    if (repeats + 1 > allowed) {
+    double taken = sum_of(counts, counts->repeats, WINDOW_PARTS);
+    if (taken + 1 > allowed_repeats(budget, counts, depth, worth)) {
         return false;
     }
     counts->repeats[counts->part % WINDOW_PARTS]++;
--- a/src/ibisfield/retry/service_retry_budget.h
+++ b/src/ibisfield/retry/service_retry_budget.h
@@ -7,11 +7,12 @@
 
 #include "ibisfield/base/clock.h"
 
-/// Repeats that a node may send to a service, as a share of the requests that
-/// it sent there for the first time. The sum over all nodes keeps the same
-/// share without shared state. A repeat also repeats every call below it, so
-/// the share halves with each level of calls below the service: all levels of
-/// a chain together then stay below the ratio at the last service.
+/// Repeats that a node may send to a service. All nodes together keep within a
+/// share of the requests that were sent there for the first time, without
+/// shared state: guards report the share of repeats that they see, and nodes
+/// repeat while it is low enough. A repeat also repeats every call below it,
+/// so it counts there too, and repeats higher up in a chain end at a lower
+/// share. Without reports each node keeps to its part of the ratio by itself.
 typedef struct {
     double ratio;      ///< repeats for each first request
     int64_t window_us; ///< over which both are counted
@@ -32,5 +33,7 @@
 bool service_retry_budget_take(service_retry_budget_t *budget,
                                const char *service, uint32_t depth,
                                int32_t worth);
+void service_retry_budget_reported(service_retry_budget_t *budget,
+                                   const char *service, uint32_t permille);
 
 #endif
--- a/test/unit/test_retry_chain.c
+++ b/test/unit/test_retry_chain.c
@@ -2,6 +2,7 @@
 /// The retry budget of a service under a load in which all answers of a call
 /// chain fail, and the depth of the chain that it goes by.
 
+#include "ibisfield/retry/repeat_share.h"
 #include "ibisfield/retry/service_retry_budget.h"
 #include "ibisfield/routing/call_depth.h"
 
@@ -63,6 +64,160 @@
     service_retry_budget_finish(&chain.budget);
 }
 
+/* The same chain with guards that report the share of repeats, over time: one
+   answer in five is lost at every level, and a sender sees a report half a
+   second after the arrivals that it tells of. */
+
+#define NODES 6
+#define ROOTS_PER_S 500
+#define STEP_US (10 * US_PER_MS)
+#define REPORT_DELAY_STEPS 50
+/// Calm before the loss begins, and all of it.
+#define CALM_STEPS 1000
+#define PLAYED_STEPS 3000
+#define LOST_SHARE 0.2
+#define CALLS_OF_LOW 4
+#define ATTEMPTS 3
+#define LOOKUP 80
+#define BOOKING 100
+/// What a booking counts in lookups.
+#define BOOKING_WORTH 3
+
+typedef struct {
+    service_retry_budget_t budgets[NODES];
+    repeat_share_t guards[LEVELS];
+    uint32_t shares[LEVELS][PLAYED_STEPS]; ///< reported at each step
+    uint32_t first[LEVELS][PLAYED_STEPS];
+    uint32_t repeats[LEVELS][PLAYED_STEPS];
+    int step;
+    bool reports;
+    int losing; ///< depth of the service that loses answers; LEVELS: all do
+    GRand *random;
+    uint32_t roots[2];  ///< lookups, bookings
+    uint32_t served[2]; ///< with every call of their chains
+} played_t;
+
+static bool
+play_call(played_t *played, uint32_t depth, bool is_repeat, int32_t worth)
+{
+    service_retry_budget_t *budget =
+        &played->budgets[g_rand_int_range(played->random, 0, NODES)];
+    if (!is_repeat) {
+        service_retry_budget_first(budget, services[depth], worth);
+    }
+    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+        bool repeats = is_repeat || attempt > 0;
+        bool ran = true;
+        int calls = depth == 0 ? 0 : depth == 1 ? CALLS_OF_LOW : 1;
+        repeat_share_arrived(&played->guards[depth], repeats);
+        played->first[depth][played->step] += repeats ? 0 : 1;
+        played->repeats[depth][played->step] += repeats ? 1 : 0;
+        for (int i = 0; i < calls && ran; i++) {
+            ran = play_call(played, depth - 1, repeats, worth);
+        }
+        uint32_t seen = 0;
+        for (uint32_t i = 0; i <= depth && played->reports; i++) {
+            int then = MAX(played->step - REPORT_DELAY_STEPS, 0);
+            seen = MAX(seen, played->shares[i][then]);
+        }
+        if (played->reports) {
+            service_retry_budget_reported(budget, services[depth], seen);
+        }
+        bool loses =
+            played->step >= CALM_STEPS &&
+            (played->losing == LEVELS || (uint32_t)played->losing == depth);
+        if (ran && (!loses || g_rand_double(played->random) >= LOST_SHARE)) {
+            return true;
+        }
+        if (!service_retry_budget_take(budget, services[depth], depth, worth))
+        {
+            return false;
+        }
+    }
+    return false;
+}
+
+static void
+play(played_t *played, int losing, bool reports)
+{
+    *played = (played_t){.reports = reports, .losing = losing};
+    manual_clock_init(&test_clock, 100 * US_PER_S);
+    played->random = g_rand_new_with_seed(7);
+    for (int i = 0; i < NODES; i++) {
+        service_retry_budget_init(&played->budgets[i], &test_clock.base,
+                                  &(service_retry_limits_t){RATIO, WINDOW_US});
+    }
+    for (int i = 0; i < LEVELS; i++) {
+        repeat_share_init(&played->guards[i], &test_clock.base, WINDOW_US);
+    }
+    for (; played->step < PLAYED_STEPS; played->step++) {
+        for (int i = 0; i < LEVELS; i++) {
+            played->shares[i][played->step] =
+                repeat_share_permille(&played->guards[i]);
+        }
+        for (int i = 0; i < ROOTS_PER_S * STEP_US / US_PER_S; i++) {
+            int booking = i == 0 ? 1 : 0;
+            played->roots[booking]++;
+            played->served[booking] += play_call(played, LEVELS - 1, false,
+                                                 booking ? BOOKING : LOOKUP)
+                                           ? 1
+                                           : 0;
+        }
+        manual_clock_advance(&test_clock, STEP_US);
+    }
+    for (int i = 0; i < NODES; i++) {
+        service_retry_budget_finish(&played->budgets[i]);
+    }
+    g_rand_free(played->random);
+}
+
+/// Highest share of repeats at a level in any window.
+static double
+highest_share(const played_t *played, int depth)
+{
+    const int window = WINDOW_US / STEP_US;
+    double highest = 0;
+    double first = 0;
+    double repeats = 0;
+    for (int i = 0; i < PLAYED_STEPS; i++) {
+        first += played->first[depth][i];
+        repeats += played->repeats[depth][i];
+        if (i >= window) {
+            first -= played->first[depth][i - window];
+            repeats -= played->repeats[depth][i - window];
+        }
+        if (i >= window - 1) {
+            highest = MAX(highest, repeats / first);
+        }
+    }
+    return highest;
+}
+
+static int
+worth_served(const played_t *played)
+{
+    return (int)(played->served[0] + BOOKING_WORTH * played->served[1]);
+}
+
+/// Guards against repeats over the ratio while the reports lag (BUDGET), and
+/// against a budget that is left unused while one service loses answers.
+static void
+test_reported_share_serves_more_within_the_ratio(void)
+{
+    static played_t alone;
+    static played_t reported;
+    for (int losing = 0; losing <= LEVELS; losing++) {
+        play(&alone, losing, false);
+        play(&reported, losing, true);
+        for (int depth = 0; depth < LEVELS; depth++) {
+            CU_ASSERT_TRUE(highest_share(&reported, depth) <= RATIO);
+        }
+        if (losing < LEVELS) {
+            CU_ASSERT_TRUE(worth_served(&reported) > worth_served(&alone));
+        }
+    }
+}
+
 /// Guards against a budget that is never used up, or never comes back.
 static void
 test_budget_follows_the_window(void)
@@ -156,6 +311,7 @@
     CU_TestInfo tests[] = {
         {"failing chain",
          test_repeats_of_a_failing_chain_stay_within_the_ratio},
+        {"reported share", test_reported_share_serves_more_within_the_ratio},
         {"window", test_budget_follows_the_window},
         {"worth", test_lower_worth_leaves_a_rest},
         {"depth", test_depth_is_learned_from_calls_and_reports},
