Add a fault soak of real processes behind a proxy

The soak starts nodes, stand-ins of servers and of the store as processes and puts a loopback proxy before every connection between nodes, to servers and to the store. Faults overlap and come in series.

It checks what callers and servers see: no booking twice, none that was told not to have run, whole answers with the request's own id, nothing run that nobody sent, an answer within the caller's time from every node that runs, no request cut by a planned stop, no version that goes back, no process that ends by itself or late, and service of both kinds by every node within 15 s of the last fault.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all build deps format format-check lint unit functional sanitize fuzz \
-	check demo bench slopes mutants clean
+	soak check demo bench slopes mutants clean
 
 all: build
 
@@ -47,6 +47,9 @@
 	@cmake --build $(FUZZ) -j $(JOBS) >/dev/null
 	@./tools/run-fuzz $(FUZZ)
 
+soak: build
+	@./tools/run-soak $(BUILD) $(SEEDS)
+
 check: deps
 	@./tools/check
 
--- a/test/functional/common/process.c
+++ b/test/functional/common/process.c
@@ -81,6 +81,18 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+/// Whether the process has ended by itself or by a signal; process_wait() then
+/// returns at once.
+bool
+process_has_ended(const process_t *process)
+{
+    siginfo_t info = {0};
+    return process->pid > 0 &&
+           waitid(P_PID, (id_t)process->pid, &info,
+                  WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == process->pid;
+}
+
 /// Signals the process and waits for its end; 0 if it isn't running.
 int
 process_stop(process_t *process, int signal_number)
--- a/test/functional/common/process.h
+++ b/test/functional/common/process.h
@@ -16,6 +16,7 @@
 bool process_start(process_t *process, const char *log,
                    const char *const *arguments);
 int process_wait(process_t *process);
+bool process_has_ended(const process_t *process);
 int process_stop(process_t *process, int signal_number);
 char *process_log(const process_t *process);
 bool process_has_logged(const process_t *process, const char *text);
--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -13,6 +13,7 @@
 #define PROGRAM IBISFIELD_BUILD_DIR "/ibisfield"
 #define STANDIN_STORE IBISFIELD_BUILD_DIR "/test/standin_store"
 #define PATH_MAX_LEN 64
+#define HOSTS_MAX 255
 
 store_site_t site;
 static const char standin_upstream[] =
@@ -50,7 +51,7 @@
         "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z\","
         "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_s\":0,"
         "\"sequence\":1}",
-        machine->service, machine->address, PORT_UPSTREAM, state);
+        machine->service, machine->published, PORT_UPSTREAM, state);
     store_change("PUT", path, entry);
     g_free(entry);
 }
@@ -99,7 +100,7 @@
 }
 
 void
-start_server(machine_t *machine, int number)
+start_server(machine_t *machine)
 {
     char listen[32];
     char next[32];
@@ -115,6 +116,7 @@
                            "8",
                            "--service-us",
                            "1000",
+                           "--log-runs",
                            "--next",
                            next,
                            "--next-path",
@@ -123,17 +125,20 @@
                            "site.example",
                            NULL};
     if (strcmp(machine->service, "back") == 0) {
-        front[9] = NULL;
+        front[10] = NULL;
     }
-    char *log = g_strdup_printf("%s/server%d.log", site.directory, number);
+    char *log =
+        g_strdup_printf("%s/server%d.log", site.directory, site.logs++);
     CU_ASSERT_TRUE_FATAL(process_start(&machine->server, log, front));
     CU_ASSERT_TRUE_FATAL(process_wait_log(&machine->server, "listening"));
     g_free(log);
 }
 
 void
-start_node(machine_t *machine, int number)
+start_node(machine_t *machine)
 {
+    int number = site.logs++;
+    bool proxied = strcmp(machine->published, machine->address) != 0;
     char *settings = g_strdup_printf(
         "{\"vm\":\"vm-%d\",\"data_centre\":\"z\",\"service\":\"%s\","
         "\"caller_listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
@@ -141,8 +146,8 @@
         "\"upstream\":\"%s:%d\",\"store\":\"%s:%d\",\"stop_limit_s\":6}",
         number, machine->service, machine->address, PORT_CALLER,
         machine->address, PORT_PEER, machine->address, PORT_READINESS,
-        machine->address, PORT_OPERATOR, machine->address, PORT_UPSTREAM,
-        site.address, PORT_STORE);
+        machine->address, PORT_OPERATOR, machine->published, PORT_UPSTREAM,
+        proxied ? machine->published : site.address, PORT_STORE);
     char *file = g_strdup_printf("%s/node%d.json", site.directory, number);
     char *log = g_strdup_printf("%s/node%d.log", site.directory, number);
     CU_ASSERT_TRUE_FATAL(g_file_set_contents(file, settings, -1, NULL));
@@ -154,10 +159,15 @@
     g_free(log);
 }
 
+/// Starts a site. @p place may publish each machine elsewhere before its
+/// processes start; NULL: at its own address.
 void
-start_site(int machines)
+start_site_with(int machines, void (*place)(machine_t *machine))
 {
     static int next_host = 1;
+    if (next_host + machines >= HOSTS_MAX) {
+        next_host = 1;
+    }
     site =
         (store_site_t){.directory = g_dir_make_tmp("ibisfield-XXXXXX", NULL),
                        .machine_count = machines};
@@ -178,11 +188,22 @@
                    net, host + 1 + i);
         g_snprintf(machine->instance, sizeof(machine->instance), "i-%d", i);
         machine->service = i < site.machine_count / 2 ? "front" : "back";
-        start_server(machine, i);
-        start_node(machine, i);
+        g_strlcpy(machine->published, machine->address,
+                  sizeof(machine->published));
+        if (place != NULL) {
+            place(machine);
+        }
+        start_server(machine);
+        start_node(machine);
     }
 }
 
+void
+start_site(int machines)
+{
+    start_site_with(machines, NULL);
+}
+
 void
 stop_site(void)
 {
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -12,7 +12,9 @@
 /// One machine: a node, its server, and the entry of the server in the store.
 typedef struct {
     char address[16];
-    char instance[16];
+    /// Where other machines and the list have it; a proxy's, or the same.
+    char published[16];
+    char instance[24];
     const char *service;
     process_t node;
     process_t server;
@@ -26,14 +28,16 @@
     machine_t machines[MACHINES_MAX]; ///< "front", the second half "back"
     int machine_count;
     int version; ///< of the desired state
+    int logs;    ///< number of the next log file
 } store_site_t;
 
 extern store_site_t site;
 
 void start_site(int machines);
+void start_site_with(int machines, void (*place)(machine_t *machine));
 void stop_site(void);
-void start_server(machine_t *machine, int number);
-void start_node(machine_t *machine, int number);
+void start_server(machine_t *machine);
+void start_node(machine_t *machine);
 void store_change(const char *method, const char *path, const char *body);
 int64_t store_stat(const char *name);
 void put_entry(const machine_t *machine, const char *state);
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -123,8 +123,9 @@
     publish_all();
     // Its old entry is still listed when another server has the address.
     process_stop(&site.machines[2].server, SIGKILL);
-    g_strlcpy(site.machines[2].instance, "i-new", 16);
-    start_server(&site.machines[2], 9);
+    g_strlcpy(site.machines[2].instance, "i-new",
+              sizeof(site.machines[2].instance));
+    start_server(&site.machines[2]);
     int served = 0;
     for (int i = 0; i < 6; i++) {
         answer_text_t answer = ask(0, "POST", "/book/a", "id-reuse");
