--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -57,20 +57,14 @@
     entry_answer_t answer = {
         .reason = reason,
         .outcome = outcome,
+        .retry_after_ms = entry_retry_after_ms(entry, reason, outcome),
     };
-    uint64_t kind_hash = 0;
-    return_request_t returns = {0};
-    if (intake->kind != NULL) {
-        answer.kind = intake->kind->name;
-        kind_hash = kind_hash_of(intake);
-        returns.target_ms = intake->kind->target_ms;
-    }
-    answer.retry_after_ms =
-        entry_retry_after_ms(entry, reason, outcome, kind_hash, &returns);
+    answer.kind = intake->kind == NULL ? NULL : intake->kind->name;
     if (reason == REASON_OVERLOADED && entry->options.gate != NULL &&
         intake->kind != NULL)
     {
-        answer.pressure = root_gate_pressure(entry->options.gate, kind_hash);
+        answer.pressure =
+            root_gate_pressure(entry->options.gate, kind_hash_of(intake));
     }
     if (fresh_key != NULL) {
         g_strlcpy(answer.fresh_key, fresh_key, sizeof(answer.fresh_key));
@@ -173,8 +167,6 @@
         .source = request->source,
         .kind_hash = kind_hash_of(intake),
         .worth = worth_of(intake),
-        .target_ms = intake->kind->target_ms,
-        .received_us = clock_now_us(entry->options.clock),
         .deadline_us = deadline_of(entry, intake),
         .key_life_us = intake->key_life_us,
     };
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -11,7 +11,6 @@
 #include "ibisfield/once/key_table.h"
 #include "ibisfield/retry/client_retry_budget.h"
 #include "ibisfield/retry/retry_account.h"
-#include "ibisfield/retry/return_time.h"
 #include "ibisfield/retry/service_retry_budget.h"
 #include "ibisfield/routing/call_depth.h"
 #include "ibisfield/routing/picker.h"
@@ -161,8 +160,6 @@
     uint32_t source;    ///< hash of the caller's address
     uint64_t kind_hash; ///< of customer and kind
     int32_t worth;
-    int32_t target_ms; ///< of its kind; 0: none
-    int64_t received_us;
     int64_t deadline_us;
     int64_t wait_end_us;  ///< when the wait for late answers ends
     int64_t hedge_due_us; ///< 0: no hedge is due
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -6,6 +6,9 @@
 
 #include "ibisfield/base/metrics.h"
 
+/// Mean Retry-After of refusals that name none.
+#define RETRY_AFTER_MS 1000
+
 /// Returns the call of a handle, NULL if it has ended.
 entry_call_t *
 entry_find_call(entry_t *entry, call_handle_t handle)
@@ -14,28 +17,21 @@
     return slot == SLOT_NONE ? NULL : &entry->calls[slot];
 }
 
-/// Returns a Retry-After with jitter, 0 if a later try of the same request
-/// can't succeed. usual_us of @p refused is filled in here.
+/// Returns a Retry-After with jitter of one half, 0 if a later try of the
+/// same request can't succeed.
 int32_t
-entry_retry_after_ms(entry_t *entry, reason_t reason, outcome_t outcome,
-                     uint64_t kind_hash, const return_request_t *refused)
+entry_retry_after_ms(entry_t *entry, reason_t reason, outcome_t outcome)
 {
-    return_request_t request = *refused;
-    request.usual_us =
-        picker_usual_latency_us(entry->options.picker, kind_hash);
     switch (reason) {
-    case REASON_OVERLOADED:
-    case REASON_UPSTREAM_SHED:
-    case REASON_LEAVING:
-        break;
     case REASON_IN_PROGRESS:
     case REASON_CUSTOMER_RETRY_BUDGET:
+    case REASON_OVERLOADED:
+    case REASON_UPSTREAM_SHED:
     case REASON_WRONG_INSTANCE:
+    case REASON_LEAVING:
     case REASON_NO_UPSTREAM:
     case REASON_NOT_READY:
     case REASON_KEY_OWNER_UNREACHABLE:
-        // The cause lasts longer than a target latency.
-        request.target_ms = 0;
         break;
     case REASON_DEADLINE:
         if (outcome == OUTCOME_NOT_RUN) {
@@ -45,7 +41,8 @@
     default:
         return 0;
     }
-    return return_time_ms(entry->random, &request);
+    return g_rand_int_range(entry->random, RETRY_AFTER_MS / 2,
+                            RETRY_AFTER_MS * 3 / 2);
 }
 
 /// Counts a call by what its caller is told.
@@ -263,18 +260,10 @@
 {
     entry_answer_t answer = {.reason = reason, .outcome = outcome};
     settle_key(entry, call, reason, outcome, answer.fresh_key);
-    answer.retry_after_ms = entry_retry_after_ms(
-        entry, reason, outcome, call->kind_hash,
-        &(return_request_t){
-            .target_ms = call->target_ms,
-            .age_us = clock_now_us(entry->options.clock) - call->received_us,
-        });
-    // A guard's hint follows its queue; a target goes before it.
-    if (call->target_ms == 0 && call->retry_after_ms > 0 &&
-        outcome == OUTCOME_NOT_RUN)
-    {
-        answer.retry_after_ms = call->retry_after_ms;
-    }
+    answer.retry_after_ms =
+        call->retry_after_ms > 0 && outcome == OUTCOME_NOT_RUN
+            ? call->retry_after_ms
+            : entry_retry_after_ms(entry, reason, outcome);
     if (!call->once) {
         cancel_attempts(entry, call);
     }
--- a/src/ibisfield/call/entry_attempts.h
+++ b/src/ibisfield/call/entry_attempts.h
@@ -3,10 +3,16 @@
 
 #include "ibisfield/call/entry.h"
 
+/// A refusal before or after the attempts of a call.
+typedef struct {
+    reason_t reason;
+    outcome_t outcome;
+    int32_t retry_after_ms; ///< 0: chosen here if a later try may succeed
+} entry_refusal_t;
+
 entry_call_t *entry_find_call(entry_t *entry, call_handle_t handle);
 int32_t entry_retry_after_ms(entry_t *entry, reason_t reason,
-                             outcome_t outcome, uint64_t kind_hash,
-                             const return_request_t *refused);
+                             outcome_t outcome);
 void entry_count_answer(outcome_t outcome);
 void entry_end_call(entry_t *entry, entry_call_t *call);
 void entry_refuse_call(entry_t *entry, entry_call_t *call, reason_t reason,
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -783,10 +783,3 @@
                                        clock_now_us(picker->clock))
                : 0;
 }
-
-/// Returns the mean latency of a kind over all VMs, 0 if none is known.
-int64_t
-picker_usual_latency_us(const picker_t *picker, uint64_t kind)
-{
-    return (int64_t)kind_latency_mean_us(picker->latencies, kind);
-}
