Run requests at the upstream of a stopping node, and use it again soon after

A node that stops refused all requests for its server for the 3 to 4.5 s of its stop, though the server lives on and only this node reaches it; and senders avoided a VM for 10 s after it said "leaving", long after its node was back. With two of three nodes of the scarce service in a roll, two thirds of its slots stood idle. Ruled out: SIGHUP and the clock (the limits of the guards were the declared slots, refusals began with the second stop).

Change: with an adapter the guard of a stopping node takes requests until the node refuses callers' own (half of stop_limit_s). A VM that said "leaving" is avoided for half a second; then one attempt tries it and the others wait for its result.

--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -95,6 +95,19 @@
     return customers_find(context, customer);
 }
 
+/// Whether the guard refuses new requests. A foreign platform restarts a node
+/// beside an upstream that lives on and that nothing else reaches, so there a
+/// stopping node runs requests for as long as it takes callers' own.
+static bool
+guard_is_to_leave(const node_t *node)
+{
+    unsigned int causes = node->leave_causes;
+    if (node->adapter != NULL && !node->closing) {
+        causes &= ~(unsigned int)LEAVE_SHUTDOWN;
+    }
+    return causes != 0;
+}
+
 /// Starts or ends one cause to get no new work.
 void
 node_leave(node_t *node, leave_cause_t cause, bool leaving)
@@ -106,7 +119,7 @@
     }
     log_info("leave_changed", "causes=%u leaving=%d", node->leave_causes,
              node->leave_causes != 0);
-    guard_set_leaving(&node->guard, node->leave_causes != 0);
+    guard_set_leaving(&node->guard, guard_is_to_leave(node));
     entry_set_leaving(&node->entry,
                       (node->leave_causes & ~LEAVE_UPSTREAM) != 0);
 }
@@ -569,8 +582,13 @@
         loop_stop(&node->loop);
         return;
     }
-    if (passed_ms >= node->settings->key_linger_ms && node->adapter != NULL) {
+    if (passed_ms >= node->settings->key_linger_ms && node->adapter != NULL &&
+        !node->closing)
+    {
+        node->closing = true;
         entry_set_closing(&node->entry);
+        guard_set_leaving(&node->guard, guard_is_to_leave(node));
+        log_info("shutdown_closing", "unfinished=%u", unfinished_calls(node));
     }
     // A request that runs at the upstream may still need the egress.
     if (passed_ms >= node->settings->key_linger_ms &&
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -54,6 +54,7 @@
     unsigned int leave_causes; ///< of leave_cause_t
     bool ready;
     bool stopped_listening;
+    bool closing; ///< no request is taken that would end too late
     int64_t start_us;
     int64_t shutdown_us;    ///< when SIGTERM came
     int64_t linger_over_us; ///< when no more connections were wanted
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -23,14 +23,16 @@
 /// limit.
 #define LIMIT_UNKNOWN 100.0
 /// How long a VM that answered "leaving" is avoided although its list item
-/// says that it is live.
-#define LEAVING_LIFE_US (10 * US_PER_S)
+/// says that it is live. Its node may be restarted within seconds, and asking
+/// one that isn't costs a hop: a refused attempt goes elsewhere at once.
+#define LEAVING_LIFE_US (500 * US_PER_MS)
 /// How long a VM to which no connection could be opened is avoided. A cut
 /// between data centres takes away most VMs of a service at once, so this has
 /// no bound by the number of VMs as ejection has.
 #define UNREACHABLE_LIFE_US US_PER_S
-/// After it one attempt tries; the others wait this long for its result.
-#define UNREACHABLE_TRIAL_US (400 * US_PER_MS)
+/// After either time one attempt tries; the others wait this long for its
+/// result.
+#define TRIAL_US (400 * US_PER_MS)
 /// Weight of an attempt in a share: a mean age of 10 attempts.
 #define SHARE_WEIGHT 0.1
 /// A share halves in this time, so that a VM that got no attempts for it is
@@ -63,6 +65,7 @@
     const char *data_centre; ///< interned
     service_entry_t *service;
     bool leaving;
+    bool said_leaving; ///< and wasn't seen to take work since
     int64_t said_leaving_until_us;
     bool unreachable;
     int64_t unreachable_until_us;
@@ -405,9 +408,12 @@
 {
     vm_entry_t *entry = vm_at(picker, vm);
     vm_health_picked(&entry->health, clock_now_us(picker->clock));
+    int64_t trial_end_us = clock_now_us(picker->clock) + TRIAL_US;
     if (entry->unreachable) {
-        entry->unreachable_until_us =
-            clock_now_us(picker->clock) + UNREACHABLE_TRIAL_US;
+        entry->unreachable_until_us = trial_end_us;
+    }
+    if (entry->said_leaving) {
+        entry->said_leaving_until_us = trial_end_us;
     }
     entry->expected_us += latency_us;
 }
@@ -695,6 +701,7 @@
         entry->service->refused_us = now_us;
         break;
     case REPORT_LEAVING:
+        entry->said_leaving = true;
         entry->said_leaving_until_us = now_us + LEAVING_LIFE_US;
         break;
     case REPORT_FAILED:
@@ -722,6 +729,10 @@
     else if (report != REPORT_FAILED && report != REPORT_CANCELLED) {
         entry->unreachable = false;
         entry->unreachable_until_us = 0;
+        if (report != REPORT_LEAVING) {
+            entry->said_leaving = false;
+            entry->said_leaving_until_us = 0;
+        }
     }
     if (entry->unreachable != before) {
         tell_change(picker, entry, clock_now_us(picker->clock));
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -261,6 +261,38 @@
     stop_site();
 }
 
+/// Guards against slots that nobody uses while a node is restarted beside a
+/// server that lives on: only this node reaches it.
+static void
+test_stopping_node_still_serves_its_server(void)
+{
+    start_site(MACHINES_USUAL);
+    publish_all();
+    remove_entry(&site.machines[3]);
+    wait_nodes("event=vm_removed upstream_vm=i-3");
+    kill(site.machines[2].node.pid, SIGTERM);
+    CU_ASSERT_TRUE(
+        process_wait_log(&site.machines[2].node, "event=shutdown_started"));
+    int served = 0;
+    for (int i = 0; i < 10; i++) {
+        answer_text_t answer = ask(0, "POST", "/book/a", "id-stop");
+        served += answer.status == 200 ? 1 : 0;
+        answer_text_free(&answer);
+    }
+    CU_ASSERT_EQUAL(served, 10);
+    CU_ASSERT_EQUAL(runs_at(2, "runs"), 10);
+    CU_ASSERT_EQUAL(process_wait(&site.machines[2].node), 0);
+    // Its node is back: the others use the server again within 2 s.
+    start_node(&site.machines[2]);
+    CU_ASSERT_TRUE(
+        process_wait_log(&site.machines[2].node, "upstream_vm=i-2 "));
+    g_usleep(2000000);
+    answer_text_t answer = ask(0, "POST", "/book/a", "id-back");
+    CU_ASSERT_EQUAL(answer.status, 200);
+    answer_text_free(&answer);
+    stop_site();
+}
+
 int
 main(void)
 {
@@ -273,6 +305,7 @@
         {"deaf watches", test_watches_that_hear_nothing},
         {"draining server", test_draining_server},
         {"stop and reload", test_stop_and_reload},
+        {"stopping node", test_stopping_node_still_serves_its_server},
         CU_TEST_INFO_NULL,
     };
     return run_suite("users' platform", tests);
