--- a/src/ibisfield/cli/cmd_check.c
+++ b/src/ibisfield/cli/cmd_check.c
@@ -1,6 +1,7 @@
 /// @file
 /// Command "check": reads settings and contracts and lists every problem.
 
+#include <inttypes.h>
 #include <stdio.h>
 
 #include "ibisfield/cli/commands.h"
@@ -8,11 +9,14 @@
 #include "ibisfield/contract/contract.h"
 #include "ibisfield/contract/json_reader.h"
 #include "ibisfield/contract/settings.h"
+#include "platform/adapter.h"
 
 typedef enum {
     DOCUMENT_BY_FIELDS, ///< told apart by the fields present
     DOCUMENT_SETTINGS,
     DOCUMENT_CONTRACT,
+    DOCUMENT_STATE, ///< all contracts in one, as operators of the users'
+                    ///< platform publish them
 } document_t;
 
 typedef struct {
@@ -28,6 +32,9 @@
     case 's':
         arguments->document = DOCUMENT_SETTINGS;
         return 0;
+    case 'd':
+        arguments->document = DOCUMENT_STATE;
+        return 0;
     case 'c':
         arguments->document = DOCUMENT_CONTRACT;
         return 0;
@@ -135,6 +142,18 @@
     settings_finish(&settings);
 }
 
+static void
+check_state(const char *file, slice_t text, GPtrArray *problems)
+{
+    uint64_t version = 0;
+    uint32_t customers = 0;
+    if (platform_adapter.check_contracts(text, problems, &version, &customers))
+    {
+        printf("%s: valid desired state, version %" PRIu64 ", %u hosts\n",
+               file, version, customers);
+    }
+}
+
 /// @param seen  customers and hosts of the contracts checked before
 static bool
 check_file(const char *file, document_t document, GHashTable *seen)
@@ -149,6 +168,9 @@
     if (problems->len == 0 && document == DOCUMENT_CONTRACT) {
         check_contract(file, text, seen, problems);
     }
+    else if (problems->len == 0 && document == DOCUMENT_STATE) {
+        check_state(file, text, problems);
+    }
     else if (problems->len == 0) {
         check_settings_file(file, text, problems);
     }
@@ -163,6 +185,8 @@
     static const struct argp_option options[] = {
         {"settings", 's', NULL, 0, "Every FILE holds settings", 0},
         {"contract", 'c', NULL, 0, "Every FILE holds a contract", 0},
+        {"desired-state", 'd', NULL, 0,
+         "Every FILE holds a desired state of the users' platform", 0},
         {0},
     };
     static const struct argp argp = {
--- a/src/ibisfield/contract/json_reader.c
+++ b/src/ibisfield/contract/json_reader.c
@@ -432,6 +432,15 @@
     }
 }
 
+/// Returns the value of a field, NULL if there is none.
+struct json_object *
+json_field(struct json_object *object, const char *name)
+{
+    struct json_object *value = NULL;
+    json_object_object_get_ex(object, name, &value);
+    return value;
+}
+
 /// Returns the text of a JSON string, NULL if @p value is not a string or
 /// holds a zero byte.
 const char *
--- a/src/ibisfield/contract/json_reader.h
+++ b/src/ibisfield/contract/json_reader.h
@@ -55,6 +55,7 @@
                       size_t field_count, void *out);
 void json_problem_missing(json_reader_t *reader, const char *path,
                           const json_field_t *field);
+struct json_object *json_field(struct json_object *object, const char *name);
 const char *json_string(struct json_object *value);
 void json_read_int(json_reader_t *reader, const json_field_t *field,
                    const char *path, struct json_object *value, void *out);
--- a/src/ibisfield/io/config_source.h
+++ b/src/ibisfield/io/config_source.h
@@ -36,6 +36,10 @@
 /// What a node needs to run on a foreign platform.
 typedef struct {
     const wire_t *wire;
+    /// Checks what operators publish, without a node: returns false and adds
+    /// problems (char *), or what was found.
+    bool (*check_contracts)(slice_t text, GPtrArray *problems,
+                            uint64_t *version, uint32_t *customers);
     config_source_t *(*source_new)(loop_t *loop, const settings_t *settings,
                                    const config_source_callbacks_t *callbacks,
                                    void *context, change_feed_t *feed);
--- a/test/functional/test_cli.c
+++ b/test/functional/test_cli.c
@@ -117,6 +117,19 @@
         "customer: unknown field");
 }
 
+/// Guards against a desired state that nodes would refuse and the check takes.
+static void
+test_desired_state_is_checked(void)
+{
+    assert_result(RUN("check", "--desired-state",
+                      EXAMPLES "platform/desired-state.json"),
+                  0, "valid desired state, version 12, 1 hosts\n", "");
+    assert_result(RUN("check", "-d", EXAMPLES "rosenheim/contract.json"), 2,
+                  "", "op/config: version: ");
+    assert_result(RUN("check", "-d", EXAMPLES "rosenheim/contract.json"), 2,
+                  "", "op/config: routes: ");
+}
+
 /// Guards against two contracts that claim the same requests.
 static void
 test_contracts_are_compared(void)
@@ -288,6 +301,7 @@
         {"examples", test_examples_are_valid},
         {"explain", test_explain_prints_order_of_shedding},
         {"check", test_check_lists_problems},
+        {"desired state", test_desired_state_is_checked},
         {"contracts together", test_contracts_are_compared},
         {"unusable files", test_unusable_files_are_refused},
         {"run", test_run_refuses_invalid_settings},
