--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -112,21 +112,13 @@
     return deadline_us;
 }
 
-/// Worth that a call has above the request that it is made for. The more of a
-/// chain has run, the more is lost if a call of it is refused. Three levels
-/// stay below the distance of two priorities (10).
-#define STARTED_WORTH 3
-
 static int32_t
-worth_of(const entry_intake_t *intake, bool unchained)
+worth_of(const entry_intake_t *intake)
 {
     int32_t worth = intake->kind->worth;
     if (intake->account != NULL) {
         worth = MAX(worth, intake->account->worth);
     }
-    if (intake->account != NULL && unchained) {
-        worth = MIN(worth + STARTED_WORTH, CONTRACT_WORTH_MAX);
-    }
     if (intake->request->from_peer) {
         worth = MAX(worth, MIN(intake->request->worth, CONTRACT_WORTH_MAX));
     }
@@ -174,7 +166,7 @@
         .is_repeat = intake->account != NULL && intake->account->is_repeat,
         .source = request->source,
         .kind_hash = kind_hash_of(intake),
-        .worth = worth_of(intake, entry->options.unchained),
+        .worth = worth_of(intake),
         .deadline_us = deadline_of(entry, intake),
         .key_life_us = intake->key_life_us,
     };
