Report the pressure of calls that are held back at the sender

The guard of the scarce service reported a pressure of 950 thousandths, the entries had learned 300 to 600: senders hold calls back by a guard's hint, such calls have no answer and so no report, and their chains passed for chains without pressure.

Change: a call that is held back notes the latest pressure that a VM of its service reported, for the request that it is made for, or at the gate. Refusals of such calls are logged with their kind and that pressure (they had neither).

Test that failed before: test_entry_unkeyed "held back".

--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -75,7 +75,7 @@
     uint32_t attempt;       ///< attempt whose answer is passed on; 0: stored
     uint32_t attempts;      ///< sent in all
     uint32_t pressure;      ///< that refused the request, in thousandths
-    const char *kind;       ///< of a request that has no call; else NULL
+    const char *kind;       ///< NULL if the request matches none
     slice_t stored_answer;  ///< replay of a kept answer, valid in the call
     int32_t retry_after_ms; ///< 0: no hint
     char fresh_key[KEY_TEXT_MAX + 1]; ///< "" for none
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -252,13 +252,49 @@
     }
 }
 
+/// Tells what an answer reported of its way to those that decide by it: the
+/// request that the call is made for, or the gate.
+static void
+note_report(entry_t *entry, const entry_call_t *call,
+            const call_report_t *report)
+{
+    if (call->parent != 0) {
+        retry_accounts_note_call(entry->options.accounts, call->parent,
+                                 report);
+    }
+    else if (entry->options.gate != NULL) {
+        root_gate_note(entry->options.gate, call->kind_hash, call->worth,
+                       &(gate_report_t){.permille = report->pressure,
+                                        .cost = report->cost});
+    }
+}
+
+/// A call that is held back here has no answer to report the pressure; without
+/// a report its chain would pass for one that met none, and as many requests
+/// as before would start and fail.
+static void
+note_held_back(entry_t *entry, const entry_call_t *call)
+{
+    note_report(entry, call,
+                &(call_report_t){.pressure = picker_pressure(
+                                     entry->options.picker, call->service)});
+}
+
 /// Ends the call with a refusal. The result of an attempt that still runs for
 /// a key is awaited without the caller.
 void
 entry_refuse_call(entry_t *entry, entry_call_t *call, reason_t reason,
                   outcome_t outcome)
 {
-    entry_answer_t answer = {.reason = reason, .outcome = outcome};
+    entry_answer_t answer = {
+        .reason = reason,
+        .outcome = outcome,
+        .kind = call->kind,
+    };
+    if (reason == REASON_OVERLOADED) {
+        answer.pressure =
+            picker_pressure(entry->options.picker, call->service);
+    }
     settle_key(entry, call, reason, outcome, answer.fresh_key);
     answer.retry_after_ms =
         call->retry_after_ms > 0 && outcome == OUTCOME_NOT_RUN
@@ -305,6 +341,7 @@
     case PICK_OK:
         break;
     case PICK_SHED:
+        note_held_back(entry, call);
         entry_refuse_call(entry, call, REASON_OVERLOADED, OUTCOME_NOT_RUN);
         return;
     default:
@@ -498,23 +535,17 @@
         service_retry_budget_reported(entry->options.service_retries,
                                       call->service, result->load.repeats);
     }
-    if (result->has_load && call->parent != 0) {
-        retry_accounts_note_call(entry->options.accounts, call->parent,
-                                 &(call_report_t){
-                                     .pressure = result->load.pressure,
-                                     .cost = result->load.cost,
-                                     .repeats = result->load.repeats,
-                                 });
-    }
-    else if (result->has_load && entry->options.gate != NULL) {
+    if (result->has_load) {
         // Of a chain that failed, some of the cost is missing.
         bool is_whole =
             result->kind == ATTEMPT_ANSWERED && result->status < 500;
-        root_gate_note(entry->options.gate, call->kind_hash, call->worth,
-                       &(gate_report_t){
-                           .permille = result->load.pressure,
-                           .cost = is_whole ? result->load.cost : 0,
-                       });
+        bool is_call = call->parent != 0;
+        note_report(entry, call,
+                    &(call_report_t){
+                        .pressure = result->load.pressure,
+                        .cost = is_whole || is_call ? result->load.cost : 0,
+                        .repeats = result->load.repeats,
+                    });
     }
     // Nothing of a request that wasn't connected can hold units.
     give_back_units(entry, call,
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -14,6 +14,9 @@
 #define SUBSET_SIZE_DEFAULT 12
 /// A load report loses its meaning within this time.
 #define LOAD_LIFE_US (500 * US_PER_MS)
+/// A reported pressure stands for requests held back here for this time; one
+/// in SHED_PROBE_ONE_IN of them brings a new report.
+#define PRESSURE_LIFE_US (2 * US_PER_S)
 /// One in this many requests is sent although all candidates shed its worth,
 /// so that the end of the shedding is seen.
 #define SHED_PROBE_ONE_IN 32
@@ -784,6 +787,26 @@
     check_health(picker, entry);
 }
 
+/// Returns the highest pressure that a VM of the service reported lately, in
+/// thousandths. Requests that are held back here never reach a guard, so their
+/// way has no other report.
+uint32_t
+picker_pressure(const picker_t *picker, const char *service_name)
+{
+    const service_entry_t *service =
+        g_hash_table_lookup(picker->services, service_name);
+    int64_t since_us = clock_now_us(picker->clock) - PRESSURE_LIFE_US;
+    uint32_t pressure = 0;
+    for (guint i = 0; service != NULL && i < service->subset->len; i++) {
+        const vm_entry_t *entry =
+            vm_at(picker, g_array_index(service->subset, vm_handle_t, i));
+        if (entry != NULL && entry->load_until_us - LOAD_LIFE_US > since_us) {
+            pressure = MAX(pressure, entry->load.pressure);
+        }
+    }
+    return pressure;
+}
+
 /// After how long a second attempt is worth its cost, by recent latencies of
 /// the kind; 0: don't hedge.
 int64_t
--- a/test/unit/test_entry_unkeyed.c
+++ b/test/unit/test_entry_unkeyed.c
@@ -206,6 +206,41 @@
     stop();
 }
 
+/// Guards against a chain that passes for one without pressure because a call
+/// of it was held back here: its entry would go on starting such chains.
+static void
+test_call_that_is_held_back_reports_the_pressure(void)
+{
+    const uint64_t first = 77;
+    const uint64_t second = 78;
+    const retry_account_t account = {.customer = "c",
+                                     .deadline_us = INT64_MAX};
+    start();
+    retry_accounts_open_as(&accounts, first, &account);
+    retry_accounts_open_as(&accounts, second, &account);
+    const guard_load_t load = {.limit = 10, .min_worth = 90, .pressure = 900};
+    for (int done = 0; done < SENT_MAX / 2; done++) {
+        if (done == sent_count) {
+            request("/hours/a", first);
+        }
+        if (done == sent_count) {
+            break; // Held back.
+        }
+        entry_attempt_done(&entry, sent[done].call, sent[done].attempt,
+                           &(attempt_result_t){.kind = ATTEMPT_REFUSED,
+                                               .reason = REASON_OVERLOADED,
+                                               .has_load = true,
+                                               .load = load});
+    }
+    int before = sent_count;
+    request("/hours/b", second);
+    CU_ASSERT_EQUAL(sent_count, before);
+    CU_ASSERT_EQUAL(last.reason, REASON_OVERLOADED);
+    CU_ASSERT_EQUAL(last.outcome, OUTCOME_NOT_RUN);
+    CU_ASSERT_EQUAL(retry_accounts_find(&accounts, second)->pressure, 900);
+    stop();
+}
+
 /// Guards against more arrivals at servers than max_attempts (BUDGET), while
 /// attempts that reached no server are free.
 static void
@@ -303,6 +338,7 @@
 main(void)
 {
     CU_TestInfo tests[] = {
+        {"held back", test_call_that_is_held_back_reports_the_pressure},
         {"lost", test_booking_is_not_sent_again_after_a_lost_answer},
         {"proof", test_booking_goes_on_after_a_proof},
         {"attempts", test_attempts_that_reach_a_server_are_bounded},
