--- a/src/ibisfield/admission/root_gate.c
+++ b/src/ibisfield/admission/root_gate.c
@@ -7,14 +7,11 @@
 
 #include <math.h>
 
-/// Least weight of a report: the mean age of the learned pressure is 5 answers.
-/// Seldom ones weigh more, by the time that has passed.
+/// Weight of a report: the mean age of the learned pressure is 5 answers.
 #define REPORT_WEIGHT 0.2
 /// Without reports the pressure halves in this time, so that requests are let
-/// in again, but not before those that were let in could report: an answer
-/// takes about half a second, and one in ten requests is always let in.
+/// in again.
 #define HALF_LIFE_US (700 * US_PER_MS)
-#define HOLD_US US_PER_S
 /// Weight of a report in the learned costs, which change slowly.
 #define COST_WEIGHT 0.05
 /// Requests of lower worth are refused more than the pressure says and those
@@ -58,8 +55,7 @@
 static double
 pressure_now(const root_gate_t *gate, const gate_kind_t *kind)
 {
-    double age_us =
-        (double)(clock_now_us(gate->clock) - kind->noted_us - HOLD_US);
+    double age_us = (double)(clock_now_us(gate->clock) - kind->noted_us);
     return kind->pressure * exp2(-MAX(age_us, 0) / HALF_LIFE_US);
 }
 
@@ -81,13 +77,10 @@
         g_hash_table_insert(gate->kinds,
                             g_memdup2(&kind_hash, sizeof(kind_hash)), kind);
     }
-    int64_t now_us = clock_now_us(gate->clock);
     double before = kind->noted_us == 0 ? 0 : pressure_now(gate, kind);
-    double age_us = (double)MAX(now_us - kind->noted_us, 0);
-    double weight = MAX(REPORT_WEIGHT, 1 - exp2(-age_us / HALF_LIFE_US));
     double pressure = MIN(report->permille, 1000) / 1000.0;
-    kind->pressure = before + weight * (pressure - before);
-    kind->noted_us = now_us;
+    kind->pressure = before + REPORT_WEIGHT * (pressure - before);
+    kind->noted_us = clock_now_us(gate->clock);
     if (report->cost > 0) {
         learn_cost(&kind->cost, report->cost);
         if (worth < gate->top_worth) {
