Count a sender's requests by the window that guards use

Cause: the retry budget of a sender and the share of repeats of a guard counted the same sliding window, each with code of its own. Change: the budget holds a repeat_share_t.

--- a/src/ibisfield/retry/repeat_share.c
+++ b/src/ibisfield/retry/repeat_share.c
@@ -1,6 +1,7 @@
 /// @file
-/// Share of repeats among the arrivals at an upstream. The guard sees all of
-/// them, whoever sent them, and reports the share to senders on each answer.
+/// Share of repeats among arrivals. A guard sees all that reach its upstream,
+/// whoever sent them, and reports the share to senders on each answer; a
+/// sender counts its own.
 
 #include "ibisfield/retry/repeat_share.h"
 
@@ -47,17 +48,25 @@
     share->repeats[now] += is_repeat ? 1 : 0;
 }
 
-/// Returns the repeats for each thousand first arrivals in the window.
-uint32_t
-repeat_share_permille(const repeat_share_t *share)
+/// Returns what arrived in the newest parts of the window.
+repeat_counts_t
+repeat_share_counts(const repeat_share_t *share, int parts)
 {
     repeat_share_t now = *share;
-    uint64_t first = 0;
-    uint64_t repeats = 0;
+    repeat_counts_t counts = {0};
     move_window(&now);
-    for (int i = 0; i < REPEAT_SHARE_PARTS; i++) {
-        first += now.first[i];
-        repeats += now.repeats[i];
+    for (int i = 0; i < MIN(parts, REPEAT_SHARE_PARTS); i++) {
+        int64_t part = now.part - i + REPEAT_SHARE_PARTS;
+        counts.first += now.first[part % REPEAT_SHARE_PARTS];
+        counts.repeats += now.repeats[part % REPEAT_SHARE_PARTS];
     }
-    return (uint32_t)(1000 * repeats / MAX(first, FIRST_MIN));
+    return counts;
+}
+
+/// Returns the repeats for each thousand first arrivals in the window.
+uint32_t
+repeat_share_permille(const repeat_share_t *share)
+{
+    repeat_counts_t counts = repeat_share_counts(share, REPEAT_SHARE_PARTS);
+    return (uint32_t)(1000 * counts.repeats / MAX(counts.first, FIRST_MIN));
 }
--- a/src/ibisfield/retry/service_retry_budget.c
+++ b/src/ibisfield/retry/service_retry_budget.c
@@ -14,7 +14,8 @@
 static const double use_limits[] = {0.85, 0.7, 0.6, 0.45};
 /// Requests below the highest worth end at this part of the limit.
 #define LOWER_WORTH_USE 0.7
-/// No request is repeated above this part of the ratio.
+/// No request is repeated above this part of the ratio, none below the highest
+/// worth above the second: the rest is for those that are shed last.
 #define USE_MAX 0.95
 #define LOWER_WORTH_USE_MAX 0.4
 /// Repeats of the newest parts of the window that reports may not hold yet.
@@ -33,15 +34,11 @@
 /// Repeats to a service that calls no other which a node may send in any
 /// window. A site's slack is several for each node.
 #define LAST_LEVEL_MIN 1.0
-/// A sliding window is counted in this many parts.
-#define WINDOW_PARTS 10
 
 typedef struct {
-    uint32_t first[WINDOW_PARTS];
-    uint32_t repeats[WINDOW_PARTS];
-    int32_t top_worth; ///< highest of the window's first requests
-    int64_t part;      ///< number of the newest part since the clock's start
-    double reported;   ///< learned share of repeats at the service and below
+    repeat_share_t sent; ///< by this node
+    int32_t top_worth;   ///< highest of the first requests
+    double reported;     ///< learned share of repeats at the service and below
     int64_t reported_us;
 } service_counts_t;
 
@@ -71,24 +68,10 @@
     service_counts_t *counts = g_hash_table_lookup(budget->services, service);
     if (counts == NULL) {
         counts = g_new0(service_counts_t, 1);
+        repeat_share_init(&counts->sent, budget->clock,
+                          budget->limits.window_us);
         g_hash_table_insert(budget->services, g_strdup(service), counts);
     }
-    int64_t part = clock_now_us(budget->clock) /
-                   MAX(budget->limits.window_us / WINDOW_PARTS, 1);
-    int64_t passed = part - counts->part;
-    if (passed < 0 || passed >= WINDOW_PARTS) {
-        *counts = (service_counts_t){
-            .part = part,
-            .reported = counts->reported,
-            .reported_us = counts->reported_us,
-        };
-        return counts;
-    }
-    for (; counts->part < part; counts->part++) {
-        size_t next = (size_t)((counts->part + 1) % WINDOW_PARTS);
-        counts->first[next] = 0;
-        counts->repeats[next] = 0;
-    }
     return counts;
 }
 
@@ -98,8 +81,10 @@
                            int32_t worth)
 {
     service_counts_t *counts = counts_of(budget, service);
-    counts->first[counts->part % WINDOW_PARTS]++;
-    counts->top_worth = MAX(counts->top_worth, worth);
+    bool is_idle =
+        repeat_share_counts(&counts->sent, REPEAT_SHARE_PARTS).first == 0;
+    counts->top_worth = is_idle ? worth : MAX(counts->top_worth, worth);
+    repeat_share_arrived(&counts->sent, false);
 }
 
 /// An answer reported the share of repeats, for each thousand first arrivals.
@@ -126,25 +111,14 @@
            clock_now_us(budget->clock) - counts->reported_us < REPORT_LIFE_US;
 }
 
-/// Sum of one kind of count over the newest parts of the window.
-static double
-sum_of(const service_counts_t *counts, const uint32_t *values, int parts)
-{
-    double sum = 0;
-    for (int i = 0; i < parts; i++) {
-        int64_t part = counts->part - i + WINDOW_PARTS;
-        sum += values[part % WINDOW_PARTS];
-    }
-    return sum;
-}
-
 /// The reported share, with what was sent too lately to be in the reports. The
 /// other nodes and the other levels of the chain send alike.
 static double
 expected_share(const service_counts_t *counts)
 {
-    double first = sum_of(counts, counts->first, WINDOW_PARTS);
-    double pending = sum_of(counts, counts->repeats, PENDING_PARTS);
+    double first =
+        repeat_share_counts(&counts->sent, REPEAT_SHARE_PARTS).first;
+    double pending = repeat_share_counts(&counts->sent, PENDING_PARTS).repeats;
     return counts->reported + PENDING_WEIGHT * pending / MAX(first, 1);
 }
 
@@ -154,7 +128,8 @@
                 const service_counts_t *counts, uint32_t depth, int32_t worth)
 {
     double ratio = budget->limits.ratio;
-    double all = ratio * sum_of(counts, counts->first, WINDOW_PARTS);
+    double all =
+        ratio * repeat_share_counts(&counts->sent, REPEAT_SHARE_PARTS).first;
     bool lower = worth < counts->top_worth;
     if (is_reported(budget, counts)) {
         double share = expected_share(counts);
@@ -178,10 +153,11 @@
                           uint32_t depth, int32_t worth)
 {
     service_counts_t *counts = counts_of(budget, service);
-    double taken = sum_of(counts, counts->repeats, WINDOW_PARTS);
+    double taken =
+        repeat_share_counts(&counts->sent, REPEAT_SHARE_PARTS).repeats;
     if (taken + 1 > allowed_repeats(budget, counts, depth, worth)) {
         return false;
     }
-    counts->repeats[counts->part % WINDOW_PARTS]++;
+    repeat_share_arrived(&counts->sent, true);
     return true;
 }
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -28,6 +28,7 @@
 #define GAP_MAX_MS 450
 #define LENGTH_MIN_MS 100
 #define LENGTH_MAX_MS 3000
+#define LENGTH_MAX_US ((gint64)LENGTH_MAX_MS * 1000)
 /// Time after the last fault in which everything serves again; the users'
 /// bound on recovery is 15 s.
 #define RECOVERY_LIMIT_US ((gint64)15 * G_USEC_PER_SEC)
@@ -272,7 +273,7 @@
     if (!fault->ends && state->stopping_us == 0 && node->pid > 0) {
         process_stop(node, SIGKILL);
         state->harmed_us = now_us;
-        note_harm(fault->machine, now_us, now_us + LENGTH_MAX_MS * 1000);
+        note_harm(fault->machine, now_us, now_us + LENGTH_MAX_US);
     }
     else if (fault->ends && node->pid == 0) {
         restart_node(fault->machine);
@@ -295,7 +296,7 @@
         state->harmed_us = now_us;
     }
     note_harm(fault->machine, fault->ends ? state->harmed_us : now_us,
-              fault->ends ? now_us : now_us + LENGTH_MAX_MS * 1000);
+              fault->ends ? now_us : now_us + LENGTH_MAX_US);
 }
 
 static void
@@ -418,7 +419,7 @@
         if (soak.nodes[i].stopping_us != 0 &&
             (process_has_ended(&site.machines[i].node) ||
              g_get_monotonic_time() - soak.nodes[i].stopping_us >
-                 STOP_LIMIT_US + LENGTH_MAX_MS * 1000))
+                 STOP_LIMIT_US + LENGTH_MAX_US))
         {
             end_stop(i);
         }
@@ -530,7 +531,7 @@
     }
     if (request->end == ENDED_TIMEOUT ||
         (request->end == ENDED_ANSWERED &&
-         took_us > SOAK_BUDGET_MS * 1000 + LATE_US))
+         took_us > (gint64)SOAK_BUDGET_MS * 1000 + LATE_US))
     {
         violation("%s to machine %d ended after %.1f s (status %d)",
                   request->id, request->machine,
--- a/test/soak/soak_client.c
+++ b/test/soak/soak_client.c
@@ -41,7 +41,7 @@
 set_limits(int fd, int limit_ms)
 {
     struct timeval limit = {.tv_sec = limit_ms / 1000,
-                            .tv_usec = (limit_ms % 1000) * 1000};
+                            .tv_usec = (suseconds_t)(limit_ms % 1000) * 1000};
     int on = 1;
     (void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     (void)setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
