Keep the window of repeats inside its bounds when the clock goes below zero

A part of the window was numbered by a time below zero and its remainder taken as it is. The boot clock of a node doesn't get there. Change: the place of a part is never negative.

--- a/src/ibisfield/retry/repeat_share.c
+++ b/src/ibisfield/retry/repeat_share.c
@@ -19,6 +19,14 @@
     *share = (repeat_share_t){.clock = clock, .window_us = window_us};
 }
 
+/// Place of a part. A clock may be stepped back below 0.
+static size_t
+place_of(int64_t part)
+{
+    int64_t rest = part % REPEAT_SHARE_PARTS;
+    return (size_t)(rest < 0 ? rest + REPEAT_SHARE_PARTS : rest);
+}
+
 /// Drops the parts that the window has left behind.
 static void
 move_window(repeat_share_t *share)
@@ -32,7 +40,7 @@
         return;
     }
     for (; share->part < part; share->part++) {
-        size_t next = (size_t)((share->part + 1) % REPEAT_SHARE_PARTS);
+        size_t next = place_of(share->part + 1);
         share->first[next] = 0;
         share->repeats[next] = 0;
     }
@@ -43,7 +51,7 @@
 repeat_share_arrived(repeat_share_t *share, bool is_repeat)
 {
     move_window(share);
-    size_t now = (size_t)(share->part % REPEAT_SHARE_PARTS);
+    size_t now = place_of(share->part);
     share->first[now] += is_repeat ? 0 : 1;
     share->repeats[now] += is_repeat ? 1 : 0;
 }
@@ -56,9 +64,9 @@
     repeat_counts_t counts = {0};
     move_window(&now);
     for (int i = 0; i < MIN(parts, REPEAT_SHARE_PARTS); i++) {
-        int64_t part = now.part - i + REPEAT_SHARE_PARTS;
-        counts.first += now.first[part % REPEAT_SHARE_PARTS];
-        counts.repeats += now.repeats[part % REPEAT_SHARE_PARTS];
+        size_t place = place_of(now.part - i);
+        counts.first += now.first[place];
+        counts.repeats += now.repeats[place];
     }
     return counts;
 }
