Ask nodes that are ahead for the changes that this node lacks

Cause: a node had one way to the store's state, its own watch or the two readers it follows. A store that turns a machine away in silence leaves the watch open and its connection alive, so neither the node nor its followers notice for up to 22 s, although they exchange requests with up-to-date nodes all the while. Change: each response of a guard names the revision that its node holds. A node that stays behind such a revision for 300 ms requests the changes from that node (message catch-up, answered at once). A reader passes on what it learned this way although it can't read the store, and refuses its followers 0.4 s after its reads began to fail instead of at the end of their polls. Evidence: functional_test_store 'unanswered watch' fails on (neither the version nor the removal within 2 s) and passes here.

--- a/src/ibisfield/config/control_defs.h
+++ b/src/ibisfield/config/control_defs.h
@@ -30,6 +30,8 @@
 ///   the steps of anti-entropy. LIST requests the versions in one group of
 ///   items; it has nothing to do with config_list_t.
 /// - FOLLOW with its reply CHANGES: long poll of another node's change feed.
+/// - CATCH_UP with its reply CHANGES: request to a node that holds a later
+///   revision; never waits.
 #define CONTROL_TYPE_LIST(X)                                                  \
     X(ACK, "ack", OTHER, 0)                                                   \
     X(REFUSED, "refused", OTHER, FIELD_REASON)                                \
@@ -43,7 +45,8 @@
     X(ITEMS, "items", FETCH, FIELD_ITEMS)                                     \
     X(FOLLOW, "follow", FOLLOW, FIELD_REVISION)                               \
     X(CHANGES, "changes", FOLLOW,                                             \
-      FIELD_REVISION | FIELD_IS_SNAPSHOT | FIELD_REMOVAL_GRACE | FIELD_ITEMS)
+      FIELD_REVISION | FIELD_IS_SNAPSHOT | FIELD_REMOVAL_GRACE | FIELD_ITEMS) \
+    X(CATCH_UP, "catch-up", FOLLOW, FIELD_REVISION)
 
 typedef enum {
 #define CONTROL_ENUM(id, name, group, fields) CONTROL_##id,
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -281,6 +281,26 @@
              error == NULL ? "" : error);
 }
 
+/// Tells the feed which revision of the configuration the other node holds.
+static void
+note_peer_revision(const caller_attempt_t *attempt,
+                   const http_response_t *response)
+{
+    const caller_server_options_t *options = &attempt->call->server->options;
+    const vm_info_t *vm = vm_view_find(options->vms, attempt->vm);
+    int64_t revision = 0;
+    if (vm == NULL || !parse_number(http_header_find(response->headers,
+                                                     response->header_count,
+                                                     HEADER_REVISION),
+                                    INT64_MAX, &revision))
+    {
+        return;
+    }
+    endpoint_t peer = {.port = vm->peer_port};
+    g_strlcpy(peer.address, vm->address, sizeof(peer.address));
+    change_feed_note_peer_revision(options->feed, &peer, (uint64_t)revision);
+}
+
 static void
 report_attempt_result(caller_attempt_t *attempt,
                       const http_response_t *response)
@@ -289,6 +309,7 @@
     caller_server_t *server = call->server;
     attempt_result_t result;
     peer_client_read_result(&result, response);
+    note_peer_revision(attempt, response);
     log_failed_attempt(attempt, &result, response->error);
     GByteArray *stored = NULL;
     if (attempt->at_most_once && result.type == ATTEMPT_ANSWERED) {
--- a/src/ibisfield/io/caller_server.h
+++ b/src/ibisfield/io/caller_server.h
@@ -2,6 +2,7 @@
 #define IBISFIELD_IO_CALLER_SERVER_H
 
 #include "ibisfield/call/entry.h"
+#include "ibisfield/io/change_feed.h"
 #include "ibisfield/io/customers.h"
 #include "ibisfield/io/header_names.h"
 #include "ibisfield/io/http_server.h"
@@ -23,6 +24,7 @@
     const header_names_t *header_names; ///< NULL: the ibisfield- headers
     const char *service;                ///< of the upstream on this VM
     call_depths_t *depths;
+    change_feed_t *feed;
 } caller_server_options_t;
 
 /// Adapter between the entry and HTTP. It takes requests of callers, calls of
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -35,6 +35,12 @@
 /// of VMs selects other readers.
 #define FOLLOWED_TTL_US (3 * US_PER_S)
 #define TICK_US (100 * US_PER_MS)
+/// A node may be behind others for this long before it asks one of them. It
+/// exceeds the delay between two watches, by which nodes usually differ.
+#define CATCH_UP_DELAY_US (300 * US_PER_MS)
+#define CATCH_UP_TIMEOUT_US US_PER_S
+/// A watch that the source has cut is replaced within this time.
+#define SOURCE_LOST_MAX_US (400 * US_PER_MS)
 /// Removals kept for followers. If there are more, all are discarded, and
 /// followers at an older revision get a snapshot.
 #define TOMBSTONES_MAX 2048
@@ -104,24 +110,25 @@
 }
 
 /// Returns whether there are changes for a follower that holds all changes up
-/// to @p after. A follower from before the start of the history gets a
-/// snapshot in any case, since removals may have been discarded.
+/// to @p after. It gets them even if this node can't read the source.
 static bool
 has_changes_after(const change_feed_t *feed, uint64_t after)
 {
-    return feed->reads_source && feed->source_ok &&
-           (feed->items.revision > after || after < feed->items.history_start);
+    return feed->items.revision > after;
 }
 
 static void
 complete_pending_polls(change_feed_t *feed)
 {
     int64_t now_us = feed_now_us(feed);
+    bool source_lost = feed->source_lost_us != 0 &&
+                       now_us - feed->source_lost_us >= SOURCE_LOST_MAX_US;
     GList *link = feed->pending_polls.head;
     while (link != NULL) {
         GList *next = link->next;
         pending_poll_t *pending = link->data;
-        bool due = now_us >= pending->deadline_us || feed->draining;
+        bool due =
+            now_us >= pending->deadline_us || feed->draining || source_lost;
         if (due || has_changes_after(feed, pending->after)) {
             g_queue_delete_link(&feed->pending_polls, link);
             if (feed->draining || !feed->reads_source || !feed->source_ok) {
@@ -161,7 +168,7 @@
     feed->callbacks.set_source_reading(feed->context, wanted);
 }
 
-/* Polls of readers. */
+/* Requests to other nodes. */
 
 static void
 stop_subscription(feed_subscription_t *subscription)
@@ -220,30 +227,43 @@
     }
 }
 
-static void
-handle_poll_response(void *context, const http_response_t *response)
+/// Reads the response to a request for changes. Returns NULL if it contains
+/// changes; otherwise the error, which is valid until @p message is cleared.
+/// The caller clears @p message in both cases.
+static const char *
+read_changes(control_message_t *message, const http_response_t *response)
 {
-    feed_subscription_t *subscription = context;
-    change_feed_t *feed = subscription->feed;
-    subscription->exchange = NULL;
+    *message = (control_message_t){0};
     if (response->result != HTTP_COMPLETE) {
-        handle_poll_failure(subscription, response->error);
-        return;
+        return response->error;
     }
-    control_message_t message;
     uint64_t version = 0;
-    if (control_decode(&message, response->body, &version) != DECODE_OK) {
+    if (control_decode(message, response->body, &version) != DECODE_OK) {
+        *message = (control_message_t){0};
         metric_increment(METRIC_CONTROL_MESSAGES_INVALID);
-        handle_poll_failure(subscription,
-                            "the response is not a valid control message");
-        return;
+        return "the response is not a valid control message";
     }
-    control_count_received(message.type, response->body.len);
-    if (message.type != CONTROL_CHANGES) {
-        handle_poll_failure(subscription,
-                            message.type == CONTROL_REFUSED
-                                ? message.reason
-                                : control_type_name(message.type));
+    control_count_received(message->type, response->body.len);
+    switch (message->type) {
+    case CONTROL_CHANGES:
+        return NULL;
+    case CONTROL_REFUSED:
+        return message->reason;
+    default:
+        return control_type_name(message->type);
+    }
+}
+
+static void
+handle_poll_response(void *context, const http_response_t *response)
+{
+    feed_subscription_t *subscription = context;
+    change_feed_t *feed = subscription->feed;
+    control_message_t message;
+    subscription->exchange = NULL;
+    const char *error = read_changes(&message, response);
+    if (error != NULL) {
+        handle_poll_failure(subscription, error);
     }
     else {
         apply_changes(feed, &message);
@@ -259,14 +279,13 @@
     control_message_clear(&message);
 }
 
-/// Polls the reader for the changes after the revision held here.
-static void
-poll_reader(void *context)
+/// Sends a request of @p type for the changes after the revision held here.
+static http_exchange_t *
+request_changes(change_feed_t *feed, http_pool_t *pool, control_type_t type,
+                int64_t timeout_us, http_done_t done, void *context)
 {
-    feed_subscription_t *subscription = context;
-    change_feed_t *feed = subscription->feed;
     control_message_t message;
-    control_message_init(&message, CONTROL_FOLLOW, feed->settings->vm);
+    control_message_init(&message, type, feed->settings->vm);
     message.revision = feed->items.revision;
     GByteArray *bytes = g_byte_array_new();
     control_encode(&message, bytes);
@@ -277,31 +296,128 @@
         {SLICE_LITERAL(HEADER_PROTOCOL), SLICE_LITERAL(PROTOCOL_VERSION)},
         {SLICE_LITERAL(HEADER_CONTROL), SLICE_LITERAL("1")},
     };
-    subscription->exchange = http_exchange_start(
-        subscription->pool, SLICE_LITERAL("POST"), SLICE_LITERAL("/"), headers,
-        G_N_ELEMENTS(headers),
-        (slice_t){(const char *)bytes->data, bytes->len}, POLL_TIMEOUT_US,
-        handle_poll_response, subscription);
+    http_exchange_t *exchange =
+        http_exchange_start(pool, SLICE_LITERAL("POST"), SLICE_LITERAL("/"),
+                            headers, G_N_ELEMENTS(headers),
+                            (slice_t){(const char *)bytes->data, bytes->len},
+                            timeout_us, done, context);
     g_byte_array_unref(bytes);
     control_message_clear(&message);
+    return exchange;
+}
+
+static http_pool_t *
+new_peer_pool(const change_feed_t *feed, const endpoint_t *peer)
+{
+    return http_pool_new_with_options(
+        feed->loop, &(http_pool_options_t){
+                        .endpoint = *peer,
+                        .connections_max = 1,
+                        .max_response_bytes = CONTROL_MESSAGE_MAX_BYTES,
+                        .connect_timeout_us = CONNECT_TIMEOUT_US,
+                    });
+}
+
+static void
+poll_reader(void *context)
+{
+    feed_subscription_t *subscription = context;
+    subscription->exchange =
+        request_changes(subscription->feed, subscription->pool, CONTROL_FOLLOW,
+                        POLL_TIMEOUT_US, handle_poll_response, subscription);
 }
 
 static void
 start_subscription(feed_subscription_t *subscription, const endpoint_t *reader)
 {
     subscription->reader = *reader;
-    subscription->pool = http_pool_new_with_options(
-        subscription->feed->loop,
-        &(http_pool_options_t){
-            .endpoint = *reader,
-            .connections_max = 1,
-            .max_response_bytes = CONTROL_MESSAGE_MAX_BYTES,
-            .connect_timeout_us = CONNECT_TIMEOUT_US,
-        });
+    subscription->pool = new_peer_pool(subscription->feed, reader);
     loop_timer_start(subscription->feed->loop, &subscription->poll_timer, 0,
                      poll_reader, subscription);
 }
 
+static void
+stop_catch_up(change_feed_t *feed)
+{
+    feed_catch_up_t *catch_up = &feed->catch_up;
+    if (catch_up->exchange != NULL) {
+        http_exchange_cancel(catch_up->exchange);
+        catch_up->exchange = NULL;
+    }
+    g_clear_pointer(&catch_up->pool, http_pool_release);
+}
+
+static void
+handle_catch_up_response(void *context, const http_response_t *response)
+{
+    change_feed_t *feed = context;
+    feed_catch_up_t *catch_up = &feed->catch_up;
+    control_message_t message;
+    uint64_t before = feed->items.revision;
+    catch_up->exchange = NULL;
+    const char *error = read_changes(&message, response);
+    if (error == NULL) {
+        apply_changes(feed, &message);
+    }
+    log_info("feed_caught_up",
+             "node=%s error=\"%s\" before=%" PRIu64 " revision=%" PRIu64
+             " reported=%" PRIu64,
+             catch_up->peer.address, error == NULL ? "" : error, before,
+             feed->items.revision, catch_up->revision);
+    control_message_clear(&message);
+    stop_catch_up(feed);
+    if (error != NULL) {
+        // The next node that reports a later revision is asked instead.
+        metric_increment(METRIC_CONTROL_EXCHANGES_FAILED);
+        catch_up->revision = 0;
+    }
+}
+
+/// Requests the missing changes from another node if this node has been behind
+/// it for too long.
+static void
+catch_up_if_behind(change_feed_t *feed)
+{
+    feed_catch_up_t *catch_up = &feed->catch_up;
+    if (catch_up->revision > feed->items.revision &&
+        catch_up->exchange == NULL && feed_now_us(feed) >= catch_up->due_us)
+    {
+        catch_up->pool = new_peer_pool(feed, &catch_up->peer);
+        catch_up->exchange = request_changes(
+            feed, catch_up->pool, CONTROL_CATCH_UP, CATCH_UP_TIMEOUT_US,
+            handle_catch_up_response, feed);
+    }
+}
+
+/// Notes the revision that another node holds. If this node doesn't reach it
+/// by itself soon, it requests the changes from that node.
+void
+change_feed_note_peer_revision(change_feed_t *feed, const endpoint_t *peer,
+                               uint64_t revision)
+{
+    feed_catch_up_t *catch_up = &feed->catch_up;
+    // Before its first listing a node doesn't know what removals it missed.
+    if (feed->items.revision == 0 || revision <= feed->items.revision ||
+        catch_up->exchange != NULL)
+    {
+        return;
+    }
+    if (catch_up->revision <= feed->items.revision) {
+        catch_up->due_us = feed_now_us(feed) + CATCH_UP_DELAY_US;
+    }
+    if (revision >= catch_up->revision) {
+        catch_up->revision = revision;
+        catch_up->peer = *peer;
+    }
+}
+
+/// Returns the revision up to which this node holds all changes; 0: none.
+uint64_t
+change_feed_revision(const change_feed_t *feed)
+{
+    return feed->items.revision;
+}
+
 /* Selection of readers: the nodes of the data centre that rendezvous hashing
    over the published list ranks first. Nodes with equal lists select the same
    readers without exchanging messages. */
@@ -411,6 +527,7 @@
     }
     update_source_reading(feed);
     complete_pending_polls(feed);
+    catch_up_if_behind(feed);
     loop_timer_start(feed->loop, &feed->tick_timer, TICK_US, tick, feed);
 }
 
@@ -440,6 +557,7 @@
     for (int i = 0; i < FEED_SUBSCRIPTIONS; i++) {
         stop_subscription(&feed->subscriptions[i]);
     }
+    stop_catch_up(feed);
     g_queue_clear_full(&feed->pending_polls, g_free);
     g_hash_table_destroy(feed->members);
     item_feed_finish(&feed->items);
@@ -520,18 +638,22 @@
     complete_pending_polls(feed);
 }
 
-/// Sets whether the last read of the source by this node succeeded.
+/// Sets whether the last read of the source by this node succeeded. Followers
+/// are refused if no read succeeds for SOURCE_LOST_MAX_US, so that they look
+/// elsewhere.
 void
 change_feed_set_source_ok(change_feed_t *feed, bool ok)
 {
     feed->source_ok = ok && feed->reads_source;
+    feed->source_lost_us = ok ? 0 : feed_now_us(feed);
     complete_pending_polls(feed);
 }
 
 /* Requests from followers. */
 
-/// Handles a follower's long poll. The response is sent at the next change,
-/// after POLL_WAIT_US at the latest.
+/// Handles a request for changes. A follower's long poll gets its response at
+/// the next change, after POLL_WAIT_US at the latest; a node that catches up
+/// gets it at once.
 void
 change_feed_handle(change_feed_t *feed, http_request_t *request)
 {
@@ -545,6 +667,11 @@
         return;
     }
     control_count_received(message.type, request->body.len);
+    if (message.type == CONTROL_CATCH_UP) {
+        send_changes(feed, request, message.revision);
+        control_message_clear(&message);
+        return;
+    }
     pending_poll_t *pending = g_new0(pending_poll_t, 1);
     pending->request = request;
     pending->after = message.revision;
--- a/src/ibisfield/io/change_feed.h
+++ b/src/ibisfield/io/change_feed.h
@@ -42,6 +42,17 @@
     bool selected;           ///< for use in update_subscriptions() only
 } feed_subscription_t;
 
+/// Request for the changes that another node holds and this one lacks. Its own
+/// way to the source, a watch or its readers, may be silent without having
+/// failed.
+typedef struct {
+    endpoint_t peer;   ///< reported the revision last
+    uint64_t revision; ///< highest that another node reported
+    int64_t due_us;    ///< time of the next request, if still behind
+    http_pool_t *pool;
+    http_exchange_t *exchange; ///< NULL: none in progress
+} feed_catch_up_t;
+
 /// Distributes the changes of a source among the nodes of a data centre: a few
 /// nodes (the readers) read it, each of the others polls two readers.
 struct change_feed {
@@ -58,6 +69,8 @@
     bool source_ok;    ///< the last read by this node succeeded
     bool draining;     ///< followers are refused
     feed_subscription_t subscriptions[FEED_SUBSCRIPTIONS];
+    feed_catch_up_t catch_up;
+    int64_t source_lost_us;    ///< start of failing reads; 0: none
     GQueue pending_polls;      ///< pending_poll_t, of followers
     int64_t followed_until_us; ///< end of FOLLOWED_TTL_US
     loop_timer_t tick_timer;
@@ -79,6 +92,10 @@
 void change_feed_advance(change_feed_t *feed, uint64_t revision);
 void change_feed_set_source_ok(change_feed_t *feed, bool ok);
 
+uint64_t change_feed_revision(const change_feed_t *feed);
+void change_feed_note_peer_revision(change_feed_t *feed,
+                                    const endpoint_t *peer, uint64_t revision);
+
 void change_feed_handle(change_feed_t *feed, http_request_t *request);
 void change_feed_disconnected(change_feed_t *feed, http_request_t *request);
 void change_feed_write_status(const change_feed_t *feed,
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -33,6 +33,8 @@
 /// Retry tokens that were granted to the attempt and not spent.
 #define HEADER_RETRIES_LEFT "ibisfield-retries-left"
 #define HEADER_RETRY_AFTER_MS "ibisfield-retry-after-ms"
+/// Revision of the configuration that the responding node holds.
+#define HEADER_REVISION "ibisfield-revision"
 #define HEADER_SERVICE "ibisfield-service"
 /// "1": the upstream shed the request.
 #define HEADER_SHED "ibisfield-shed"
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -426,6 +426,7 @@
                                                  .header_names = header_names,
                                                  .service = settings->service,
                                                  .depths = &node->depths,
+                                                 .feed = &node->feed,
                                              });
     peer_server_init(&node->peer_server,
                      &(peer_server_options_t){
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -46,7 +46,8 @@
 }
 
 static void
-add_guard_headers(message_t *message, const guard_response_t *response)
+add_guard_headers(message_t *message, const peer_server_t *server,
+                  const guard_response_t *response)
 {
     char load[128];
     guard_load_format(&response->load, load, sizeof(load));
@@ -54,6 +55,10 @@
     message_add_string(message, HEADER_LOAD, load);
     message_add_number(message, HEADER_RETRIES_LEFT,
                        response->retry_tokens_left);
+    uint64_t revision = change_feed_revision(server->options.feed);
+    if (revision > 0) {
+        message_add_number(message, HEADER_REVISION, (int64_t)revision);
+    }
 }
 
 static bool
@@ -126,7 +131,7 @@
         metric_increment(METRIC_GUARD_REFUSALS_TOTAL);
         log_refusal(call, response);
     }
-    add_guard_headers(&message, response);
+    add_guard_headers(&message, server, response);
     http_request_respond(detach_request(call, outcome), message.status,
                          message.headers, message.header_count, body);
     message_finish(&message);
--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -139,7 +139,6 @@
 start_node(machine_t *machine)
 {
     int number = site.next_log_number++;
-    bool proxied = strcmp(machine->published_address, machine->address) != 0;
     char *settings = g_strdup_printf(
         "{\"vm\":\"vm-%d\",\"data_centre\":\"z\",\"service\":\"%s\","
         "\"caller_listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
@@ -148,8 +147,7 @@
         number, machine->service, machine->address, PORT_CALLER,
         machine->address, PORT_PEER, machine->address, PORT_READINESS,
         machine->address, PORT_OPERATOR, machine->published_address,
-        PORT_UPSTREAM, proxied ? machine->published_address : site.address,
-        PORT_STORE);
+        PORT_UPSTREAM, machine->store_address, PORT_STORE);
     char *file = g_strdup_printf("%s/node%d.json", site.directory, number);
     char *log = g_strdup_printf("%s/node%d.log", site.directory, number);
     CU_ASSERT_TRUE_FATAL(g_file_set_contents(file, settings, -1, NULL));
@@ -161,12 +159,12 @@
     g_free(log);
 }
 
-/// Starts a site. @p set_published_address may change the published address
-/// of each machine before its processes start; if it is NULL, machines publish
-/// their own.
+/// Starts a site. @p set_addresses may change the published address and the
+/// store's address of each machine before its processes start; if it is NULL,
+/// machines publish their own address and read the store directly.
 void
 start_site_with_addresses(int machines,
-                          void (*set_published_address)(machine_t *machine))
+                          void (*set_addresses)(machine_t *machine))
 {
     static int next_host = 1;
     if (next_host + machines >= HOSTS_MAX) {
@@ -194,8 +192,10 @@
         machine->service = i < site.machine_count / 2 ? "front" : "back";
         g_strlcpy(machine->published_address, machine->address,
                   sizeof(machine->published_address));
-        if (set_published_address != NULL) {
-            set_published_address(machine);
+        g_strlcpy(machine->store_address, site.address,
+                  sizeof(machine->store_address));
+        if (set_addresses != NULL) {
+            set_addresses(machine);
         }
         start_server(machine);
         start_node(machine);
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -16,6 +16,7 @@
     /// Address in the server record, which other machines use: that of a proxy
     /// or the machine's own.
     char published_address[16];
+    char store_address[16]; ///< at which the node reads the store
     char instance[24];
     const char *service;
     process_t node;
@@ -36,9 +37,8 @@
 extern store_site_t site;
 
 void start_site(int machines);
-void
-start_site_with_addresses(int machines,
-                          void (*set_published_address)(machine_t *machine));
+void start_site_with_addresses(int machines,
+                               void (*set_addresses)(machine_t *machine));
 void stop_site(void);
 void start_server(machine_t *machine);
 void start_node(machine_t *machine);
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -11,6 +11,9 @@
 #include "common/store_site.h"
 #include "common/suite.h"
 
+/// A change must be in force within this time of its publication.
+#define IN_FORCE_LIMIT_US ((gint64)2 * G_USEC_PER_SEC)
+
 /// Guards against a node that serves requests before the first desired state,
 /// fails requests that pass through both services, or passes on a caller name
 /// that the caller has forged.
@@ -314,6 +317,68 @@
     stop_site();
 }
 
+/// Between the store and the node of the first machine.
+static process_t store_relay;
+
+static void
+read_store_through_relay(machine_t *machine)
+{
+    if (machine != &site.machines[0]) {
+        return;
+    }
+    g_strlcpy(machine->store_address, machine->address,
+              sizeof(machine->store_address));
+    char *route = g_strdup_printf("%s:%d=%s:%d", machine->address, PORT_STORE,
+                                  site.address, PORT_STORE);
+    char *log = g_strdup_printf("%s/relay.log", site.directory);
+    const char *arguments[] = {IBISFIELD_BUILD_DIR "/test/standin_relay",
+                               route, NULL};
+    CU_ASSERT_TRUE_FATAL(process_start(&store_relay, log, arguments));
+    CU_ASSERT_TRUE_FATAL(process_wait_log(&store_relay, "listening"));
+    g_free(route);
+    g_free(log);
+}
+
+/// Sends requests through the first node until it has logged @p text or the
+/// limit for changes has passed. Returns whether it has logged the text.
+static bool
+first_node_logs_under_load(const char *text)
+{
+    gint64 end_us = g_get_monotonic_time() + IN_FORCE_LIMIT_US;
+    bool logged = false;
+    for (int i = 0; !logged && g_get_monotonic_time() < end_us; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "id-load-%d", i);
+        text_response_t response = request_via_node(0, "POST", "/book/a", id);
+        text_response_free(&response);
+        g_usleep(20000);
+        logged = process_has_logged(&site.machines[0].node, text);
+    }
+    return logged;
+}
+
+/// Guards against a node that keeps an old version, or a server that has left,
+/// while the store leaves its watch unanswered and serves the other nodes.
+static void
+test_unanswered_watch_does_not_delay_changes(void)
+{
+    start_site_with_addresses(MACHINES_DEFAULT, read_store_through_relay);
+    publish_site();
+    kill(store_relay.pid, SIGSTOP);
+    put_desired_state(5, NULL);
+    CU_ASSERT_TRUE(
+        first_node_logs_under_load("contracts_in_force version=5 "));
+    remove_server_record(&site.machines[3]);
+    CU_ASSERT_TRUE(
+        first_node_logs_under_load("event=vm_removed upstream_vm=i-3"));
+    kill(store_relay.pid, SIGCONT);
+    put_desired_state(7, NULL);
+    CU_ASSERT_TRUE(process_wait_log(&site.machines[0].node,
+                                    "contracts_in_force version=7 "));
+    process_finish(&store_relay);
+    stop_site();
+}
+
 int
 main(void)
 {
@@ -324,6 +389,7 @@
         {"another instance", test_address_taken_over},
         {"store outage", test_store_outage},
         {"watches without events", test_watches_without_events},
+        {"unanswered watch", test_unanswered_watch_does_not_delay_changes},
         {"draining server", test_draining_server},
         {"stop and reload", test_stop_and_reload},
         {"stopping node", test_stopping_node_still_serves_its_server},
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -692,6 +692,8 @@
     }
     g_snprintf(machine->published_address, sizeof(machine->published_address),
                "127.78.%d.%d", net, host);
+    g_strlcpy(machine->store_address, machine->published_address,
+              sizeof(machine->store_address));
     for (int j = 0; j < ROUTE_COUNT; j++) {
         soak.routes[i][j] = fault_proxy_add(
             &soak.proxy, machine->published_address,
