Refuse requests at the node of a server that is no longer listed

Cause: the node beside a server refused new requests only while the server was listed as draining. When the record was removed, it served again, also for servers that never report that they drain. Change: an upstream that was listed and no longer is counts as draining until a new instance of it is listed. Senders get a refusal before anything has run and use another VM. Evidence: functional_test_store 'removed server' fails on the commit before (no 'leave_changed causes=2', and causes=0 after the removal of a draining server) and passes here.

--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -167,7 +167,8 @@
 }
 
 /// Applies the published state of this node's own upstream. A new instance may
-/// be listed together with the draining one.
+/// be listed together with the draining one. An upstream that was listed and
+/// no longer is has left: senders whose lists are older are refused.
 static void
 apply_own_upstream(node_t *node)
 {
@@ -190,7 +191,10 @@
             guard_set_slots(&node->guard, info->slots);
         }
     }
-    node_set_drain_cause(node, DRAIN_LISTED, live == 0 && draining > 0);
+    node->upstream_was_listed |= live > 0;
+    node_set_drain_cause(node, DRAIN_LISTED,
+                         live == 0 &&
+                             (draining > 0 || node->upstream_was_listed));
 }
 
 /* Configuration from the source of an adapter. */
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -18,7 +18,8 @@
 /// Causes for a node to drain, i.e. to get no new work.
 typedef enum {
     DRAIN_SHUTDOWN = 1 << 0, ///< SIGTERM
-    DRAIN_LISTED = 1 << 1,   ///< marked as draining in the published list
+    DRAIN_LISTED = 1 << 1,   ///< marked as draining in the published list, or
+                             ///< removed from it
     DRAIN_OPERATOR = 1 << 2, ///< POST /drain
     DRAIN_UPSTREAM = 1 << 3, ///< reported by the upstream's health endpoint
 } drain_cause_t;
@@ -52,6 +53,7 @@
     loop_timer_t tick_timer;
     loop_timer_t shutdown_timer;
     unsigned int drain_causes; ///< set of drain_cause_t
+    bool upstream_was_listed;  ///< this node's own, at some time
     bool ready;
     bool listeners_closed; ///< since HANDSHAKE_GRACE_US after drop_start_us
     /// Callers' requests are refused, since a new one might not end in time.
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -239,6 +239,30 @@
     stop_site();
 }
 
+/// Guards against requests to a server whose record is gone, from senders that
+/// don't know it yet.
+static void
+test_node_of_a_removed_server_refuses(void)
+{
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    put_server_record(&site.machines[3], "draining");
+    CU_ASSERT_TRUE(process_wait_log(&site.machines[3].node,
+                                    "leave_changed causes=2 leaving=1"));
+    remove_server_record(&site.machines[3]);
+    CU_ASSERT_TRUE(process_wait_log(&site.machines[3].node,
+                                    "event=vm_removed upstream_vm=i-3"));
+    remove_server_record(&site.machines[2]);
+    CU_ASSERT_TRUE(process_wait_log(&site.machines[2].node,
+                                    "leave_changed causes=2 leaving=1"));
+    CU_ASSERT_FALSE(
+        process_has_logged(&site.machines[3].node, "leave_changed causes=0"));
+    put_server_record(&site.machines[3], "ready");
+    CU_ASSERT_TRUE(process_wait_log(&site.machines[3].node,
+                                    "leave_changed causes=0 leaving=0"));
+    stop_site();
+}
+
 /// Guards against a shutdown that aborts a running request, accepts callers'
 /// requests for too long, or doesn't end; and against a SIGHUP that ends the
 /// process.
@@ -390,6 +414,7 @@
         {"watches without events", test_watches_without_events},
         {"unanswered watch", test_unanswered_watch_does_not_delay_changes},
         {"draining server", test_draining_server},
+        {"removed server", test_node_of_a_removed_server_refuses},
         {"stop and reload", test_stop_and_reload},
         {"stopping node", test_stopping_node_still_serves_its_server},
         CU_TEST_INFO_NULL,
