Give up responses of a server that sends interim or stale responses without end

Cause: each interim response (1xx) and each response to an earlier request made the client start over, so a server that sends them without end held the request until its timeout and kept the loop busy. Endless heads, header lines, status lines, chunks, chunk extensions, trailers and bytes that are no HTTP were bounded already. Change: more than 16 interim or 4 stale responses end the exchange as lost.

--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -18,6 +18,8 @@
 /// closes an idle connection. It is kept for half a second at least.
 #define KEEP_ALIVE_MARGIN_US US_PER_S
 #define SWEEP_INTERVAL_US US_PER_S
+/// A server that sends more responses to earlier requests is faulty.
+#define STALE_RESPONSES_MAX 4
 
 typedef struct connection connection_t;
 
@@ -40,9 +42,9 @@
     response_reader_t reader;
     GString *request; ///< being written
     bool writing;
-    bool delivering;         ///< the callback of its last exchange is running
-    bool broken;             ///< must not be reused
-    bool has_stale_response; ///< a response to another request arrived
+    bool delivering;          ///< the callback of its last exchange is running
+    bool broken;              ///< must not be reused
+    uint32_t stale_responses; ///< responses to other requests that arrived
     int64_t idle_until_us;
     GList idle_link;
 };
@@ -267,7 +269,7 @@
     http_pool_t *pool = connection->pool;
     response_reader_t *reader = &connection->reader;
     bool reusable = reader->keep_alive && !connection->writing &&
-                    !connection->has_stale_response &&
+                    connection->stale_responses == 0 &&
                     connection->socket->input->size == 0;
     const http_response_t response = {
         .result = HTTP_COMPLETE,
@@ -300,7 +302,10 @@
             !is_stale_response(connection)) {
             break;
         }
-        connection->has_stale_response = true;
+        if (++connection->stale_responses > STALE_RESPONSES_MAX) {
+            reader->state = RESPONSE_INVALID;
+            break;
+        }
         response_reader_start(reader, connection->exchange->is_head);
     }
     if (error != NULL) {
@@ -363,7 +368,7 @@
         g_string_free(connection->request, TRUE);
     }
     connection->request = g_steal_pointer(&exchange->request);
-    connection->has_stale_response = false;
+    connection->stale_responses = 0;
     connection->writing = true;
     exchange->sent = true;
     response_reader_start(&connection->reader, exchange->is_head);
--- a/src/ibisfield/io/response_reader.c
+++ b/src/ibisfield/io/response_reader.c
@@ -8,6 +8,8 @@
 
 /// A body buffer above this size is freed after its response.
 #define BODY_KEEP_BYTES 65536
+/// A server that sends more interim responses (1xx) is faulty.
+#define INTERIM_RESPONSES_MAX 16
 
 /// Position of one header in header_text.
 typedef struct {
@@ -140,7 +142,7 @@
     if (parser->status_code / 100 == 1) {
         // An interim response; the final one follows on the connection.
         reset(reader);
-        return 0;
+        return ++reader->interim_count > INTERIM_RESPONSES_MAX ? -1 : 0;
     }
     reader->state = RESPONSE_COMPLETE;
     reader->keep_alive = http_should_keep_alive(parser) != 0;
@@ -181,6 +183,7 @@
     http_parser_init(&reader->parser, HTTP_RESPONSE);
     reader->parser.data = reader;
     reader->is_head = is_head;
+    reader->interim_count = 0;
     reader->state = RESPONSE_PARTIAL;
     reset(reader);
 }
--- a/src/ibisfield/io/response_reader.h
+++ b/src/ibisfield/io/response_reader.h
@@ -31,6 +31,7 @@
     bool keep_alive;        ///< valid in RESPONSE_COMPLETE
     bool close_delimited;   ///< the end of the connection ends the body
     bool in_header_value;   ///< the last parsed text was a header value
+    uint32_t interim_count; ///< interim responses (1xx) before this one
     GString *header_text;   ///< names and values of all headers
     GArray *header_offsets; ///< of header_offsets_t, into header_text
     GByteArray *body;
--- a/test/functional/test_http_client.c
+++ b/test/functional/test_http_client.c
@@ -19,6 +19,9 @@
     int listener;
     endpoint_t endpoint;
     const char *response;
+    const char *first_response; ///< on the first connection; NULL: response
+    const char *endless; ///< repeated after each response until the client
+                         ///< closes; NULL: nothing
     bool closes_connection;
     _Atomic int connections;
     pthread_t thread;
@@ -54,10 +57,22 @@
 /// A connection that a server has accepted. It may outlive the server.
 typedef struct {
     const char *response;
+    const char *endless;
     bool closes_connection;
     int connection;
 } served_connection_t;
 
+static void
+send_endlessly(const served_connection_t *served)
+{
+    ssize_t len =
+        served->endless == NULL ? 0 : (ssize_t)strlen(served->endless);
+    while (len > 0 && send(served->connection, served->endless, (size_t)len,
+                           MSG_NOSIGNAL) == len)
+    {
+    }
+}
+
 static void *
 serve_connection(void *context)
 {
@@ -68,6 +83,7 @@
                (ssize_t)len &&
            !served->closes_connection)
     {
+        send_endlessly(served);
     }
     close(served->connection);
     g_free(served);
@@ -81,10 +97,15 @@
     script_server_t *server = context;
     int connection;
     while ((connection = accept(server->listener, NULL, NULL)) >= 0) {
-        server->connections++;
+        bool is_first = server->connections++ == 0;
         served_connection_t *served = g_new(served_connection_t, 1);
-        *served = (served_connection_t){server->response,
-                                        server->closes_connection, connection};
+        *served = (served_connection_t){
+            .response = is_first && server->first_response != NULL
+                            ? server->first_response
+                            : server->response,
+            .endless = server->endless,
+            .closes_connection = server->closes_connection,
+            .connection = connection};
         pthread_t thread;
         pthread_create(&thread, NULL, serve_connection, served);
         pthread_detach(thread);
@@ -93,11 +114,8 @@
 }
 
 static void
-start_server(script_server_t *server, const char *response,
-             bool closes_connection)
+open_server(script_server_t *server)
 {
-    *server = (script_server_t){.response = response,
-                                .closes_connection = closes_connection};
     server->listener = socket(AF_INET, SOCK_STREAM, 0);
     struct sockaddr_in address = {.sin_family = AF_INET};
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
@@ -113,6 +131,15 @@
     pthread_create(&server->thread, NULL, serve, server);
 }
 
+static void
+start_server(script_server_t *server, const char *response,
+             bool closes_connection)
+{
+    *server = (script_server_t){.response = response,
+                                .closes_connection = closes_connection};
+    open_server(server);
+}
+
 static void
 stop_server(script_server_t *server)
 {
@@ -228,6 +255,79 @@
                  false, HTTP_TOO_LARGE, NULL);
 }
 
+/// Guards against reading a response that never ends until the timeout.
+static void
+test_endless_bytes_end_the_exchange(void)
+{
+    static const struct {
+        const char *start;
+        const char *endless;
+        http_result_t expected;
+    } cases[] = {
+        {"HTTP/1.1 200 OK\r\nx: ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaa", HTTP_LOST},
+        {"HTTP/1.1 200 OK\r\n", "x: a\r\n", HTTP_LOST},
+        {"HTTP/1.1 200 ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaa", HTTP_LOST},
+        {"\r\n", "\r\n\r\n\r\n\r\n", HTTP_LOST},
+        {"no http at all ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaa", HTTP_LOST},
+        {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n",
+         HTTP_LOST},
+        {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\na\r\n",
+         HTTP_TOO_LARGE},
+        {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;",
+         "aaaaaaaaaaaaaaaaaaaaaaaaaaaa", HTTP_LOST},
+        {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+         "x: a\r\n", HTTP_LOST},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        script_server_t server = {.response = cases[i].start,
+                                  .endless = cases[i].endless};
+        open_server(&server);
+        gint64 start_us = g_get_monotonic_time();
+        results_t results = exchange(&server, 1, 32, TEST_TIMEOUT_US);
+        bool ended_early =
+            g_get_monotonic_time() - start_us < TEST_TIMEOUT_US / 2;
+        if (results.last.result != cases[i].expected || !ended_early) {
+            fprintf(stderr, "case %zu: result %d, expected %d\n", i,
+                    results.last.result, cases[i].expected);
+        }
+        CU_ASSERT_EQUAL(results.last.result, cases[i].expected);
+        CU_ASSERT_TRUE(ended_early);
+        stop_server(&server);
+    }
+}
+
+/// Guards against a server that sends responses to an earlier request without
+/// end.
+static void
+test_endless_stale_responses_end_the_exchange(void)
+{
+    clock_source_t clock;
+    boot_clock_init(&clock);
+    loop_t loop;
+    loop_init(&loop, &clock);
+    static const char stale[] =
+        "HTTP/1.1 200 OK\r\nid: old\r\ncontent-length: 0\r\n\r\n";
+    script_server_t server = {.response = stale, .endless = stale};
+    open_server(&server);
+    http_pool_t *pool = http_pool_new_with_options(
+        &loop, &(http_pool_options_t){.endpoint = server.endpoint,
+                                      .connections_max = 1,
+                                      .max_response_bytes = 32,
+                                      .echoed_header = "id"});
+    results_t results = {.loop = &loop, .expected = 1};
+    gint64 start_us = g_get_monotonic_time();
+    const http_header_t id = {SLICE_LITERAL("id"), SLICE_LITERAL("new")};
+    http_exchange_start(pool, SLICE_LITERAL("GET"), SLICE_LITERAL("/"), &id, 1,
+                        (slice_t){NULL, 0}, TEST_TIMEOUT_US, on_done,
+                        &results);
+    loop_run(&loop);
+    CU_ASSERT_EQUAL(results.last.result, HTTP_LOST);
+    CU_ASSERT_TRUE(g_get_monotonic_time() - start_us < TEST_TIMEOUT_US / 2);
+    http_pool_release(pool);
+    loop_finish(&loop);
+    stop_server(&server);
+}
+
 /// Guards against reporting a request as not sent when the server may have
 /// received it, and as sent when no byte of it was.
 static void
@@ -368,6 +468,9 @@
         {"complete responses", test_complete_responses},
         {"truncated responses", test_truncated_responses_are_lost},
         {"large responses", test_large_responses_are_rejected},
+        {"endless bytes", test_endless_bytes_end_the_exchange},
+        {"endless stale responses",
+         test_endless_stale_responses_end_the_exchange},
         {"failures", test_failures_distinguish_whether_bytes_were_sent},
         {"waiting", test_exchanges_wait_for_a_free_connection},
         {"cancel", test_cancelled_exchange_reports_nothing},
