End a connection to the upstream with a refusal on it

Cause: stale responses are told by their request id, but refusals of the platform's servers name none (X-Not-Executed and 421 in the examples of the wire), nor does a shed response of our own protocol. A repeated one was read as the response to the next request on the connection, which then went to another server. Change: a connection whose response was a refusal isn't reused, so that no later request can meet a copy of it. Evidence: functional_test_http_client 'repeated refusal' gets the old refusal for the second and third request before, and the response of a new connection here.

--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -262,6 +262,19 @@
            !slice_equal_string(value, exchange->echoed_value);
 }
 
+/// Returns whether the response refuses the request.
+static bool
+is_refusal(const connection_t *connection)
+{
+    const response_reader_t *reader = &connection->reader;
+    const char *name = connection->pool->options.refusal_header;
+    return name != NULL &&
+           (reader->parser.status_code == 421 ||
+            http_header_find(reader->headers,
+                             response_reader_header_count(reader), name)
+                    .data != NULL);
+}
+
 static void
 deliver_response(connection_t *connection)
 {
@@ -270,7 +283,8 @@
     response_reader_t *reader = &connection->reader;
     bool reusable = reader->keep_alive && !connection->writing &&
                     connection->stale_responses == 0 &&
-                    connection->socket->input->size == 0;
+                    connection->socket->input->size == 0 &&
+                    !is_refusal(connection);
     const http_response_t response = {
         .result = HTTP_COMPLETE,
         .status = reader->parser.status_code,
--- a/src/ibisfield/io/http_client.h
+++ b/src/ibisfield/io/http_client.h
@@ -41,6 +41,11 @@
     /// response with another value belongs to an earlier request and is
     /// dropped. NULL: not checked.
     const char *echoed_header;
+    /// Header, in lower case, of responses that refuse the request. They and
+    /// responses with status 421 end their connection: they needn't name the
+    /// request, so one that the server writes once more could be taken for
+    /// the response to the next one. NULL: none.
+    const char *refusal_header;
     /// An orderly close may end a response that has no length.
     bool allow_close_delimited;
 } http_pool_options_t;
--- a/src/ibisfield/io/upstream_client.c
+++ b/src/ibisfield/io/upstream_client.c
@@ -84,6 +84,7 @@
         .connections_max = (uint32_t)settings->upstream_connections,
         .max_response_bytes = (size_t)settings->max_answer_bytes,
         .connect_timeout_us = CONNECT_TIMEOUT_US,
+        .refusal_header = HEADER_SHED,
     };
     if (header_names == NULL) {
         loop_timer_start(loop, &client->health_timer, 0, check_health, client);
@@ -92,6 +93,7 @@
         // No health check: the platform's list says whether the upstream is
         // draining.
         options.echoed_header = header_names->request_id;
+        options.refusal_header = header_names->not_run;
         options.allow_close_delimited = true;
     }
     client->pool = http_pool_new_with_options(loop, &options);
--- a/test/functional/test_http_client.c
+++ b/test/functional/test_http_client.c
@@ -328,6 +328,44 @@
     stop_server(&server);
 }
 
+/// Guards against taking an earlier refusal, which a faulty server writes once
+/// more on a kept connection, for the response to the next request.
+static void
+test_repeated_refusal_does_not_answer_the_next_request(void)
+{
+    static const char *const refusals[] = {
+        "HTTP/1.1 503 Service Unavailable\r\nx-refused: 1\r\n"
+        "content-length: 0\r\n\r\n",
+        "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
+        clock_source_t clock;
+        boot_clock_init(&clock);
+        loop_t loop;
+        loop_init(&loop, &clock);
+        script_server_t server = {
+            .first_response = refusals[i],
+            .response = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"};
+        open_server(&server);
+        http_pool_t *pool = http_pool_new_with_options(
+            &loop, &(http_pool_options_t){.endpoint = server.endpoint,
+                                          .connections_max = 1,
+                                          .max_response_bytes = 32,
+                                          .refusal_header = "x-refused"});
+        for (int j = 0; j < 3; j++) {
+            results_t results = {.loop = &loop, .expected = 1};
+            get(pool, &results, TEST_TIMEOUT_US);
+            loop_run(&loop);
+            CU_ASSERT_EQUAL(results.last.result, HTTP_COMPLETE);
+            CU_ASSERT_EQUAL(results.last.status == 200, j > 0);
+        }
+        CU_ASSERT_EQUAL(server.connections, 2);
+        http_pool_release(pool);
+        loop_finish(&loop);
+        stop_server(&server);
+    }
+}
+
 /// Guards against reporting a request as not sent when the server may have
 /// received it, and as sent when no byte of it was.
 static void
@@ -468,6 +506,8 @@
         {"complete responses", test_complete_responses},
         {"truncated responses", test_truncated_responses_are_lost},
         {"large responses", test_large_responses_are_rejected},
+        {"repeated refusal",
+         test_repeated_refusal_does_not_answer_the_next_request},
         {"endless bytes", test_endless_bytes_end_the_exchange},
         {"endless stale responses",
          test_endless_stale_responses_end_the_exchange},
