--- a/test/functional/test_change_feed.c
+++ b/test/functional/test_change_feed.c
@@ -137,6 +137,85 @@
     stop_site();
 }
 
+static char *
+nested_record(const char *open, const char *close, int depth)
+{
+    GString *text = g_string_new("{\"service\":\"back\",\"zone\":\"z\","
+                                 "\"address\":\"127.0.0.1:9\",\"slots\":1,"
+                                 "\"state\":\"ready\",\"odd\":");
+    for (int i = 0; i < depth; i++) {
+        g_string_append(text, open);
+    }
+    g_string_append(text, "1");
+    for (int i = 0; i < depth; i++) {
+        g_string_append(text, close);
+    }
+    g_string_append_c(text, '}');
+    return g_string_free(text, FALSE);
+}
+
+static void
+put_odd_record(int number, const char *text)
+{
+    char path[64];
+    char expected[64];
+    g_snprintf(path, sizeof(path), "/test/items/servers/odd-%d", number);
+    g_snprintf(expected, sizeof(expected),
+               "event=server_entry_refused upstream_vm=odd-%d ", number);
+    store_request("PUT", path, text);
+    wait_nodes_logged(expected);
+}
+
+/// Guards against nodes that end, or stop following the list, when another
+/// writer leaves an odd entry among those of the servers.
+static void
+test_odd_entries_are_refused(void)
+{
+    static const char *const records[] = {
+        "{\"service\":\"back\",\"zone\":\"z\",\"address\":\"127.0.0.1:70000\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"back\",\"zone\":\"z\",\"address\":\"127.0.0.1:0\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"back\",\"zone\":\"z\","
+        "\"address\":\"127.0.0.1:99999999999999999999\","
+        "\"slots\":1,\"state\":\"ready\"}",
+        "{\"service\":\"back\",\"zone\":\"z\",\"address\":\"127.0.0.1:9\","
+        "\"slots\":99999999999999999999999999,\"state\":\"ready\"}",
+        "{\"service\":\"back\",\"zone\":\"z\",\"address\":\"127.0.0.1:9\","
+        "\"slots\":18446744073709551615,\"state\":\"ready\"}",
+        "{\"service\":\"back\",\"zone\":\"z\",\"address\":\"127.0.0.1:9\","
+        "\"slots\":1e999,\"state\":\"ready\"}",
+        "{\"service\":\"back\",\"zone\":\"z\",\"address\":\"127.0.0.1:9\","
+        "\"slots\":-1,\"state\":\"ready\"}",
+    };
+    start_site_with_followers();
+    int number = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+        put_odd_record(number++, records[i]);
+    }
+    static const struct {
+        const char *open;
+        const char *close;
+        int depth;
+    } nested[] = {
+        {"[", "]", 100}, {"[", "]", 100000}, {"{\"a\":", "}", 50000}};
+    for (size_t i = 0; i < G_N_ELEMENTS(nested); i++) {
+        char *text =
+            nested_record(nested[i].open, nested[i].close, nested[i].depth);
+        put_odd_record(number++, text);
+        g_free(text);
+    }
+    // The whole store is read again with the odd entries in it.
+    store_request("POST", "/test/cut", "");
+    CU_ASSERT_TRUE(publish_and_time(5, NULL, 0) < IN_FORCE_LIMIT_US);
+    remove_server_record(&site.machines[3]);
+    wait_nodes_logged("event=vm_removed upstream_vm=i-3");
+    for (int i = 0; i < NODES; i++) {
+        CU_ASSERT_FALSE(process_has_ended(&site.machines[i].node));
+    }
+    stop_site();
+}
+
 int
 main(void)
 {
@@ -144,6 +223,7 @@
         {"two nodes read", test_two_nodes_read},
         {"readers fail", test_readers_fail},
         {"expiry during outage", test_expiry_during_outage},
+        {"odd entries", test_odd_entries_are_refused},
         CU_TEST_INFO_NULL,
     };
     return run_suite("change feed", tests);
