--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -39,6 +39,12 @@
 /// exceeds the delay between two watches, by which nodes usually differ.
 #define CATCH_UP_DELAY_US (300 * US_PER_MS)
 #define CATCH_UP_TIMEOUT_US US_PER_S
+/// A reader that can't read the source informs its followers for this long
+/// after another node has brought it up to date.
+#define CAUGHT_UP_TTL_US (2 * US_PER_S)
+/// Other readers refuse their followers after this time. A watch that the
+/// source has cut is replaced sooner.
+#define SOURCE_LOST_MAX_US (400 * US_PER_MS)
 /// Removals kept for followers. If there are more, all are discarded, and
 /// followers at an older revision get a snapshot.
 #define TOMBSTONES_MAX 2048
@@ -115,18 +121,37 @@
     return feed->items.revision > after;
 }
 
+static bool
+has_caught_up_lately(const change_feed_t *feed)
+{
+    return feed->caught_up_us != 0 &&
+           feed_now_us(feed) - feed->caught_up_us < CAUGHT_UP_TTL_US;
+}
+
+/// Returns whether this node's state is as recent as followers may expect.
+static bool
+can_inform_followers(const change_feed_t *feed)
+{
+    return !feed->draining && feed->reads_source &&
+           (feed->source_ok || has_caught_up_lately(feed));
+}
+
 static void
 complete_pending_polls(change_feed_t *feed)
 {
     int64_t now_us = feed_now_us(feed);
+    bool source_lost = feed->source_lost_us != 0 &&
+                       now_us - feed->source_lost_us >= SOURCE_LOST_MAX_US &&
+                       !can_inform_followers(feed);
     GList *link = feed->pending_polls.head;
     while (link != NULL) {
         GList *next = link->next;
         pending_poll_t *pending = link->data;
-        bool due = now_us >= pending->deadline_us || feed->draining;
+        bool due =
+            now_us >= pending->deadline_us || feed->draining || source_lost;
         if (due || has_changes_after(feed, pending->after)) {
             g_queue_delete_link(&feed->pending_polls, link);
-            if (feed->draining || !feed->reads_source || !feed->source_ok) {
+            if (!can_inform_followers(feed)) {
                 refuse(feed, pending->request, "source not read");
             }
             else {
@@ -163,6 +188,16 @@
     feed->callbacks.set_source_reading(feed->context, wanted);
 }
 
+static void
+update_followed(change_feed_t *feed)
+{
+    bool followed = feed_now_us(feed) < feed->followed_until_us;
+    if (followed != feed->followed) {
+        feed->followed = followed;
+        feed->callbacks.set_followed(feed->context, followed);
+    }
+}
+
 /* Requests to other nodes. */
 
 static void
@@ -353,6 +388,7 @@
     const char *error = read_changes(&message, response);
     if (error == NULL) {
         apply_changes(feed, &message);
+        feed->caught_up_us = feed_now_us(feed);
     }
     log_info("feed_caught_up",
              "node=%s error=\"%s\" before=%" PRIu64 " revision=%" PRIu64
@@ -521,6 +557,7 @@
         select_readers(feed);
     }
     update_source_reading(feed);
+    update_followed(feed);
     complete_pending_polls(feed);
     catch_up_if_behind(feed);
     loop_timer_start(feed->loop, &feed->tick_timer, TICK_US, tick, feed);
@@ -638,6 +675,7 @@
 change_feed_set_source_ok(change_feed_t *feed, bool ok)
 {
     feed->source_ok = ok && feed->reads_source;
+    feed->source_lost_us = ok ? 0 : feed_now_us(feed);
     complete_pending_polls(feed);
 }
 
--- a/src/ibisfield/io/change_feed.h
+++ b/src/ibisfield/io/change_feed.h
@@ -24,6 +24,9 @@
     void (*extend_removal_grace)(void *context, int64_t duration_us);
     /// Starts or stops reads of the source by this node.
     void (*set_source_reading)(void *context, bool reading);
+    /// Reports whether other nodes follow this one. They notice that the
+    /// source is silent only through it.
+    void (*set_followed)(void *context, bool followed);
     /// Returns for how long removals still aren't final, because the store's
     /// records of live VMs may have expired; 0 if they are final.
     int64_t (*removal_grace_left_us)(void *context);
@@ -71,6 +74,9 @@
     feed_subscription_t subscriptions[FEED_SUBSCRIPTIONS];
     feed_catch_up_t catch_up;
     GQueue pending_polls;      ///< pending_poll_t, of followers
+    bool followed;             ///< as last reported by set_followed()
+    int64_t source_lost_us;    ///< start of failing reads; 0: none
+    int64_t caught_up_us;      ///< last time that another node had changes
     int64_t followed_until_us; ///< end of FOLLOWED_TTL_US
     loop_timer_t tick_timer;
 };
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -13,6 +13,9 @@
 
 /// A change must be in force within this time of its publication.
 #define IN_FORCE_LIMIT_US ((gint64)2 * G_USEC_PER_SEC)
+/// This long after its return the store counts as stable, and all requirements
+/// on changes hold again.
+#define STORE_STABLE_US ((gint64)3 * G_USEC_PER_SEC)
 
 /// Guards against a node that serves requests before the first desired state,
 /// fails requests that pass through both services, or passes on a caller name
@@ -217,6 +220,32 @@
     stop_site();
 }
 
+/// Guards against nodes that keep an old version long after an outage of the
+/// store, because the watches that they opened in it are never answered.
+static void
+test_watches_opened_in_an_outage_are_replaced(void)
+{
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    // Waits grow with each response. After the last version the next watches
+    // are opened 0.2 s later, while the store hangs.
+    for (int version = 5; version <= 17; version += 2) {
+        char text[64];
+        g_snprintf(text, sizeof(text), "event=contracts_in_force version=%d ",
+                   version);
+        put_desired_state(version, NULL);
+        wait_nodes_logged(text);
+    }
+    store_request("POST", "/test/mode/hang", "");
+    g_usleep(500000);
+    store_request("POST", "/test/mode/up", "");
+    gint64 start_us = g_get_monotonic_time();
+    put_desired_state(19, NULL);
+    wait_nodes_logged("event=contracts_in_force version=19 ");
+    CU_ASSERT_TRUE(g_get_monotonic_time() - start_us < STORE_STABLE_US);
+    stop_site();
+}
+
 /// Guards against new requests to a draining server.
 static void
 test_draining_server(void)
@@ -412,6 +441,8 @@
         {"another instance", test_address_taken_over},
         {"store outage", test_store_outage},
         {"watches without events", test_watches_without_events},
+        {"watches in an outage",
+         test_watches_opened_in_an_outage_are_replaced},
         {"unanswered watch", test_unanswered_watch_does_not_delay_changes},
         {"draining server", test_draining_server},
         {"removed server", test_node_of_a_removed_server_refuses},
