Limit the size of all responses of an upstream that are read at once

Cause: each response may have max_answer_bytes (4 MB by default), so an upstream that sends endless bodies on 162 slots at once could take 648 MB on a VM of 160 to 512 MB. Change: the bodies that a pool is reading have a common limit, eight responses of the largest size for the upstream. A response that is read when it is exceeded ends as too large; its outcome is unknown, as before for a single one. Not played with real memory limits.

--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -29,6 +29,7 @@
     GQueue idle;                 ///< of connection_t, most recently used first
     GQueue waiting;              ///< of http_exchange_t, without a connection
     uint32_t connections_in_use; ///< connections with an exchange
+    size_t buffered_bytes;       ///< of bodies that are being read
     uint32_t exchanges;          ///< exchanges not ended yet; they keep the
                                  ///< pool alive
     loop_timer_t sweep_timer;
@@ -44,6 +45,7 @@
     bool writing;
     bool delivering;          ///< the callback of its last exchange is running
     bool broken;              ///< must not be reused
+    size_t buffered_bytes;    ///< part of the pool's
     uint32_t stale_responses; ///< responses to other requests that arrived
     int64_t idle_until_us;
     GList idle_link;
@@ -156,6 +158,15 @@
     }
 }
 
+/// Updates the size of the body that the connection holds.
+static void
+set_buffered_bytes(connection_t *connection, size_t bytes)
+{
+    http_pool_t *pool = connection->pool;
+    pool->buffered_bytes += bytes - connection->buffered_bytes;
+    connection->buffered_bytes = bytes;
+}
+
 /// Returns a connection to the pool, or closes it if it can't be reused.
 /// @p reusable is false if the state of the connection is unknown.
 static void
@@ -163,6 +174,7 @@
 {
     http_pool_t *pool = connection->pool;
     pool->connections_in_use--;
+    set_buffered_bytes(connection, 0);
     if (reusable && !connection->broken && !pool->released) {
         make_idle(connection);
     }
@@ -312,6 +324,7 @@
         size_t used =
             response_reader_feed(reader, (slice_t){input->bytes, input->size});
         h2o_buffer_consume(&socket->input, used);
+        set_buffered_bytes(connection, reader->body->len);
         if (reader->state != RESPONSE_COMPLETE ||
             !is_stale_response(connection)) {
             break;
@@ -326,6 +339,13 @@
         response_reader_eof(reader, error == h2o_socket_error_closed);
         connection->broken = true;
     }
+    const http_pool_t *pool = connection->pool;
+    if (reader->state == RESPONSE_PARTIAL &&
+        pool->options.max_buffered_bytes > 0 &&
+        pool->buffered_bytes > pool->options.max_buffered_bytes)
+    {
+        reader->state = RESPONSE_TOO_LARGE;
+    }
     switch (reader->state) {
     case RESPONSE_PARTIAL:
         break;
@@ -334,7 +354,7 @@
         break;
     case RESPONSE_TOO_LARGE:
         fail_exchange(connection->exchange, HTTP_TOO_LARGE,
-                      "response exceeds the size limit");
+                      "responses exceed the size limit");
         break;
     default:
         fail_exchange(connection->exchange, HTTP_LOST,
--- a/src/ibisfield/io/http_client.h
+++ b/src/ibisfield/io/http_client.h
@@ -11,7 +11,8 @@
     HTTP_COMPLETE,       ///< complete response
     HTTP_CONNECT_FAILED, ///< got no connection; no byte was sent
     HTTP_LOST,           ///< bytes were sent, no complete response
-    HTTP_TOO_LARGE,      ///< the response exceeds max_response_bytes
+    HTTP_TOO_LARGE,      ///< the response exceeds max_response_bytes, or all
+                         ///< responses together exceed max_buffered_bytes
 } http_result_t;
 
 /// Result of an exchange. Valid during the callback only.
@@ -36,6 +37,8 @@
     endpoint_t endpoint;
     uint32_t connections_max;
     size_t max_response_bytes;
+    size_t max_buffered_bytes;  ///< of the bodies that are being read on all
+                                ///< connections together; 0: no limit
     int64_t connect_timeout_us; ///< 0: only the exchange's timeout applies
     /// Header, in lower case, that a response echoes from its request. A
     /// response with another value belongs to an earlier request and is
--- a/src/ibisfield/io/upstream_client.c
+++ b/src/ibisfield/io/upstream_client.c
@@ -15,6 +15,9 @@
 /// this time, it is down or overloaded, and the request is sent to another VM.
 #define CONNECT_TIMEOUT_US (500 * US_PER_MS)
 #define HEALTH_INTERVAL_US US_PER_S
+/// Responses of the largest size that are read at the same time. More at once
+/// come from a faulty upstream only, and would exhaust the memory of the VM.
+#define LARGEST_RESPONSES_MAX 8
 #define HEALTH_TIMEOUT_US US_PER_S
 
 static void check_health(void *context);
@@ -83,6 +86,8 @@
         .endpoint = settings->upstream,
         .connections_max = (uint32_t)settings->upstream_connections,
         .max_response_bytes = (size_t)settings->max_answer_bytes,
+        .max_buffered_bytes =
+            (size_t)settings->max_answer_bytes * LARGEST_RESPONSES_MAX,
         .connect_timeout_us = CONNECT_TIMEOUT_US,
         .refusal_header = HEADER_SHED,
     };
--- a/test/functional/test_http_client.c
+++ b/test/functional/test_http_client.c
@@ -296,6 +296,41 @@
     }
 }
 
+/// Guards against many large responses that together exhaust the memory.
+static void
+test_responses_share_a_size_limit(void)
+{
+    clock_source_t clock;
+    boot_clock_init(&clock);
+    loop_t loop;
+    loop_init(&loop, &clock);
+    // The responses are never complete.
+    script_server_t server = {
+        .response = "HTTP/1.1 200 OK\r\ncontent-length: 31\r\n\r\n"
+                    "0123456789"};
+    open_server(&server);
+    http_pool_t *pool = http_pool_new_with_options(
+        &loop, &(http_pool_options_t){.endpoint = server.endpoint,
+                                      .connections_max = 8,
+                                      .max_response_bytes = 32,
+                                      .max_buffered_bytes = 40});
+    results_t results = {.loop = &loop, .expected = 8};
+    int too_large = 0;
+    for (int i = 0; i < 8; i++) {
+        get(pool, &results, US_PER_S / 2);
+    }
+    results.expected = 4;
+    loop_run(&loop);
+    too_large = results.last.result == HTTP_TOO_LARGE ? results.count : 0;
+    CU_ASSERT_EQUAL(too_large, 4);
+    results.expected = 8;
+    loop_run(&loop);
+    CU_ASSERT_EQUAL(results.last.result, HTTP_LOST);
+    http_pool_release(pool);
+    loop_finish(&loop);
+    stop_server(&server);
+}
+
 /// Guards against a server that sends responses to an earlier request without
 /// end.
 static void
@@ -509,6 +544,7 @@
         {"repeated refusal",
          test_repeated_refusal_does_not_answer_the_next_request},
         {"endless bytes", test_endless_bytes_end_the_exchange},
+        {"shared size limit", test_responses_share_a_size_limit},
         {"endless stale responses",
          test_endless_stale_responses_end_the_exchange},
         {"failures", test_failures_distinguish_whether_bytes_were_sent},
