Push newer items from a node that isn't listed to the reader it compares with

Trace of the input: the VM of node 3 is removed from the list, its node runs on. It reads version 6 of a contract that the others miss, since the platform shows them an older state and then version 12, which all refuse. The readers get its comparisons each second, but pull only from senders whose endpoint their list names. So node 3 alone keeps version 6 for good. Change: a node that isn't listed pushes the items that the compared node holds in lower versions. Not covered: an item that the compared node doesn't hold at all.

--- a/src/ibisfield/config/replicator_pull.c
+++ b/src/ibisfield/config/replicator_pull.c
@@ -293,10 +293,48 @@
     }
 }
 
+/// Pushes the items that the peer holds in lower versions. Only a node that
+/// isn't listed does so: the peer doesn't know its endpoint and so can't pull
+/// from it in turn.
+static void
+push_newer_items(replicator_t *replicator, const pull_t *pull,
+                 const control_message_t *reply)
+{
+    if (vm_view_find(&replicator->view, replicator->vm) != NULL) {
+        return;
+    }
+    control_message_t message;
+    control_message_init(&message, CONTROL_PUSH, replicator->vm);
+    size_t bytes = 0;
+    for (guint i = 0; i < reply->versions->len; i++) {
+        const item_version_t *peer_item =
+            &g_array_index(reply->versions, item_version_t, i);
+        const stored_item_t *own =
+            item_store_find(&replicator->store, peer_item->name);
+        if (own == NULL || own->version <= peer_item->version) {
+            continue;
+        }
+        // The rest follows with a later comparison.
+        bytes += own->value_len;
+        if (message.items->len > 0 && bytes > PUSH_MAX_BYTES) {
+            break;
+        }
+        config_item_t item = {
+            own->name, own->version, {own->value, own->value_len}};
+        g_array_append_val(message.items, item);
+    }
+    if (message.items->len > 0) {
+        replicator->io->vtable->send(replicator->io, &pull->peer, 1, &message,
+                                     0);
+    }
+    control_message_clear(&message);
+}
+
 static void
 handle_versions(replicator_t *replicator, pull_t *pull,
                 const control_message_t *reply)
 {
+    push_newer_items(replicator, pull, reply);
     for (guint i = 0; i < reply->versions->len; i++) {
         const item_version_t *peer_item =
             &g_array_index(reply->versions, item_version_t, i);
--- a/src/ibisfield/config/replicator_relay.c
+++ b/src/ibisfield/config/replicator_relay.c
@@ -7,9 +7,6 @@
 #include "ibisfield/config/control_codec.h"
 #include "ibisfield/config/replicator_internal.h"
 
-/// Upper limit for the values in one push together. A push of one item only
-/// may exceed it, so that each item can be sent.
-#define PUSH_MAX_BYTES (256 << 10)
 /// Minimum interval between forwarded heartbeats of one root. It stops them
 /// from circulating between nodes whose lists differ.
 #define FORWARD_SPACING_US (HEARTBEAT_INTERVAL_US / 2)
