Defer removals only if all readers that a node follows do

Cause: a follower took over the grace period of any reader it polls. Change: a follower defers removals only as long as each reader does whose polls succeed. 'expiry during outage', in which both readers were cut off, passes as before.

--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -233,10 +233,6 @@
 static void
 apply_changes(change_feed_t *feed, const control_message_t *message)
 {
-    if (message->removal_grace_ms > 0) {
-        feed->callbacks.extend_removal_grace(
-            feed->context, (int64_t)message->removal_grace_ms * US_PER_MS);
-    }
     if (message->is_snapshot) {
         change_feed_begin_listing(feed);
         feed->callbacks.listing_started(feed->context);
@@ -284,6 +280,25 @@
     }
 }
 
+/// Defers removals as long as all readers do that this node follows. A reader
+/// that doesn't has read the source throughout, so only the others were cut
+/// off from it.
+static void
+adopt_removal_grace(change_feed_t *feed)
+{
+    int64_t now_us = feed_now_us(feed);
+    int64_t ends_us = INT64_MAX;
+    for (int i = 0; i < FEED_SUBSCRIPTIONS; i++) {
+        if (feed->subscriptions[i].healthy) {
+            ends_us =
+                MIN(ends_us, feed->subscriptions[i].removal_grace_ends_us);
+        }
+    }
+    if (ends_us != INT64_MAX && ends_us > now_us) {
+        feed->callbacks.extend_removal_grace(feed->context, ends_us - now_us);
+    }
+}
+
 static void
 handle_poll_response(void *context, const http_response_t *response)
 {
@@ -296,9 +311,13 @@
         handle_poll_failure(subscription, error);
     }
     else {
+        bool was_healthy = subscription->healthy;
+        subscription->healthy = true;
+        subscription->removal_grace_ends_us =
+            feed_now_us(feed) + (int64_t)message.removal_grace_ms * US_PER_MS;
+        adopt_removal_grace(feed);
         apply_changes(feed, &message);
-        if (!subscription->healthy) {
-            subscription->healthy = true;
+        if (!was_healthy) {
             log_info("feed_followed", "reader=%s revision=%" PRIu64,
                      subscription->reader.address, feed->items.revision);
         }
@@ -387,6 +406,10 @@
     catch_up->exchange = NULL;
     const char *error = read_changes(&message, response);
     if (error == NULL) {
+        if (message.removal_grace_ms > 0) {
+            feed->callbacks.extend_removal_grace(
+                feed->context, (int64_t)message.removal_grace_ms * US_PER_MS);
+        }
         apply_changes(feed, &message);
         feed->caught_up_us = feed_now_us(feed);
     }
--- a/src/ibisfield/io/change_feed.h
+++ b/src/ibisfield/io/change_feed.h
@@ -40,9 +40,10 @@
     endpoint_t reader; ///< port 0: none
     http_pool_t *pool;
     http_exchange_t *exchange;
-    loop_timer_t poll_timer; ///< starts the next poll
-    bool healthy;            ///< the last poll succeeded
-    bool selected;           ///< for use in update_subscriptions() only
+    loop_timer_t poll_timer;       ///< starts the next poll
+    bool healthy;                  ///< the last poll succeeded
+    int64_t removal_grace_ends_us; ///< at the reader, as it reported last
+    bool selected;                 ///< for use in update_subscriptions() only
 } feed_subscription_t;
 
 /// Request for the changes that another node holds and this one lacks. Its own
--- a/test/functional/test_change_feed.c
+++ b/test/functional/test_change_feed.c
@@ -137,6 +137,65 @@
     stop_site();
 }
 
+/// Between the store and each node.
+static process_t store_relays[NODES];
+
+static void
+read_store_through_relay(machine_t *machine)
+{
+    g_strlcpy(machine->store_address, machine->address,
+              sizeof(machine->store_address));
+    int i = (int)(machine - site.machines);
+    char *route = g_strdup_printf("%s:%d=%s:%d", machine->address, PORT_STORE,
+                                  site.address, PORT_STORE);
+    char *log = g_strdup_printf("%s/relay%d.log", site.directory, i);
+    const char *arguments[] = {IBISFIELD_BUILD_DIR "/test/standin_relay",
+                               route, NULL};
+    CU_ASSERT_TRUE_FATAL(process_start(&store_relays[i], log, arguments));
+    CU_ASSERT_TRUE_FATAL(process_wait_log(&store_relays[i], "listening"));
+    g_free(route);
+    g_free(log);
+}
+
+/// Guards against nodes that defer removals because a reader that they follow
+/// was cut off from the store, although they follow another one that wasn't.
+static void
+test_cut_of_one_reader_defers_no_removals(void)
+{
+    start_site_with_addresses(NODES, read_store_through_relay);
+    publish_site();
+    CU_ASSERT_TRUE_FATAL(wait_until(only_readers_read, NULL));
+    int readers[NODES];
+    CU_ASSERT_EQUAL_FATAL(find_readers(readers), ACTIVE_READERS);
+    int removed = 0;
+    while (removed == readers[0] || removed == readers[1]) {
+        removed++;
+    }
+    kill(store_relays[readers[0]].pid, SIGSTOP);
+    CU_ASSERT_TRUE(
+        process_wait_log(&site.machines[readers[0]].node, "event=store_lost"));
+    // Until shortly before the refused followers poll the reader again.
+    g_usleep(3200000);
+    kill(store_relays[readers[0]].pid, SIGCONT);
+    CU_ASSERT_TRUE(
+        process_wait_log(&site.machines[readers[0]].node, "event=store_back"));
+    CU_ASSERT_TRUE(wait_until(only_readers_read, NULL));
+    remove_server_record(&site.machines[removed]);
+    char gone[64];
+    g_snprintf(gone, sizeof(gone), "event=vm_removed upstream_vm=i-%d",
+               removed);
+    for (int i = 0; i < NODES; i++) {
+        CU_ASSERT_TRUE(process_wait_log(&site.machines[i].node, gone));
+        CU_ASSERT_TRUE(
+            i == readers[0] ||
+            !process_has_logged(&site.machines[i].node, "removal_pending=1"));
+    }
+    for (int i = 0; i < NODES; i++) {
+        process_finish(&store_relays[i]);
+    }
+    stop_site();
+}
+
 static char *
 nested_record(const char *open, const char *close, int depth)
 {
@@ -223,6 +282,7 @@
         {"two nodes read", test_two_nodes_read},
         {"readers fail", test_readers_fail},
         {"expiry during outage", test_expiry_during_outage},
+        {"cut of one reader", test_cut_of_one_reader_defers_no_removals},
         {"odd entries", test_odd_entries_are_refused},
         CU_TEST_INFO_NULL,
     };
