Send changes to followers at once, and end an unused source's outage

A node that had changes for a follower but had not read the store yet, as one that was just asked, refused it for 4 s instead of sending them. A node that the store turns away and that follows readers again kept the removals they report pending for as long, and so used VMs that had left if they were the majority. And a reader that starts to read again was taken for one that has lost the store since the last time. Evidence: test_published_list 'unused source' needs the new function; the suites of change feed and store pass.

--- a/src/ibisfield/config/published_list.c
+++ b/src/ibisfield/config/published_list.c
@@ -150,6 +150,14 @@
     list->outage_start_us = 0;
 }
 
+/// Notes that this node no longer reads the source, whether it is reachable or
+/// not: other nodes report its changes, and the grace period if there is one.
+void
+published_list_source_unused(published_list_t *list)
+{
+    list->outage_start_us = 0;
+}
+
 /// Extends the grace period to last for at least @p for_us from now.
 void
 published_list_extend_removal_grace(published_list_t *list, int64_t for_us)
--- a/src/ibisfield/config/published_list.h
+++ b/src/ibisfield/config/published_list.h
@@ -37,6 +37,7 @@
 void published_list_end_listing(published_list_t *list, uint64_t revision);
 void published_list_source_lost(published_list_t *list);
 void published_list_source_recovered(published_list_t *list);
+void published_list_source_unused(published_list_t *list);
 void published_list_extend_removal_grace(published_list_t *list,
                                          int64_t for_us);
 int64_t published_list_removal_grace_left_us(const published_list_t *list);
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -149,13 +149,15 @@
         pending_poll_t *pending = link->data;
         bool due =
             now_us >= pending->deadline_us || feed->draining || source_lost;
-        if (due || has_changes_after(feed, pending->after)) {
+        bool changed =
+            !feed->draining && has_changes_after(feed, pending->after);
+        if (due || changed) {
             g_queue_delete_link(&feed->pending_polls, link);
-            if (!can_inform_followers(feed)) {
-                refuse(feed, pending->request, "source not read");
+            if (changed || can_inform_followers(feed)) {
+                send_changes(feed, pending->request, pending->after);
             }
             else {
-                send_changes(feed, pending->request, pending->after);
+                refuse(feed, pending->request, "source not read");
             }
             g_free(pending);
         }
@@ -181,6 +183,7 @@
     }
     feed->reads_source = wanted;
     feed->source_ok = false;
+    feed->source_lost_us = 0;
     log_info("source_reading", "reads=%d reader=%d asked=%d revision=%" PRIu64,
              wanted, feed->is_reader,
              feed_now_us(feed) < feed->followed_until_us,
--- a/test/unit/test_published_list.c
+++ b/test/unit/test_published_list.c
@@ -127,6 +127,22 @@
     published_list_finish(&list);
 }
 
+/// Guards against a node that is turned away by the source, follows others
+/// again and defers the removals that they report for as long as it is.
+static void
+test_removals_are_final_if_the_source_is_unused(void)
+{
+    start();
+    put("dead", 5, false);
+    published_list_source_lost(&list);
+    published_list_remove(&list, "dead", 7);
+    manual_clock_advance(&test_clock, 5 * US_PER_S);
+    published_list_source_unused(&list);
+    published_list_tick(&list);
+    CU_ASSERT_EQUAL(removed_count, 1);
+    published_list_finish(&list);
+}
+
 /// Guards against a full listing that keeps VMs that it does not contain, or
 /// removes VMs that it contains.
 static void
@@ -172,6 +188,7 @@
         {"after an outage", test_removals_after_an_outage_are_deferred},
         {"removals during an outage",
          test_removals_during_an_outage_are_pending},
+        {"unused source", test_removals_are_final_if_the_source_is_unused},
         {"full listings", test_full_listings_remove_absent_vms},
         {"splits", test_splits_keep_their_weights},
         CU_TEST_INFO_NULL,
