--- a/src/ibisfield/config/replicator_internal.h
+++ b/src/ibisfield/config/replicator_internal.h
@@ -3,6 +3,10 @@
 
 #include "ibisfield/config/replicator.h"
 
+/// Upper limit for the values in one push together. A push of one item only
+/// may exceed it, so that each item can be sent.
+#define PUSH_MAX_BYTES (256 << 10)
+
 /* Functions that the source files of the replicator share. */
 
 void replicator_adopt(replicator_t *replicator, const config_item_t *item);
@@ -11,10 +15,6 @@
 bool replicator_find_peer(const replicator_t *replicator, const char *vm,
                           config_peer_t *peer);
 
-/// Upper limit for the values in one push together. A push of one item only
-/// may exceed it, so that each item can be sent.
-#define PUSH_MAX_BYTES (256 << 10)
-
 /* replicator_pull.c */
 void replicator_pulls_init(replicator_t *replicator);
 void replicator_pulls_finish(replicator_t *replicator);
--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -12,6 +12,7 @@
 
 #define PROGRAM IBISFIELD_BUILD_DIR "/ibisfield"
 #define STANDIN_STORE IBISFIELD_BUILD_DIR "/test/standin_store"
+#define STANDIN_RELAY IBISFIELD_BUILD_DIR "/test/standin_relay"
 #define PATH_MAX_LEN 64
 #define HOSTS_MAX 255
 
@@ -208,6 +209,24 @@
     start_site_with_addresses(machines, NULL);
 }
 
+/// Starts a relay between the store and a machine whose node isn't running
+/// yet. A stopped relay leaves the node's requests unanswered.
+void
+start_store_relay(machine_t *machine, process_t *relay)
+{
+    g_strlcpy(machine->store_address, machine->address,
+              sizeof(machine->store_address));
+    char *route = g_strdup_printf("%s:%d=%s:%d", machine->address, PORT_STORE,
+                                  site.address, PORT_STORE);
+    char *log =
+        g_strdup_printf("%s/relay-%s.log", site.directory, machine->instance);
+    const char *arguments[] = {STANDIN_RELAY, route, NULL};
+    CU_ASSERT_TRUE_FATAL(process_start(relay, log, arguments));
+    CU_ASSERT_TRUE_FATAL(process_wait_log(relay, "listening"));
+    g_free(route);
+    g_free(log);
+}
+
 void
 stop_site(void)
 {
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -39,6 +39,7 @@
 void start_site(int machines);
 void start_site_with_addresses(int machines,
                                void (*set_addresses)(machine_t *machine));
+void start_store_relay(machine_t *machine, process_t *relay);
 void stop_site(void);
 void start_server(machine_t *machine);
 void start_node(machine_t *machine);
--- a/test/functional/test_change_feed.c
+++ b/test/functional/test_change_feed.c
@@ -143,18 +143,7 @@
 static void
 read_store_through_relay(machine_t *machine)
 {
-    g_strlcpy(machine->store_address, machine->address,
-              sizeof(machine->store_address));
-    int i = (int)(machine - site.machines);
-    char *route = g_strdup_printf("%s:%d=%s:%d", machine->address, PORT_STORE,
-                                  site.address, PORT_STORE);
-    char *log = g_strdup_printf("%s/relay%d.log", site.directory, i);
-    const char *arguments[] = {IBISFIELD_BUILD_DIR "/test/standin_relay",
-                               route, NULL};
-    CU_ASSERT_TRUE_FATAL(process_start(&store_relays[i], log, arguments));
-    CU_ASSERT_TRUE_FATAL(process_wait_log(&store_relays[i], "listening"));
-    g_free(route);
-    g_free(log);
+    start_store_relay(machine, &store_relays[machine - site.machines]);
 }
 
 /// Guards against nodes that defer removals because a reader that they follow
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -379,17 +379,7 @@
     if (machine != &site.machines[0]) {
         return;
     }
-    g_strlcpy(machine->store_address, machine->address,
-              sizeof(machine->store_address));
-    char *route = g_strdup_printf("%s:%d=%s:%d", machine->address, PORT_STORE,
-                                  site.address, PORT_STORE);
-    char *log = g_strdup_printf("%s/relay.log", site.directory);
-    const char *arguments[] = {IBISFIELD_BUILD_DIR "/test/standin_relay",
-                               route, NULL};
-    CU_ASSERT_TRUE_FATAL(process_start(&store_relay, log, arguments));
-    CU_ASSERT_TRUE_FATAL(process_wait_log(&store_relay, "listening"));
-    g_free(route);
-    g_free(log);
+    start_store_relay(machine, &store_relay);
 }
 
 static void
