--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -256,31 +256,30 @@
     }
 }
 
-/// Reads the response to a request for changes. Returns NULL if it contains
-/// changes; otherwise the error, which is valid until @p message is cleared.
+/// Reads the response to a request for changes. Returns false and sets
+/// @p error, which is valid until @p message is cleared, if it contains none.
 /// The caller clears @p message in both cases.
-static const char *
-read_changes(control_message_t *message, const http_response_t *response)
+static bool
+read_changes(control_message_t *message, const http_response_t *response,
+             const char **error)
 {
     *message = (control_message_t){0};
+    *error = response->error;
     if (response->result != HTTP_COMPLETE) {
-        return response->error;
+        return false;
     }
     uint64_t version = 0;
     if (control_decode(message, response->body, &version) != DECODE_OK) {
         *message = (control_message_t){0};
         metric_increment(METRIC_CONTROL_MESSAGES_INVALID);
-        return "the response is not a valid control message";
+        *error = "the response is not a valid control message";
+        return false;
     }
     control_count_received(message->type, response->body.len);
-    switch (message->type) {
-    case CONTROL_CHANGES:
-        return NULL;
-    case CONTROL_REFUSED:
-        return message->reason;
-    default:
-        return control_type_name(message->type);
-    }
+    *error = message->type == CONTROL_REFUSED
+                 ? message->reason
+                 : control_type_name(message->type);
+    return message->type == CONTROL_CHANGES;
 }
 
 /// Defers removals as long as all readers do that this node follows. A reader
@@ -308,9 +307,9 @@
     feed_subscription_t *subscription = context;
     change_feed_t *feed = subscription->feed;
     control_message_t message;
+    const char *error = NULL;
     subscription->exchange = NULL;
-    const char *error = read_changes(&message, response);
-    if (error != NULL) {
+    if (!read_changes(&message, response, &error)) {
         handle_poll_failure(subscription, error);
     }
     else {
@@ -406,9 +405,10 @@
     feed_catch_up_t *catch_up = &feed->catch_up;
     control_message_t message;
     uint64_t before = feed->items.revision;
+    const char *error = NULL;
     catch_up->exchange = NULL;
-    const char *error = read_changes(&message, response);
-    if (error == NULL) {
+    bool caught_up = read_changes(&message, response, &error);
+    if (caught_up) {
         if (message.removal_grace_ms > 0) {
             feed->callbacks.extend_removal_grace(
                 feed->context, (int64_t)message.removal_grace_ms * US_PER_MS);
@@ -419,11 +419,11 @@
     log_info("feed_caught_up",
              "node=%s error=\"%s\" before=%" PRIu64 " revision=%" PRIu64
              " reported=%" PRIu64,
-             catch_up->peer.address, error == NULL ? "" : error, before,
+             catch_up->peer.address, caught_up ? "" : error, before,
              feed->items.revision, catch_up->revision);
     control_message_clear(&message);
     stop_catch_up(feed);
-    if (error != NULL) {
+    if (!caught_up) {
         // The next node that reports a later revision is asked instead.
         metric_increment(METRIC_CONTROL_EXCHANGES_FAILED);
         catch_up->revision = 0;
