Serve requests that a caller sends ahead side by side, in order

Cause: h2o's server reads nothing of a connection while it serves a request, so 64 requests sent together took 64 service times, and departed senders were found by polling every connection each 20 ms.

Change: an own server over h2o's sockets (request_reader on http_parser, http_server). A connection reads ahead; consecutive idempotent requests run side by side, at most 16, any other one alone; responses go out in order, with a bound on what is held. A connection closes only behind the last request that was started; then it is read on for a second, so that unread bytes don't reset it and lose the response.

--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -65,6 +65,9 @@
       "counter", "Requests of nodes with another protocol version.")          \
     X(REQUESTS_MALFORMED_TOTAL, "ibisfield_requests_malformed_total",         \
       "counter", "Requests refused because they were malformed.")             \
+    X(REQUESTS_PIPELINED_TOTAL, "ibisfield_requests_pipelined_total",         \
+      "counter",                                                              \
+      "Requests read before the responses to earlier ones were written.")     \
     X(REQUESTS_TOO_LARGE_TOTAL, "ibisfield_requests_too_large_total",         \
       "counter", "Requests refused because of their size.")                   \
     X(SENDERS_GONE_TOTAL, "ibisfield_senders_gone_total", "counter",          \
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -635,6 +635,24 @@
     release_call(call);
 }
 
+/// Returns whether a caller's request may run beside others of its connection:
+/// it is idempotent. The order of any other two requests matters.
+bool
+caller_server_is_concurrent(const caller_server_t *server,
+                            const http_request_t *request)
+{
+    if (http_request_header(request, HEADER_KEY).len > 0) {
+        return false;
+    }
+    const contract_t *contract = customers_find(server->options.customers,
+                                                customer_of(server, request));
+    const kind_t *kind =
+        contract == NULL
+            ? NULL
+            : contract_match(contract, request->method, request->path);
+    return kind != NULL && kind->run == RUN_IDEMPOTENT;
+}
+
 /// Handles a request of a caller.
 void
 caller_server_handle_caller(void *context, http_request_t *request)
--- a/src/ibisfield/io/caller_server.h
+++ b/src/ibisfield/io/caller_server.h
@@ -48,5 +48,7 @@
 void caller_server_handle_forwarded(caller_server_t *server,
                                     http_request_t *request);
 void caller_server_disconnected(void *context, http_request_t *request);
+bool caller_server_is_concurrent(const caller_server_t *server,
+                                 const http_request_t *request);
 
 #endif
--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -1,8 +1,12 @@
 /// @file
-/// HTTP/1.1 server on top of h2o: one h2o context for all listeners of a
-/// process, a bounded number of connections, ibisfield- headers in the error
-/// responses that h2o sends by itself, and the detection of senders that have
-/// disconnected.
+/// HTTP/1.1 server over h2o's sockets: bounded connections, requests that a
+/// sender sends ahead of the responses to earlier ones, responses in the order
+/// of the requests, and the detection of senders that have disconnected.
+///
+/// A connection reads ahead while its requests are served. Requests that the
+/// listener declares concurrent are served side by side, any other one alone.
+/// A connection is closed only behind the response to the last request that
+/// was handed to a handler; what was sent behind it isn't served.
 
 #include "ibisfield/io/http_server.h"
 
@@ -18,19 +22,25 @@
 #include "ibisfield/io/listen.h"
 #include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/message.h"
+#include "ibisfield/io/request_reader.h"
 #include "ibisfield/io/socket_options.h"
 
 /// The server closes idle connections after this time. It is above the idle
 /// timeout of the HTTP client, so that the client closes first.
-#define IDLE_TIMEOUT_MS 60000
+#define IDLE_TIMEOUT_US (60 * US_PER_S)
 /// Longest time from the first byte of a request to its last, and from the
 /// accept of a connection to the end of its first request.
 #define REQUEST_READ_TIMEOUT_US (10 * US_PER_S)
-/// Interval of the check for requests that exceed REQUEST_READ_TIMEOUT_US.
-#define INCOMPLETE_CHECK_INTERVAL_US US_PER_S
-/// Interval of the check whether senders of requests in flight have
-/// disconnected.
-#define DISCONNECT_CHECK_INTERVAL_US (20 * US_PER_MS)
+/// A connection whose sender doesn't read responses is closed after this time.
+#define WRITE_TIMEOUT_US (60 * US_PER_S)
+/// How long a connection that this side has closed is read before it is given
+/// up. Unread bytes would reset the connection, and the sender might lose the
+/// last response.
+#define LINGER_US US_PER_S
+/// Interval of the check for connections that exceed one of these times.
+#define TIMEOUT_CHECK_INTERVAL_US US_PER_S
+/// A connection isn't read while it holds this many unparsed bytes.
+#define INPUT_BYTES_MAX ((size_t)128 << 10)
 /// Time for which a stopping server waits for the first request of an accepted
 /// connection.
 #define FIRST_REQUEST_GRACE_US US_PER_S
@@ -40,99 +50,148 @@
 
 struct http_server {
     loop_t *loop;
-    h2o_globalconf_t config;
-    h2o_context_t context;
     GPtrArray *listeners;
     uint32_t connections_max;
+    size_t max_request_bytes;
     GQueue connections;
-    GQueue requests; ///< in flight
+    uint32_t in_flight; ///< requests without a response, long polls excluded
     log_limit_t refusal_log_limit;
-    loop_timer_t incomplete_timer;
-    loop_timer_t disconnect_timer;
+    loop_timer_t timeout_timer;
     bool draining;
-    bool context_ready;
 };
 
 struct http_listener {
     http_server_t *server;
     http_listener_options_t options;
     h2o_socket_t *socket;
-    h2o_hostconf_t *hosts[2]; ///< one host and the NULL that ends h2o's list
-    h2o_accept_ctx_t accept;
 };
 
-typedef struct http_connection {
+typedef struct connection connection_t;
+
+/// A request and, once it has one, its response.
+typedef struct {
+    http_request_t request; ///< what the handler gets
+    connection_t *connection;
+    request_message_t message; ///< owns the texts of the request
+    bool started;              ///< handed to the handler
+    bool in_flight;            ///< counted in the server's in_flight
+    bool responded;
+    bool is_concurrent;
+    GString *head; ///< of the response, without its last line end
+    GByteArray *body;
+} exchange_t;
+
+struct connection {
     http_listener_t *listener;
     h2o_socket_t *socket;
     GList *link;
-    http_request_t *request;      ///< in flight
-    bool handler_responding;      ///< the response being started comes from a
-                                  ///< handler, not from h2o itself
-    http_request_t *last_request; ///< its memory isn't released by h2o yet
-    size_t response_end_bytes;    ///< bytes written up to the end of the
-                                  ///< last response
+    request_reader_t reader;
+    /// Requests in the order sent, until their responses are written. Only the
+    /// last one may not have been started.
+    GQueue exchanges;
+    GString *writing;     ///< NULL: nothing is being written
+    size_t held_bytes;    ///< of responses that wait for their turn
+    uint32_t source_hash; ///< of its requests
     int64_t accepted_us;
-    int64_t incomplete_since_us; ///< when the wait for a request or its rest
-                                 ///< began; 0: no wait
+    int64_t idle_since_us;    ///< end of the last response
+    int64_t partial_since_us; ///< when the wait for a request or its rest
+                              ///< began; 0: no wait
+    int64_t write_since_us;
+    int64_t linger_since_us; ///< 0: not closed by this side
     bool had_request;
-    bool error_rewritten; ///< an error response of h2o itself was rewritten
-                          ///< and counted
-    bool over_limit;      ///< above connections_max; to be refused
-} connection_t;
+    bool advancing;     ///< advance() is running
+    bool reads_no_more; ///< no further request is read or started
+    bool ended;         ///< the last response has been handed to the socket
+    bool peer_closed;
+    bool reading_paused;
+    bool continue_sent; ///< for the request that is being read
+    bool over_limit;    ///< above connections_max; to be refused
+};
 
-typedef struct {
-    h2o_handler_t base;
-    http_listener_t *listener;
-} listener_handler_t;
+static exchange_t *
+exchange_of(http_request_t *request)
+{
+    return (exchange_t *)request;
+}
 
-typedef struct {
-    h2o_ostream_t base;
-    h2o_iovec_t body;
-} refusal_ostream_t;
+static void on_readable(h2o_socket_t *socket, const char *error);
+static void advance(connection_t *connection);
 
-static connection_t *
-connection_of(const h2o_req_t *request)
+static void
+free_exchange(exchange_t *exchange)
 {
-    h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
-    return socket->on_close.data;
+    if (exchange->message.text != NULL) {
+        request_message_finish(&exchange->message);
+    }
+    if (exchange->head != NULL) {
+        g_string_free(exchange->head, TRUE);
+        g_byte_array_unref(exchange->body);
+    }
+    g_free(exchange);
 }
 
 static void
-unlink_request(http_request_t *request)
+set_in_flight(exchange_t *exchange, bool in_flight)
 {
-    if (request->link != NULL) {
-        g_queue_delete_link(&request->listener->server->requests,
-                            request->link);
-        request->link = NULL;
+    if (exchange->in_flight != in_flight) {
+        exchange->in_flight = in_flight;
+        exchange->connection->listener->server->in_flight +=
+            in_flight ? 1 : (uint32_t)-1;
     }
 }
 
 static void
-report_disconnected(http_request_t *request)
+report_disconnected(exchange_t *exchange)
 {
-    unlink_request(request);
+    set_in_flight(exchange, false);
+    exchange->responded = true;
+    http_listener_options_t *options =
+        &exchange->connection->listener->options;
     metric_increment(METRIC_SENDERS_GONE_TOTAL);
-    log_debug("sender_gone", "listener=%s path=\"%.*s\"",
-              request->listener->options.name, (int)request->path.len,
-              request->path.data);
-    http_listener_options_t *options = &request->listener->options;
-    options->disconnected(options->context, request);
+    log_debug("sender_gone", "listener=%s path=\"%.*s\"", options->name,
+              (int)exchange->request.path.len, exchange->request.path.data);
+    options->disconnected(options->context, &exchange->request);
 }
 
-/// Called by h2o when it releases the memory of a request.
+/// Reports all requests of the connection that have no response yet as
+/// disconnected, and drops them.
 static void
-dispose_request(void *memory)
-{
-    http_request_t *request = memory;
-    connection_t *connection = request->connection;
-    if (connection != NULL) {
-        connection->response_end_bytes = connection->socket->bytes_written;
-        connection->last_request = NULL;
+drop_exchanges(connection_t *connection)
+{
+    exchange_t *exchange;
+    bool was_advancing = connection->advancing;
+    // A handler may respond to other requests of the connection meanwhile.
+    connection->advancing = true;
+    while ((exchange = g_queue_pop_head(&connection->exchanges)) != NULL) {
+        if (exchange->started && !exchange->responded) {
+            report_disconnected(exchange);
+        }
+        free_exchange(exchange);
     }
-    if (!request->responded) {
-        request->responded = true;
-        report_disconnected(request);
+    connection->advancing = was_advancing;
+    connection->held_bytes = 0;
+}
+
+static void
+free_connection(connection_t *connection)
+{
+    http_server_t *server = connection->listener->server;
+    drop_exchanges(connection);
+    connection->socket->data = NULL;
+    h2o_socket_close(connection->socket);
+    request_reader_finish(&connection->reader);
+    if (connection->writing != NULL) {
+        g_string_free(connection->writing, TRUE);
     }
+    g_queue_delete_link(&server->connections, connection->link);
+    metric_set(METRIC_CONNECTIONS, server->connections.length);
+    g_free(connection);
+}
+
+static int64_t
+now_us(const connection_t *connection)
+{
+    return clock_now_us(connection->listener->server->loop->clock);
 }
 
 static uint32_t
@@ -152,48 +211,244 @@
 }
 
 static uint32_t
-sender_hash(h2o_conn_t *connection)
+sender_hash(h2o_socket_t *socket)
 {
     struct sockaddr_storage address;
-    socklen_t size = connection->callbacks->get_peername(
-        connection, (struct sockaddr *)&address);
+    socklen_t size =
+        h2o_socket_getpeername(socket, (struct sockaddr *)&address);
     if (size < sizeof(struct sockaddr_in) || address.ss_family != AF_INET) {
         return 1; // all senders without an IPv4 address
     }
     return hash_address(&((const struct sockaddr_in *)&address)->sin_addr);
 }
 
-static slice_t
-slice_of(h2o_iovec_t text)
+/* Responses. */
+
+static const char *
+reason_phrase(int status)
 {
-    return (slice_t){text.base, text.len};
+    switch (status / 100) {
+    case 2:
+        return "OK";
+    case 3:
+        return "Redirect";
+    case 4:
+        return "Refused";
+    default:
+        return "Failed";
+    }
 }
 
-static http_request_t *
-create_request(http_listener_t *listener, h2o_req_t *h2o_request)
+static bool
+has_no_body(const exchange_t *exchange, int status)
 {
-    http_request_t *request = h2o_mem_alloc_shared(
-        &h2o_request->pool, sizeof(*request), dispose_request);
-    *request = (http_request_t){
-        .listener = listener,
-        .h2o_request = h2o_request,
-        .method = slice_of(h2o_request->input.method),
-        .path = slice_of(h2o_request->input.path),
-        .host = slice_of(h2o_request->input.authority),
-        .body = slice_of(h2o_request->entity),
-        .source_hash = sender_hash(h2o_request->conn),
-        .received_us = clock_now_us(listener->server->loop->clock),
-        .header_count = h2o_request->headers.size,
-    };
-    request->headers = h2o_mem_alloc_pool(&h2o_request->pool,
-                                          sizeof(http_header_t) *
-                                              (h2o_request->headers.size + 1));
-    for (size_t i = 0; i < h2o_request->headers.size; i++) {
-        const h2o_header_t *header = &h2o_request->headers.entries[i];
-        request->headers[i] =
-            (http_header_t){slice_of(*header->name), slice_of(header->value)};
+    return slice_equal_string(exchange->request.method, "HEAD") ||
+           status / 100 == 1 || status == 204 || status == 304;
+}
+
+static void
+set_response(exchange_t *exchange, int status, const http_header_t *headers,
+             size_t header_count, slice_t body)
+{
+    GString *head = g_string_sized_new(512);
+    g_string_append_printf(head, "HTTP/1.1 %d %s\r\n", status,
+                           reason_phrase(status));
+    if (status / 100 != 1 && status != 204 && status != 304) {
+        g_string_append_printf(head, "content-length: %zu\r\n", body.len);
+    }
+    for (size_t i = 0; i < header_count; i++) {
+        g_string_append_len(head, headers[i].name.data,
+                            (gssize)headers[i].name.len);
+        g_string_append(head, ": ");
+        g_string_append_len(head, headers[i].value.data,
+                            (gssize)headers[i].value.len);
+        g_string_append(head, "\r\n");
+    }
+    exchange->head = head;
+    exchange->body = g_byte_array_new();
+    if (body.len > 0 && !has_no_body(exchange, status)) {
+        g_byte_array_append(exchange->body, (const guint8 *)body.data,
+                            (guint)body.len);
+    }
+    exchange->responded = true;
+    exchange->connection->held_bytes += head->len + exchange->body->len;
+}
+
+/// Returns whether a request behind the first one has been started.
+static bool
+has_started_successor(const connection_t *connection)
+{
+    const GList *second = connection->exchanges.head->next;
+    return second != NULL && ((const exchange_t *)second->data)->started;
+}
+
+/// Returns whether the response to the first request is the last one. A
+/// connection that is to be closed still gets the responses to all requests
+/// that were started.
+static bool
+is_last_response(const connection_t *connection)
+{
+    return (connection->reads_no_more ||
+            connection->listener->server->draining) &&
+           !has_started_successor(connection);
+}
+
+/// Moves the responses whose turn it is to @p out.
+static void
+collect_responses(connection_t *connection, GString *out)
+{
+    exchange_t *exchange;
+    while (!connection->ended &&
+           (exchange = g_queue_peek_head(&connection->exchanges)) != NULL &&
+           exchange->responded)
+    {
+        connection->ended = is_last_response(connection);
+        connection->held_bytes -= exchange->head->len + exchange->body->len;
+        g_string_append_len(out, exchange->head->str,
+                            (gssize)exchange->head->len);
+        if (connection->ended) {
+            g_string_append(out, "connection: close\r\n");
+        }
+        else if (exchange->message.http_1_0) {
+            g_string_append(out, "connection: keep-alive\r\n");
+        }
+        g_string_append(out, "\r\n");
+        g_string_append_len(out, (const char *)exchange->body->data,
+                            exchange->body->len);
+        g_queue_pop_head(&connection->exchanges);
+        free_exchange(exchange);
+    }
+    if (connection->ended) {
+        connection->reads_no_more = true;
+        drop_exchanges(connection); // One that wasn't started, if any.
+    }
+}
+
+static void on_written(h2o_socket_t *socket, const char *error);
+
+static void
+write_bytes(connection_t *connection, GString *bytes)
+{
+    connection->writing = bytes;
+    connection->write_since_us = now_us(connection);
+    h2o_iovec_t buffer = h2o_iovec_init(bytes->str, bytes->len);
+    h2o_socket_write(connection->socket, &buffer, 1, on_written);
+}
+
+/// Writes the responses whose turn it is.
+static void
+write_responses(connection_t *connection)
+{
+    if (connection->writing != NULL) {
+        return;
     }
-    return request;
+    GString *out = g_string_sized_new(1024);
+    collect_responses(connection, out);
+    if (out->len == 0) {
+        g_string_free(out, TRUE);
+        return;
+    }
+    write_bytes(connection, out);
+}
+
+/// Closes the sending direction, and reads until the sender closes too.
+static void
+start_linger(connection_t *connection)
+{
+    connection->linger_since_us = now_us(connection);
+    connection->reads_no_more = true;
+    shutdown(h2o_socket_get_fd(connection->socket), SHUT_WR);
+    h2o_buffer_consume(&connection->socket->input,
+                       connection->socket->input->size);
+    h2o_socket_read_start(connection->socket, on_readable);
+}
+
+static void
+on_written(h2o_socket_t *socket, const char *error)
+{
+    connection_t *connection = socket->data;
+    if (connection == NULL) {
+        return;
+    }
+    g_string_free(connection->writing, TRUE);
+    connection->writing = NULL;
+    connection->idle_since_us = now_us(connection);
+    if (error != NULL || connection->peer_closed) {
+        free_connection(connection);
+    }
+    else if (connection->ended) {
+        start_linger(connection);
+    }
+    else {
+        advance(connection);
+    }
+}
+
+/// Responds to the request, which is invalid afterwards. All slices are
+/// copied.
+void
+http_request_respond(http_request_t *request, int status,
+                     const http_header_t *headers, size_t header_count,
+                     slice_t body)
+{
+    exchange_t *exchange = exchange_of(request);
+    set_in_flight(exchange, false);
+    set_response(exchange, status, headers, header_count, body);
+    advance(exchange->connection);
+}
+
+/// Responds to the request and closes its connection. Requests of the
+/// connection that are being served get their responses first.
+void
+http_request_respond_and_close(http_request_t *request, int status,
+                               const http_header_t *headers,
+                               size_t header_count, slice_t body)
+{
+    exchange_of(request)->connection->reads_no_more = true;
+    http_request_respond(request, status, headers, header_count, body);
+}
+
+/* Refusals by the server itself. */
+
+static void
+log_refused_request(const connection_t *connection, int status,
+                    reason_t reason)
+{
+    metric_increment(reason == REASON_REQUEST_TOO_LARGE
+                         ? METRIC_REQUESTS_TOO_LARGE_TOTAL
+                         : METRIC_REQUESTS_MALFORMED_TOTAL);
+    http_server_t *server = connection->listener->server;
+    if (log_limit_allows(&server->refusal_log_limit, server->loop->clock)) {
+        log_warning("request_refused", "listener=%s status=%d reason=%s",
+                    connection->listener->options.name, status,
+                    reason_token(reason));
+    }
+}
+
+/// Queues a refusal for a request that can't be read, behind the requests that
+/// were sent before it. The request never reached a handler, so this node
+/// hasn't run it; with a key the outcome is unknown, as an earlier request may
+/// have run. What follows it on the connection can't be read either.
+static void
+refuse_unreadable(connection_t *connection, reason_t reason)
+{
+    refusal_t refusal = {
+        .reason = reason,
+        .outcome = request_reader_has_header(&connection->reader, HEADER_KEY)
+                       ? OUTCOME_UNKNOWN
+                       : OUTCOME_NOT_RUN,
+    };
+    message_t response;
+    message_init_refusal(&response, &refusal);
+    log_refused_request(connection, response.status, reason);
+    exchange_t *exchange = g_new0(exchange_t, 1);
+    exchange->connection = connection;
+    exchange->started = true;
+    g_queue_push_tail(&connection->exchanges, exchange);
+    connection->reads_no_more = true;
+    set_response(exchange, response.status, response.headers,
+                 response.header_count, message_body(&response));
+    message_finish(&response);
 }
 
 /// Refuses a request on a connection above connections_max.
@@ -201,10 +456,11 @@
 refuse_over_limit(http_request_t *request)
 {
     metric_increment(METRIC_CONNECTIONS_REFUSED_TOTAL);
-    http_server_t *server = request->listener->server;
+    http_listener_t *listener = exchange_of(request)->connection->listener;
+    http_server_t *server = listener->server;
     if (log_limit_allows(&server->refusal_log_limit, server->loop->clock)) {
         log_warning("connection_refused", "listener=%s max=%u",
-                    request->listener->options.name, server->connections_max);
+                    listener->options.name, server->connections_max);
     }
     slice_t key = http_request_header(request, HEADER_KEY);
     refusal_t refusal = {
@@ -220,139 +476,238 @@
     message_finish(&response);
 }
 
-static void arm_disconnect_timer(http_server_t *server);
+/* Requests. */
 
-static int
-on_request(h2o_handler_t *handler, h2o_req_t *h2o_request)
+/// Returns whether the last request, which has not been started, may be served
+/// now.
+static bool
+may_start(const connection_t *connection, const exchange_t *last)
 {
-    http_listener_t *listener = ((listener_handler_t *)handler)->listener;
-    http_server_t *server = listener->server;
-    connection_t *connection = connection_of(h2o_request);
-    http_request_t *request = create_request(listener, h2o_request);
-    request->connection = connection;
-    connection->last_request = request;
-    connection->request = request;
-    connection->had_request = true;
-    connection->incomplete_since_us = 0;
-    g_queue_push_tail(&server->requests, request);
-    request->link = g_queue_peek_tail_link(&server->requests);
-    if (connection->over_limit) {
-        refuse_over_limit(request);
-        return 0;
+    if (connection->ended) {
+        return false;
+    }
+    size_t waiting_bytes =
+        connection->held_bytes +
+        (connection->writing == NULL ? 0 : connection->writing->len);
+    if (waiting_bytes >= HTTP_HELD_BYTES_MAX) {
+        return false;
+    }
+    if (connection->exchanges.length == 1) {
+        return true;
+    }
+    // While the server drains, each response is the last one of its
+    // connection, if nothing behind it has been started.
+    if (!last->is_concurrent || connection->listener->server->draining ||
+        connection->exchanges.length > HTTP_PIPELINE_MAX)
+    {
+        return false;
     }
-    arm_disconnect_timer(server);
-    listener->options.handle(listener->options.context, request);
-    return 0;
+    const GList *previous = connection->exchanges.tail->prev;
+    return ((const exchange_t *)previous->data)->is_concurrent;
 }
 
-static reason_t
-reason_of_h2o_status(int status)
+static void
+start_exchange(connection_t *connection, exchange_t *exchange)
 {
-    switch (status) {
-    case 413:
-        return REASON_REQUEST_TOO_LARGE;
-    case 404:
-        return REASON_NO_SUCH_KIND;
-    default:
-        return REASON_MALFORMED;
+    http_listener_options_t *options = &connection->listener->options;
+    exchange->started = true;
+    set_in_flight(exchange, true);
+    if (connection->over_limit) {
+        refuse_over_limit(&exchange->request);
+        return;
     }
+    options->handle(options->context, &exchange->request);
 }
 
+/// Adds the request that the reader has completed.
 static void
-send_refusal_body(h2o_ostream_t *ostream, h2o_req_t *h2o_request,
-                  h2o_iovec_t *buffers, size_t count, h2o_send_state_t state)
+add_exchange(connection_t *connection)
 {
-    (void)buffers;
-    (void)count;
-    refusal_ostream_t *refusal = (refusal_ostream_t *)ostream;
-    h2o_ostream_send_next(ostream, h2o_request, &refusal->body, 1, state);
+    exchange_t *exchange = g_new0(exchange_t, 1);
+    exchange->connection = connection;
+    connection->continue_sent = false;
+    connection->had_request = true;
+    connection->partial_since_us = 0;
+    if (!request_reader_take(&connection->reader, &exchange->message)) {
+        g_free(exchange);
+        refuse_unreadable(connection, REASON_MALFORMED);
+        return;
+    }
+    const request_message_t *message = &exchange->message;
+    exchange->request = (http_request_t){
+        .method = message->method,
+        .path = message->path,
+        .host = message->host,
+        .body = message->body,
+        .headers = message->headers,
+        .header_count = message->header_count,
+        .source_hash = connection->source_hash,
+        .received_us = now_us(connection),
+    };
+    const http_listener_options_t *options = &connection->listener->options;
+    exchange->is_concurrent =
+        options->is_concurrent != NULL &&
+        options->is_concurrent(options->context, &exchange->request);
+    if (connection->exchanges.length > 0) {
+        metric_increment(METRIC_REQUESTS_PIPELINED_TOTAL);
+    }
+    connection->reads_no_more |= !message->keep_alive;
+    g_queue_push_tail(&connection->exchanges, exchange);
 }
 
+/// Sends the interim response that the sender of a body waits for, unless
+/// responses to earlier requests come first.
 static void
-copy_headers(h2o_req_t *h2o_request, const http_header_t *headers,
-             size_t count)
+send_continue(connection_t *connection)
+{
+    if (!connection->reader.expects_continue || connection->continue_sent ||
+        connection->exchanges.length > 0 || connection->writing != NULL)
+    {
+        return;
+    }
+    connection->continue_sent = true;
+    write_bytes(connection, g_string_new("HTTP/1.1 100 Continue\r\n\r\n"));
+}
+
+/// Reads the next request if none waits to be started. Returns whether one was
+/// added.
+static bool
+read_next(connection_t *connection)
+{
+    h2o_socket_t *socket = connection->socket;
+    const exchange_t *last = g_queue_peek_tail(&connection->exchanges);
+    if (connection->reads_no_more || (last != NULL && !last->started) ||
+        socket->input->size == 0)
+    {
+        return false;
+    }
+    request_reader_t *reader = &connection->reader;
+    size_t used = request_reader_feed(
+        reader, (slice_t){socket->input->bytes, socket->input->size});
+    h2o_buffer_consume(&socket->input, used);
+    switch (reader->state) {
+    case REQUEST_PARTIAL:
+        send_continue(connection);
+        return false;
+    case REQUEST_COMPLETE:
+        add_exchange(connection);
+        return true;
+    case REQUEST_TOO_LARGE:
+        refuse_unreadable(connection, REASON_REQUEST_TOO_LARGE);
+        return true;
+    default:
+        refuse_unreadable(connection, REASON_MALFORMED);
+        return true;
+    }
+}
+
+/// Starts the last request if it may be served now. Returns whether it was
+/// started.
+static bool
+start_last(connection_t *connection)
 {
-    for (size_t i = 0; i < count; i++) {
-        h2o_iovec_t name = h2o_strdup(&h2o_request->pool, headers[i].name.data,
-                                      headers[i].name.len);
-        h2o_iovec_t value = h2o_strdup(
-            &h2o_request->pool, headers[i].value.data, headers[i].value.len);
-        h2o_add_header_by_str(&h2o_request->pool, &h2o_request->res.headers,
-                              name.base, name.len, 1, NULL, value.base,
-                              value.len);
+    exchange_t *last = g_queue_peek_tail(&connection->exchanges);
+    if (last == NULL || last->started || !may_start(connection, last)) {
+        return false;
     }
+    start_exchange(connection, last);
+    return true;
 }
 
+/// Stops reading while much is unread, so that the kernel slows the sender
+/// down.
 static void
-record_refusal(const connection_t *connection, int status, reason_t reason)
+update_reading(connection_t *connection)
 {
-    metric_increment(reason == REASON_REQUEST_TOO_LARGE
-                         ? METRIC_REQUESTS_TOO_LARGE_TOTAL
-                         : METRIC_REQUESTS_MALFORMED_TOTAL);
-    http_server_t *server = connection->listener->server;
-    if (log_limit_allows(&server->refusal_log_limit, server->loop->clock)) {
-        log_warning("request_refused", "listener=%s status=%d reason=%s",
-                    connection->listener->options.name, status,
-                    reason_token(reason));
+    bool pause = !connection->reads_no_more &&
+                 connection->socket->input->size >= INPUT_BYTES_MAX;
+    if (pause == connection->reading_paused) {
+        return;
+    }
+    connection->reading_paused = pause;
+    if (pause) {
+        h2o_socket_read_stop(connection->socket);
+    }
+    else {
+        h2o_socket_read_start(connection->socket, on_readable);
     }
 }
 
-/// Replaces headers and body of an error response of h2o itself by those of a
-/// refusal. The request never reached a handler, so this node hasn't run it;
-/// with a key the outcome is unknown, as an earlier request may have run.
+/// Does what the connection is ready for: reads, starts and responds to
+/// requests. A handler may respond before it returns; that call does nothing
+/// here but for this one to go on.
 static void
-rewrite_h2o_error(h2o_filter_t *filter, h2o_req_t *h2o_request,
-                  h2o_ostream_t **slot)
+advance(connection_t *connection)
 {
-    (void)filter;
-    connection_t *connection = connection_of(h2o_request);
-    if (connection->handler_responding) {
-        h2o_setup_next_ostream(h2o_request, slot);
+    if (connection->advancing) {
         return;
     }
-    reason_t reason = reason_of_h2o_status(h2o_request->res.status);
-    connection->error_rewritten = true;
-    record_refusal(connection, h2o_request->res.status, reason);
-    refusal_t refusal = {.reason = reason, .outcome = OUTCOME_NOT_RUN};
-    if (h2o_find_header_by_str(&h2o_request->headers, HEADER_KEY,
-                               strlen(HEADER_KEY), -1) != -1)
-    {
-        refusal.outcome = OUTCOME_UNKNOWN;
+    connection->advancing = true;
+    do {
+        write_responses(connection);
+    } while (start_last(connection) || read_next(connection));
+    write_responses(connection);
+    send_continue(connection);
+    connection->advancing = false;
+    update_reading(connection);
+}
+
+/* Connections. */
+
+/// Handles the end of the stream. Nothing more is served, even if the sender
+/// has closed only its sending direction: the two can't be told apart. A
+/// response that is being written is completed.
+static void
+handle_peer_close(connection_t *connection, bool orderly)
+{
+    connection->peer_closed = true;
+    connection->reads_no_more = true;
+    h2o_socket_read_stop(connection->socket);
+    if (!orderly || connection->writing == NULL) {
+        free_connection(connection);
+        return;
     }
-    message_t response;
-    message_init_refusal(&response, &refusal);
-    slice_t body = message_body(&response);
-    h2o_request->res.headers = (h2o_headers_t){0};
-    copy_headers(h2o_request, response.headers, response.header_count);
-    h2o_request->res.content_length = body.len;
-    refusal_ostream_t *ostream = (refusal_ostream_t *)h2o_add_ostream(
-        h2o_request, sizeof(*ostream), slot);
-    ostream->base.do_send = send_refusal_body;
-    ostream->body = h2o_strdup(&h2o_request->pool, body.data, body.len);
-    message_finish(&response);
-    h2o_setup_next_ostream(h2o_request, &ostream->base.next);
+    drop_exchanges(connection);
 }
 
-/// Frees the connection. Counts a refusal if h2o has responded to bytes that
-/// it can't parse: it then writes a fixed 400 that bypasses all filters, which
-/// is detected by written bytes that belong to no request.
 static void
-on_connection_closed(void *data)
+on_readable(h2o_socket_t *socket, const char *error)
 {
-    connection_t *connection = data;
-    if (connection->last_request != NULL) {
-        connection->last_request->connection = NULL;
+    connection_t *connection = socket->data;
+    if (connection == NULL) {
+        return;
     }
-    else if (connection->socket->bytes_written >
-                 connection->response_end_bytes &&
-             !connection->error_rewritten)
-    {
-        record_refusal(connection, 400, REASON_MALFORMED);
+    if (error != NULL) {
+        handle_peer_close(connection, error == h2o_socket_error_closed);
     }
-    http_server_t *server = connection->listener->server;
-    g_queue_delete_link(&server->connections, connection->link);
+    else if (connection->linger_since_us != 0) {
+        h2o_buffer_consume(&socket->input, socket->input->size);
+    }
+    else {
+        advance(connection);
+    }
+}
+
+static void
+add_connection(http_listener_t *listener, h2o_socket_t *socket)
+{
+    http_server_t *server = listener->server;
+    uint32_t count = server->connections.length;
+    connection_t *connection = g_new0(connection_t, 1);
+    connection->listener = listener;
+    connection->socket = socket;
+    connection->source_hash = sender_hash(socket);
+    connection->accepted_us = clock_now_us(server->loop->clock);
+    connection->idle_since_us = connection->accepted_us;
+    connection->over_limit = count >= server->connections_max &&
+                             !listener->options.exempt_from_limit;
+    request_reader_init(&connection->reader, server->max_request_bytes);
+    g_queue_push_tail(&server->connections, connection);
+    connection->link = g_queue_peek_tail_link(&server->connections);
     metric_set(METRIC_CONNECTIONS, server->connections.length);
-    g_free(connection);
+    socket_set_options(h2o_socket_get_fd(socket));
+    socket->data = connection;
+    h2o_socket_read_start(socket, on_readable);
 }
 
 static void
@@ -365,129 +720,96 @@
     http_server_t *server = listener->server;
     h2o_socket_t *socket;
     while ((socket = h2o_evloop_socket_accept(listening)) != NULL) {
-        uint32_t count = server->connections.length;
-        if (count >= server->connections_max + REFUSED_CONNECTIONS_MAX) {
+        if (server->connections.length >=
+            server->connections_max + REFUSED_CONNECTIONS_MAX)
+        {
             metric_increment(METRIC_CONNECTIONS_REFUSED_TOTAL);
             h2o_socket_close(socket);
             continue;
         }
-        connection_t *connection = g_new0(connection_t, 1);
-        connection->listener = listener;
-        connection->socket = socket;
-        connection->accepted_us = clock_now_us(server->loop->clock);
-        connection->over_limit = count >= server->connections_max &&
-                                 !listener->options.exempt_from_limit;
-        g_queue_push_tail(&server->connections, connection);
-        connection->link = g_queue_peek_tail_link(&server->connections);
-        metric_set(METRIC_CONNECTIONS, server->connections.length);
-        socket_set_options(h2o_socket_get_fd(socket));
-        socket->on_close.cb = on_connection_closed;
-        socket->on_close.data = connection;
-        h2o_accept(&listener->accept, socket);
-    }
-}
-
-/// Closes a connection whose request isn't complete within the timeout.
-static void
-check_incomplete(connection_t *connection, int64_t now_us)
-{
-    bool incomplete =
-        connection->request == NULL &&
-        (!connection->had_request || connection->socket->input->size > 0);
-    if (!incomplete) {
-        connection->incomplete_since_us = 0;
-        return;
-    }
-    if (connection->incomplete_since_us == 0) {
-        connection->incomplete_since_us = now_us;
+        add_connection(listener, socket);
     }
-    if (now_us - connection->incomplete_since_us < REQUEST_READ_TIMEOUT_US) {
-        return;
-    }
-    metric_increment(METRIC_CONNECTIONS_HALF_OPEN_TOTAL);
-    http_server_t *server = connection->listener->server;
-    if (log_limit_allows(&server->refusal_log_limit, server->loop->clock)) {
-        log_warning("half_open_connection_closed", "listener=%s bytes=%zu",
-                    connection->listener->options.name,
-                    connection->socket->input->size);
-    }
-    // h2o sees the end of the stream and closes the connection.
-    shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
 }
 
-static void
-check_incomplete_requests(void *context)
+/// Returns whether a request is being read, or the first one is awaited.
+static bool
+is_reading_request(const connection_t *connection)
 {
-    http_server_t *server = context;
-    int64_t now_us = clock_now_us(server->loop->clock);
-    for (GList *link = server->connections.head; link != NULL;
-         link = link->next) {
-        check_incomplete(link->data, now_us);
-    }
-    loop_timer_start(server->loop, &server->incomplete_timer,
-                     INCOMPLETE_CHECK_INTERVAL_US, check_incomplete_requests,
-                     server);
+    return connection->exchanges.length == 0 && !connection->reads_no_more &&
+           (!connection->had_request || connection->reader.started ||
+            connection->socket->input->size > 0);
 }
 
 static bool
-has_disconnected(const http_request_t *request)
-{
-    h2o_socket_t *socket = request->h2o_request->conn->callbacks->get_socket(
-        request->h2o_request->conn);
-    char byte;
-    ssize_t got =
-        recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-                        errno != EINTR);
-}
-
-/// Reports that the sender has closed its connection, and closes it on this
-/// side. h2o doesn't notice by itself, because it doesn't read a connection
-/// while a handler works on its request. The response only makes h2o close the
-/// connection; a sender that has closed only its sending direction may read
-/// it.
+has_timed_out(int64_t since_us, int64_t timeout_us, int64_t at_us)
+{
+    return since_us != 0 && at_us - since_us >= timeout_us;
+}
+
 static void
-end_disconnected_request(http_request_t *request)
+close_half_open(connection_t *connection)
 {
-    if (request->responded) {
-        return;
+    metric_increment(METRIC_CONNECTIONS_HALF_OPEN_TOTAL);
+    http_server_t *server = connection->listener->server;
+    if (log_limit_allows(&server->refusal_log_limit, server->loop->clock)) {
+        log_warning("half_open_connection_closed", "listener=%s bytes=%zu",
+                    connection->listener->options.name,
+                    connection->reader.text->len +
+                        connection->socket->input->size);
     }
-    report_disconnected(request);
-    http_request_respond_and_close(request, 502, NULL, 0, (slice_t){NULL, 0});
+    free_connection(connection);
 }
 
+/// Closes the connection if it has exceeded one of its times.
 static void
-check_disconnected(void *context)
+check_timeouts(connection_t *connection, int64_t at_us)
 {
-    http_server_t *server = context;
-    // Collected first: a handler may respond to other requests when it is
-    // notified, which changes server->requests.
-    GPtrArray *disconnected_requests = g_ptr_array_new();
-    for (GList *link = server->requests.head; link != NULL; link = link->next)
+    if (!is_reading_request(connection)) {
+        connection->partial_since_us = 0;
+    }
+    else if (connection->partial_since_us == 0) {
+        connection->partial_since_us = at_us;
+    }
+    if (has_timed_out(connection->partial_since_us, REQUEST_READ_TIMEOUT_US,
+                      at_us))
     {
-        if (has_disconnected(link->data)) {
-            g_ptr_array_add(disconnected_requests, link->data);
+        close_half_open(connection);
+    }
+    else if (connection->writing != NULL) {
+        if (has_timed_out(connection->write_since_us, WRITE_TIMEOUT_US, at_us))
+        {
+            free_connection(connection);
         }
     }
-    for (guint i = 0; i < disconnected_requests->len; i++) {
-        end_disconnected_request(disconnected_requests->pdata[i]);
+    else if (has_timed_out(connection->linger_since_us, LINGER_US, at_us)) {
+        free_connection(connection);
     }
-    g_ptr_array_unref(disconnected_requests);
-    if (server->requests.length > 0) {
-        arm_disconnect_timer(server);
+    else if (connection->linger_since_us == 0 &&
+             connection->exchanges.length == 0 &&
+             connection->partial_since_us == 0 &&
+             has_timed_out(connection->idle_since_us, IDLE_TIMEOUT_US, at_us))
+    {
+        start_linger(connection);
     }
 }
 
 static void
-arm_disconnect_timer(http_server_t *server)
+check_all_timeouts(void *context)
 {
-    if (server->disconnect_timer.position == NULL) {
-        loop_timer_start(server->loop, &server->disconnect_timer,
-                         DISCONNECT_CHECK_INTERVAL_US, check_disconnected,
-                         server);
+    http_server_t *server = context;
+    int64_t at_us = clock_now_us(server->loop->clock);
+    GList *link = server->connections.head;
+    while (link != NULL) {
+        connection_t *connection = link->data;
+        link = link->next;
+        check_timeouts(connection, at_us);
     }
+    loop_timer_start(server->loop, &server->timeout_timer,
+                     TIMEOUT_CHECK_INTERVAL_US, check_all_timeouts, server);
 }
 
+/* Server. */
+
 /// Creates a server without listeners.
 http_server_t *
 http_server_new(loop_t *loop, uint32_t connections_max,
@@ -496,34 +818,13 @@
     http_server_t *server = g_new0(http_server_t, 1);
     server->loop = loop;
     server->connections_max = connections_max;
+    server->max_request_bytes = max_request_bytes;
     server->listeners = g_ptr_array_new();
-    h2o_config_init(&server->config);
-    server->config.server_name = h2o_iovec_init(NULL, 0);
-    server->config.max_request_entity_size = max_request_bytes;
-    server->config.http1.req_timeout = IDLE_TIMEOUT_MS;
-    server->config.http1.upgrade_to_http2 = 0;
-    loop_timer_start(loop, &server->incomplete_timer,
-                     INCOMPLETE_CHECK_INTERVAL_US, check_incomplete_requests,
-                     server);
+    loop_timer_start(loop, &server->timeout_timer, TIMEOUT_CHECK_INTERVAL_US,
+                     check_all_timeouts, server);
     return server;
 }
 
-static void
-register_handler(http_listener_t *listener)
-{
-    h2o_pathconf_t *path =
-        h2o_config_register_path(listener->hosts[0], "/", 0);
-    listener_handler_t *handler =
-        (listener_handler_t *)h2o_create_handler(path, sizeof(*handler));
-    handler->base.on_req = on_request;
-    handler->listener = listener;
-    h2o_filter_t *filter = h2o_create_filter(path, sizeof(*filter));
-    filter->on_setup_ostream = rewrite_h2o_error;
-    filter =
-        h2o_create_filter(&listener->hosts[0]->fallback_path, sizeof(*filter));
-    filter->on_setup_ostream = rewrite_h2o_error;
-}
-
 /// Opens a listener. All listeners must be opened before http_server_start().
 bool
 http_server_listen(http_server_t *server,
@@ -539,12 +840,6 @@
     http_listener_t *listener = g_new0(http_listener_t, 1);
     listener->server = server;
     listener->options = *options;
-    listener->hosts[0] = h2o_config_register_host(
-        &server->config, h2o_iovec_init(options->name, strlen(options->name)),
-        65535);
-    register_handler(listener);
-    listener->accept =
-        (h2o_accept_ctx_t){.ctx = &server->context, .hosts = listener->hosts};
     listener->socket = h2o_evloop_socket_create(server->loop->h2o, fd,
                                                 H2O_SOCKET_FLAG_DONT_READ);
     listener->socket->data = listener;
@@ -556,15 +851,14 @@
 void
 http_server_start(http_server_t *server)
 {
-    h2o_context_init(&server->context, server->loop->h2o, &server->config);
-    server->context_ready = true;
     for (guint i = 0; i < server->listeners->len; i++) {
         http_listener_t *listener = server->listeners->pdata[i];
         h2o_socket_read_start(listener->socket, on_accept);
     }
 }
 
-/// Makes each further response close its connection.
+/// Makes each further response close its connection, behind those to the
+/// requests of the connection that are being served.
 void
 http_server_set_draining(http_server_t *server)
 {
@@ -606,53 +900,61 @@
 uint32_t
 http_server_in_flight(const http_server_t *server)
 {
-    return server->requests.length;
+    return server->in_flight;
 }
 
 static bool
-may_send_first_request(const connection_t *connection, int64_t now_us)
+may_send_first_request(const connection_t *connection, int64_t at_us)
 {
     return !connection->had_request &&
-           now_us - connection->accepted_us < FIRST_REQUEST_GRACE_US;
+           at_us - connection->accepted_us < FIRST_REQUEST_GRACE_US;
 }
 
 /// Returns whether no request is in flight or being read, no response is being
-/// written, and no new connection may still send its first request.
+/// written, no closed connection waits for its sender to close, and no new
+/// connection may still send its first request.
 bool
 http_server_is_idle(const http_server_t *server)
 {
-    int64_t now_us = clock_now_us(server->loop->clock);
+    int64_t at_us = clock_now_us(server->loop->clock);
     for (const GList *link = server->connections.head; link != NULL;
          link = link->next)
     {
         const connection_t *connection = link->data;
-        if (connection->socket->input->size > 0 ||
-            may_send_first_request(connection, now_us) ||
-            h2o_socket_is_writing(connection->socket))
+        if (connection->writing != NULL || connection->linger_since_us != 0 ||
+            connection->reader.started ||
+            connection->socket->input->size > 0 ||
+            may_send_first_request(connection, at_us))
         {
             return false;
         }
     }
-    return server->requests.length == 0;
+    return server->in_flight == 0;
 }
 
 /// Stops the server at the end of the process. Connections stay open until the
-/// process exits, because h2o has no function to close them.
+/// process exits.
 void
 http_server_free(http_server_t *server)
 {
     http_server_stop_listening(server);
-    loop_timer_stop(server->loop, &server->incomplete_timer);
-    loop_timer_stop(server->loop, &server->disconnect_timer);
+    loop_timer_stop(server->loop, &server->timeout_timer);
 }
 
 /// Marks a request that waits for an event and is responded to within seconds
-/// in any case. It doesn't count as in flight, and the server doesn't check
-/// whether its sender has disconnected.
+/// in any case. It doesn't count as in flight.
 void
 http_request_set_long_poll(http_request_t *request)
 {
-    unlink_request(request);
+    set_in_flight(exchange_of(request), false);
+}
+
+/// Returns the descriptor of the request's connection.
+int
+http_request_fd(const http_request_t *request)
+{
+    const connection_t *connection = ((const exchange_t *)request)->connection;
+    return h2o_socket_get_fd(connection->socket);
 }
 
 /// Returns the value of the first header with this name (lower case); its data
@@ -662,57 +964,3 @@
 {
     return http_header_find(request->headers, request->header_count, name);
 }
-
-static const char *
-reason_phrase(int status)
-{
-    switch (status / 100) {
-    case 2:
-        return "OK";
-    case 3:
-        return "Redirect";
-    case 4:
-        return "Refused";
-    default:
-        return "Failed";
-    }
-}
-
-/// Responds to the request, which is invalid afterwards. All slices are
-/// copied.
-void
-http_request_respond(http_request_t *request, int status,
-                     const http_header_t *headers, size_t header_count,
-                     slice_t body)
-{
-    static h2o_generator_t generator = {NULL, NULL};
-    h2o_req_t *h2o_request = request->h2o_request;
-    unlink_request(request);
-    request->responded = true;
-    if (request->listener->server->draining) {
-        h2o_request->http1_is_persistent = 0;
-    }
-    h2o_request->res.status = status;
-    h2o_request->res.reason = reason_phrase(status);
-    h2o_request->res.content_length = body.len;
-    copy_headers(h2o_request, headers, header_count);
-    h2o_iovec_t content = h2o_strdup(&h2o_request->pool, body.data, body.len);
-    bool is_head = slice_equal_string(request->method, "HEAD");
-    connection_t *connection = connection_of(h2o_request);
-    connection->request = NULL;
-    connection->handler_responding = true;
-    h2o_start_response(h2o_request, &generator);
-    connection->handler_responding = false;
-    h2o_send(h2o_request, &content, is_head || body.len == 0 ? 0 : 1,
-             H2O_SEND_STATE_FINAL);
-}
-
-/// Responds to the request and closes its connection.
-void
-http_request_respond_and_close(http_request_t *request, int status,
-                               const http_header_t *headers,
-                               size_t header_count, slice_t body)
-{
-    request->h2o_request->http1_is_persistent = 0;
-    http_request_respond(request, status, headers, header_count, body);
-}
--- a/src/ibisfield/io/http_server.h
+++ b/src/ibisfield/io/http_server.h
@@ -9,11 +9,16 @@
 typedef struct http_server http_server_t;
 typedef struct http_listener http_listener_t;
 
+/// Requests of one connection that are served side by side, and responses that
+/// wait there for their turn, at most.
+#define HTTP_PIPELINE_MAX 16
+/// While responses of this size together wait on a connection, for their turn
+/// or for a sender that reads slowly, no further request of it is served.
+#define HTTP_HELD_BYTES_MAX ((size_t)256 << 10)
+
 /// A request in flight. It is valid until it is responded to or its sender has
 /// disconnected.
 typedef struct {
-    http_listener_t *listener;
-    h2o_req_t *h2o_request;
     slice_t method;
     slice_t path; ///< with query
     slice_t host;
@@ -21,11 +26,8 @@
     http_header_t *headers; ///< without Host
     size_t header_count;
     uint32_t source_hash; ///< hash of the sender's address; never 0
-    bool responded;       ///< the response is being written
     int64_t received_us;  ///< when the request was complete
-    GList *link;
-    struct http_connection *connection; ///< NULL: closed
-    void *user;                         ///< owned by the handler
+    void *user;           ///< owned by the handler
 } http_request_t;
 
 /// Handles a request. The handler responds by http_request_respond(), at once
@@ -34,6 +36,10 @@
 /// Called when the sender has closed its connection. The handler must not use
 /// the request any more.
 typedef void (*http_disconnected_t)(void *context, http_request_t *request);
+/// Returns whether the request may be served while others of its connection
+/// are, because it may run at any time and more than once.
+typedef bool (*http_concurrent_t)(void *context,
+                                  const http_request_t *request);
 
 typedef struct {
     const char *name; ///< for logs
@@ -42,6 +48,7 @@
     http_handler_t handle;
     http_disconnected_t disconnected;
     void *context;
+    http_concurrent_t is_concurrent; ///< NULL: one request at a time
 } http_listener_options_t;
 
 http_server_t *http_server_new(loop_t *loop, uint32_t connections_max,
@@ -58,6 +65,7 @@
 bool http_server_is_idle(const http_server_t *server);
 
 void http_request_set_long_poll(http_request_t *request);
+int http_request_fd(const http_request_t *request);
 uint32_t http_source_hash(const char *address);
 slice_t http_request_header(const http_request_t *request, const char *name);
 void http_request_respond(http_request_t *request, int status,
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -92,6 +92,13 @@
     peer_server_disconnected(&((node_t *)context)->peer_server, request);
 }
 
+static bool
+is_caller_request_concurrent(void *context, const http_request_t *request)
+{
+    return caller_server_is_concurrent(&((node_t *)context)->caller_server,
+                                       request);
+}
+
 static const contract_t *
 look_up_contract(void *context, slice_t customer)
 {
@@ -452,15 +459,16 @@
     const settings_t *settings = node->settings;
     const http_listener_options_t listeners[] = {
         {"caller", settings->caller_listen, false, handle_caller,
-         handle_caller_disconnect, node},
+         handle_caller_disconnect, node, is_caller_request_concurrent},
         {"egress", settings->egress_listen, false, handle_egress,
-         handle_caller_disconnect, node},
+         handle_caller_disconnect, node, NULL},
         {"peer", settings->peer_listen, false, handle_peer,
-         handle_peer_disconnect, node},
+         handle_peer_disconnect, node, NULL},
         {"operator", settings->operator_listen, true, operator_server_handle,
-         operator_server_disconnected, node},
+         operator_server_disconnected, node, NULL},
         {"readiness", settings->readiness_listen, true,
-         operator_server_handle_readiness, operator_server_disconnected, node},
+         operator_server_handle_readiness, operator_server_disconnected, node,
+         NULL},
     };
     node->server =
         http_server_new(&node->loop, (uint32_t)settings->max_connections,
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -135,9 +135,7 @@
 {
     static const char partial_response[] =
         "HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n{\"id\": ";
-    h2o_socket_t *socket = request->h2o_request->conn->callbacks->get_socket(
-        request->h2o_request->conn);
-    int fd = h2o_socket_get_fd(socket);
+    int fd = http_request_fd(request);
     if (write(fd, partial_response, sizeof(partial_response) - 1) > 0) {
         shutdown(fd, SHUT_RDWR);
     }
@@ -148,9 +146,7 @@
 reset_connection(const http_request_t *request)
 {
     static const struct sockaddr none = {.sa_family = AF_UNSPEC};
-    h2o_socket_t *socket = request->h2o_request->conn->callbacks->get_socket(
-        request->h2o_request->conn);
-    if (connect(h2o_socket_get_fd(socket), &none, sizeof(none)) != 0) {
+    if (connect(http_request_fd(request), &none, sizeof(none)) != 0) {
         perror("reset");
     }
 }
