Keep requests in their data centre while a VM there has room

Cause: a VM of the own data centre was compared with a remote one by expected time alone, so a few outstanding attempts, or a remote VM that is somewhat faster, sent a request out of the data centre although its own VM had room.

Change: a local VM with room (no queue, no refusal, under 0.6 of its limit in use) is left only for one that takes less than half of the time.

Tests: test_picker 'local VM with room' fails before; 'local VM without room' and 'demand beyond the local VM' keep the other direction.

--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -57,6 +57,12 @@
 #define EJECTION_PEER_FAILURE_RATIO 0.5
 /// How much later a request may be a probe for each unit of its worth.
 #define PROBE_DELAY_PER_WORTH_US (5 * US_PER_MS)
+/// A VM of the own data centre has room while it has no queue, and while less
+/// than this fraction of its limit is in use.
+#define LOCAL_LOAD_MAX 0.6
+/// A VM of the own data centre that has room is used unless its expected time
+/// is longer than this many times that of a VM elsewhere.
+#define LOCAL_TIME_RATIO_MAX 2.0
 /// How long a service counts as overloaded after a refusal.
 #define OVERLOAD_TTL_US (500 * US_PER_MS)
 /// A probe succeeds if it takes at most this many mean latencies of its kind.
@@ -349,6 +355,37 @@
     return start;
 }
 
+/// Returns whether the VM is in the own data centre and can take a request
+/// without waiting, as far as this node knows.
+static bool
+has_local_room(const picker_t *picker, vm_handle_t vm)
+{
+    int64_t now_us = clock_now_us(picker->clock);
+    const vm_record_t *record = find_vm(picker, vm);
+    if (record->data_centre != picker->own_data_centre ||
+        !is_enabled(picker, PICKER_FEATURE_LOCAL_ROOM) ||
+        vm_health_is_overloaded(&record->health, now_us))
+    {
+        return false;
+    }
+    double limit = DEFAULT_LIMIT;
+    double in_use = record->health.outstanding;
+    if (is_enabled(picker, PICKER_FEATURE_LOAD_REPORTS) &&
+        now_us < record->load_expires_us && record->load.limit > 0)
+    {
+        if (record->load.queue > 0) {
+            return false;
+        }
+        limit = record->load.limit;
+        in_use = MAX(in_use, record->load.in_flight);
+    }
+    return in_use + 1 < LOCAL_LOAD_MAX * limit;
+}
+
+/// Returns the better of two random candidates, the first one of the own data
+/// centre if possible. Bytes between data centres and the time that they take
+/// are saved where a local VM has room: it is left only for one that is much
+/// faster.
 static vm_handle_t
 choose_best_of_two(picker_t *picker, double latency_us)
 {
@@ -361,7 +398,11 @@
     second += second >= first ? 1 : 0;
     vm_handle_t a = candidate_at(picker, first);
     vm_handle_t b = candidate_at(picker, second);
-    return expected_time(picker, b, latency_us) <
+    bool b_is_remote =
+        find_vm(picker, b)->data_centre != picker->own_data_centre;
+    double ratio =
+        b_is_remote && has_local_room(picker, a) ? LOCAL_TIME_RATIO_MAX : 1;
+    return ratio * expected_time(picker, b, latency_us) <
                    expected_time(picker, a, latency_us)
                ? b
                : a;
--- a/src/ibisfield/routing/picker.h
+++ b/src/ibisfield/routing/picker.h
@@ -30,6 +30,8 @@
         4,                      ///< refusal at the sender by reported worth
     PICKER_FEATURE_HEDGING = 8, ///< a second attempt after a delay
     PICKER_FEATURE_SLOW_START = 16, ///< fewer attempts at new VMs
+    PICKER_FEATURE_LOCAL_ROOM = 32, ///< preference for VMs of the own data
+                                    ///< centre that have room
 } picker_feature_t;
 
 /// State of a VM after it was taken out of use, because it is ejected or
--- a/test/unit/test_picker.c
+++ b/test/unit/test_picker.c
@@ -479,6 +479,80 @@
     picker_finish(&picker);
 }
 
+/// Lists a local VM 0 and a remote VM 1. Each gets 50 responses, and reports
+/// the load with each. The local one is @p factor times slower.
+static void
+init_local_and_remote(int factor, const guard_load_t *load)
+{
+    init_picker(1);
+    picker_vm_t remote = {"far", "b", "s", false};
+    picker_set_vm(&picker, &remote);
+    manual_clock_advance(&test_clock, 10 * US_PER_S);
+    for (int i = 0; i < 100; i++) {
+        const vm_handle_t tried[] = {i % 2 == 0 ? 1 : 0};
+        vm_handle_t vm = VM_NONE;
+        picker_pick(&picker, "s", KIND, 10, tried, 1, &vm);
+        int64_t latency_us =
+            vm == 0 ? factor * NORMAL_LATENCY_US : NORMAL_LATENCY_US;
+        manual_clock_advance(&test_clock, latency_us);
+        picker_report(&picker, vm, KIND, REPORT_ANSWERED, latency_us, load);
+    }
+}
+
+/// Starts attempts that stay outstanding. Returns how many are at the local
+/// VM.
+static int
+count_local(int attempts)
+{
+    int local = 0;
+    for (int i = 0; i < attempts; i++) {
+        local += pick_worth(10) == 0 ? 1 : 0;
+    }
+    return local;
+}
+
+/// Guards against requests to other data centres although the local VM has
+/// room.
+static void
+test_local_vm_with_room_is_preferred(void)
+{
+    const guard_load_t room = {.limit = 20, .in_flight = 4};
+    init_local_and_remote(1, &room);
+    CU_ASSERT_EQUAL(count_local(8), 8);
+    picker_finish(&picker);
+}
+
+/// Guards against a local VM that is preferred although it is much slower, has
+/// a queue, or is used by others beyond its room.
+static void
+test_local_vm_without_room_is_not_preferred(void)
+{
+    const guard_load_t room = {.limit = 20, .in_flight = 4};
+    const guard_load_t queue = {.limit = 20, .queue = 1, .service_us = 1};
+    const guard_load_t others = {.limit = 20, .in_flight = 15};
+    init_local_and_remote(3, &room);
+    CU_ASSERT_TRUE(count_local(8) <= 2);
+    picker_finish(&picker);
+    init_local_and_remote(1, &queue);
+    CU_ASSERT_TRUE(count_local(8) <= 6);
+    picker_finish(&picker);
+    init_local_and_remote(1, &others);
+    CU_ASSERT_TRUE(count_local(8) <= 6);
+    picker_finish(&picker);
+}
+
+/// Guards against a data centre whose demand exceeds its VM while VMs in
+/// others are idle.
+static void
+test_demand_beyond_the_local_vm_spills(void)
+{
+    const guard_load_t load = {.limit = 20};
+    init_local_and_remote(1, &load);
+    int local = count_local(30);
+    CU_ASSERT_TRUE(local >= 11 && local <= 20);
+    picker_finish(&picker);
+}
+
 /// Guards against a late report that is attributed to another VM.
 static void
 test_handle_in_use_is_not_reused(void)
@@ -668,6 +742,9 @@
          test_vms_that_reported_draining_are_the_last_choice},
         {"tried", test_tried_vms_are_avoided},
         {"local VM", test_local_vm_is_preferred},
+        {"local VM with room", test_local_vm_with_room_is_preferred},
+        {"local VM without room", test_local_vm_without_room_is_not_preferred},
+        {"demand beyond the local VM", test_demand_beyond_the_local_vm_spills},
         {"handles", test_handle_in_use_is_not_reused},
         {"subset", test_subset_is_stable_and_even},
         {"unreachable", test_unreachable_vms_are_avoided},
