Tell an upstream that sheds by chance from a full one

Cause: any request that the upstream shed lowered the concurrency limit, to a twentieth of the slots within seconds.

Change: admission/shed_cause compares how many requests ran when shed and answered ones started. Beside more than others: full, the limit falls as before. Alike: by chance, the limit stays.

--- a/src/ibisfield/admission/admission.c
+++ b/src/ibisfield/admission/admission.c
@@ -427,12 +427,25 @@
     }
 }
 
-/// Records that the upstream shed a request, so the concurrency limit is above
-/// its capacity.
+/// Records that the upstream answered a request.
+///
+/// @param in_flight  requests that ran there when it started, itself included
 void
-admission_record_upstream_shed(admission_t *admission)
+admission_record_upstream_answer(admission_t *admission, uint32_t in_flight)
 {
-    if (is_enabled(admission, ADMISSION_FEATURE_ADAPTIVE_LIMIT)) {
+    shed_cause_record_answer(&admission->shed_cause, in_flight);
+}
+
+/// Records that the upstream shed a request. If it is full, the concurrency
+/// limit is above its capacity.
+void
+admission_record_upstream_shed(admission_t *admission, uint32_t in_flight)
+{
+    shed_cause_record_shed(&admission->shed_cause, in_flight,
+                           clock_now_us(admission->clock));
+    if (is_enabled(admission, ADMISSION_FEATURE_ADAPTIVE_LIMIT) &&
+        shed_cause_is_full(&admission->shed_cause))
+    {
         limiter_record_upstream_shed(&admission->limiter);
     }
 }
--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -8,6 +8,7 @@
 #include "ibisfield/admission/limiter.h"
 #include "ibisfield/admission/pressure.h"
 #include "ibisfield/admission/service_time.h"
+#include "ibisfield/admission/shed_cause.h"
 #include "ibisfield/admission/wait_queue.h"
 #include "ibisfield/base/clock.h"
 #include "ibisfield/base/slice.h"
@@ -81,6 +82,7 @@
     uint32_t running[ADMISSION_KINDS_MAX]; ///< by kind
     service_time_t service_times;
     limiter_t limiter;
+    shed_cause_t shed_cause;
     pressure_t pressure;
     wait_queue_t queues[ADMISSION_QUEUE_COUNT];
     GArray *evicted; ///< tickets (uint64_t) with pending events
@@ -105,7 +107,10 @@
 bool admission_cancel(admission_t *admission, uint64_t ticket);
 void admission_done(admission_t *admission, uint32_t kind, int64_t service_us,
                     bool completed);
-void admission_record_upstream_shed(admission_t *admission);
+void admission_record_upstream_answer(admission_t *admission,
+                                      uint32_t in_flight);
+void admission_record_upstream_shed(admission_t *admission,
+                                    uint32_t in_flight);
 uint32_t admission_pressure(const admission_t *admission);
 uint32_t admission_cost(const admission_t *admission, int64_t service_us);
 guard_load_t admission_load(const admission_t *admission);
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -177,6 +177,7 @@
     g_strlcpy(context.customer, request->customer, sizeof(context.customer));
     request->running = true;
     request->started_us = now_us;
+    request->started_in_flight = guard->admission.in_flight;
     request->context_id =
         request->requested_context_id == 0
             ? request_contexts_add(guard->contexts, &context)
@@ -322,6 +323,8 @@
                    result == UPSTREAM_ANSWERED);
     switch (result) {
     case UPSTREAM_ANSWERED:
+        admission_record_upstream_answer(&guard->admission,
+                                         request->started_in_flight);
         end_request(guard, request, REASON_NONE, OUTCOME_ANSWERED);
         break;
     case UPSTREAM_MISDIRECTED:
@@ -334,7 +337,8 @@
         end_request(guard, request, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN);
         break;
     case UPSTREAM_SHED:
-        admission_record_upstream_shed(&guard->admission);
+        admission_record_upstream_shed(&guard->admission,
+                                       request->started_in_flight);
         end_request(guard, request, REASON_UPSTREAM_SHED, OUTCOME_NOT_RUN);
         break;
     case UPSTREAM_RESPONSE_TOO_LARGE:
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -78,7 +78,9 @@
     uint64_t target_instance;
     bool is_retry;
     bool sender_disconnected;
-    uint32_t kind_index; ///< from admission_kind_index()
+    uint32_t kind_index;        ///< from admission_kind_index()
+    uint32_t started_in_flight; ///< requests that ran when it started, itself
+                                ///< included
     uint32_t retry_tokens;
     int32_t worth;
     uint64_t context_id; ///< 0 until it runs, or if there was no room
