Answer callers whose requests outlast a stop, and take fewer of them

Report of another operator: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end.

It could happen here: a stopping node took requests until half of stop_limit_s (5 s of 10) whatever their time budget, and at drain_limit_ms it exited with the connections of callers that still waited.

Change: with stop_limit_s, callers and other nodes are served for 3 s at most (two missed readiness checks and a margin), so a request has 6.75 s of 10 left; and at the limit every caller that waits is told that the outcome is unknown, 0.1 s before the exit.

--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -541,6 +541,19 @@
     entry->refuses_callers = true;
 }
 
+/// Responds to all callers that still wait, because the process ends now.
+void
+entry_end_calls(entry_t *entry)
+{
+    for (uint32_t i = entry->slots.count; i > 0; i--) {
+        entry_call_t *call =
+            &entry->calls[slot_table_at(&entry->slots, i - 1)];
+        if (call->caller_waiting) {
+            entry_refuse_call(entry, call, REASON_LEAVING, OUTCOME_UNKNOWN);
+        }
+    }
+}
+
 /// Sets whether the node is draining: it issues no keys then, but still serves
 /// requests with the keys that it owns.
 void
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -221,6 +221,7 @@
 void entry_tick(entry_t *entry);
 void entry_set_ready(entry_t *entry, bool ready);
 void entry_refuse_callers(entry_t *entry);
+void entry_end_calls(entry_t *entry);
 void entry_set_draining(entry_t *entry, bool draining);
 uint32_t entry_in_flight(const entry_t *entry);
 
--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -288,6 +288,10 @@
 /// Time between the exit of a node and the end of stop_limit_s, at which it
 /// would be killed. It lets the last responses leave the node's sockets.
 #define EXIT_MARGIN_MS 250
+/// Longest time after SIGTERM in which callers are served if stop_limit_s is
+/// set. A platform that checks readiness each second sends them elsewhere by
+/// then, and a request that is taken later may not end before the process.
+#define STOP_LINGER_MAX_MS 3000
 
 /// Reduces the limits of the shutdown to fit into stop_limit_s.
 static void
@@ -299,7 +303,8 @@
     int32_t limit_ms = (int32_t)(settings->stop_limit_s * 1000);
     limit_ms = MAX(limit_ms - EXIT_MARGIN_MS, 1);
     settings->drain_limit_ms = MIN(settings->drain_limit_ms, limit_ms);
-    settings->key_linger_ms = MIN(settings->key_linger_ms, limit_ms / 2);
+    settings->key_linger_ms =
+        MIN(settings->key_linger_ms, MIN(limit_ms / 2, STOP_LINGER_MAX_MS));
 }
 
 static void
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -21,6 +21,8 @@
 /// Time between the refusal of new connections, after key_linger_ms, and the
 /// close of the listeners. Handshakes that are under way complete in it.
 #define HANDSHAKE_GRACE_US (100 * US_PER_MS)
+/// Time between the last responses, at drain_limit_ms, and the exit.
+#define LAST_RESPONSES_US (100 * US_PER_MS)
 /// Idempotency keys of which a node keeps a record at the same time. A record
 /// is kept from the first request with the key until the key expires.
 #define KEY_RECORDS_MAX 65536
@@ -602,10 +604,16 @@
     return node->listeners_closed;
 }
 
+static void
+stop_loop(void *context)
+{
+    loop_stop(&((node_t *)context)->loop);
+}
+
 /// Runs the shutdown. Until key_linger_ms callers are served; afterwards their
 /// requests are refused (with an adapter), and new connections as soon as the
 /// guard has no request in flight. Stops the loop when nothing is unfinished,
-/// or at drain_limit_ms.
+/// or at drain_limit_ms, at which callers that still wait are told so.
 static void
 check_shutdown(void *context)
 {
@@ -617,7 +625,9 @@
         metric_add(METRIC_CALLS_CUT_TOTAL, unfinished);
         log_warning("drain_limit_reached", "cut=%u", unfinished);
         node->exit_code = unfinished == 0 ? 0 : 1;
-        loop_stop(&node->loop);
+        entry_end_calls(&node->entry);
+        loop_timer_start(&node->loop, &node->shutdown_timer, LAST_RESPONSES_US,
+                         stop_loop, node);
         return;
     }
     if (elapsed_ms >= node->settings->key_linger_ms && node->adapter != NULL &&
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -336,6 +336,30 @@
     stop_site();
 }
 
+/// Guards against a caller whose connection just ends when its request comes
+/// late in the stop of the node that takes it, and outlasts it.
+static void
+test_request_that_outlasts_a_stop_is_answered(void)
+{
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    set_server_mode(2, "/test/hold/1");
+    set_server_mode(3, "/test/hold/1");
+    kill(site.machines[0].node.pid, SIGTERM);
+    CU_ASSERT_TRUE(
+        process_wait_log(&site.machines[0].node, "event=shutdown_started"));
+    // Late, so that its time budget ends after the process.
+    g_usleep(2000000);
+    text_response_t response = request_via_node(0, "POST", "/book/a", "id-1");
+    // It runs at its server, so it must not be reported as not run.
+    CU_ASSERT_EQUAL(response.status, 502);
+    CU_ASSERT_EQUAL(upstream_counter(2, "runs") + upstream_counter(3, "runs"),
+                    1);
+    text_response_free(&response);
+    CU_ASSERT_EQUAL(process_wait(&site.machines[0].node), 1);
+    stop_site();
+}
+
 /// Guards against unused slots while a node restarts and its server keeps
 /// running: only this node can reach the server.
 static void
@@ -437,6 +461,8 @@
         {"draining server", test_draining_server},
         {"removed server", test_node_of_a_removed_server_refuses},
         {"stop and reload", test_stop_and_reload},
+        {"request that outlasts a stop",
+         test_request_that_outlasts_a_stop_is_answered},
         {"stopping node", test_stopping_node_still_serves_its_server},
         CU_TEST_INFO_NULL,
     };
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -93,6 +93,29 @@
     CU_ASSERT_STRING_EQUAL(settings.log_level, "debug");
 }
 
+/// Guards against a shutdown that takes requests for so long that they can't
+/// end before the process does.
+static void
+test_stop_limit_shortens_the_shutdown(void)
+{
+    static const struct {
+        const char *stop_limit_s;
+        int32_t linger_ms;
+        int32_t drain_ms;
+    } cases[] = {{"6", 2875, 5750}, {"10", 3000, 9750}, {"60", 3000, 30000}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        settings_t settings;
+        char *text = g_strdup_printf("{" REQUIRED ",\"stop_limit_s\":%s}",
+                                     cases[i].stop_limit_s);
+        char *problems = problems_of(slice_from_string(text), &settings);
+        CU_ASSERT_STRING_EQUAL(problems, "");
+        CU_ASSERT_EQUAL(settings.key_linger_ms, cases[i].linger_ms);
+        CU_ASSERT_EQUAL(settings.drain_limit_ms, cases[i].drain_ms);
+        g_free(problems);
+        g_free(text);
+    }
+}
+
 /// Guards against unusable endpoints and URLs that are accepted.
 static void
 test_invalid_fields_are_refused(void)
@@ -222,6 +245,7 @@
     CU_TestInfo tests[] = {
         {"fields and defaults", test_fields_and_defaults},
         {"optional fields", test_optional_fields_are_read},
+        {"stop limit", test_stop_limit_shortens_the_shutdown},
         {"invalid fields", test_invalid_fields_are_refused},
         {"contradictions", test_contradictions_are_refused},
         {"all problems", test_all_problems_are_listed_with_lines},
