Test what callers get from a full server that never responds

The stand-in of a server gains /test/hang/N: it never responds to a request that comes while N run or wait, nor to any behind it on its connection. test_store: every request gets a response, bookings 200 or 504 and none runs twice, and all are answered once the server responds again.

Tried and taken back before a commit: lowering the guard's limit after requests that were silent for four usual service times.

--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -360,6 +360,64 @@
     stop_site();
 }
 
+/// Returns how many of @p count requests get each of a response and a 504,
+/// which they may get after their time budget of 4 s.
+static int
+count_answered(int count, const char *method, const char *path, int *timed_out)
+{
+    static int next_id = 0;
+    http_call_t *calls[16];
+    int answered = 0;
+    *timed_out = 0;
+    for (int i = 0; i < count; i++) {
+        char *headers = g_strdup_printf("host: site.example\nx-request-id: "
+                                        "call-%d\nx-deadline-ms: 4000",
+                                        next_id++);
+        calls[i] = http_call_start(site.machines[0].address, PORT_CALLER,
+                                   method, path, headers, "");
+        g_free(headers);
+    }
+    for (int i = 0; i < count; i++) {
+        text_response_t response = http_call_wait(calls[i]);
+        answered += response.status == 200 ? 1 : 0;
+        *timed_out += response.status == 504 ? 1 : 0;
+        text_response_free(&response);
+    }
+    return answered;
+}
+
+/// Guards against requests without any response while a full server never
+/// responds to a part of them, against bookings that are reported as not run
+/// although it may have run them, or that run twice, and against requests sent
+/// behind a silent one on its connection.
+static void
+test_full_server_that_never_responds(void)
+{
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    int timed_out = 0;
+    // The latencies of reads are learned, after which they are hedged.
+    for (int i = 0; i < 8; i++) {
+        CU_ASSERT_EQUAL(count_answered(8, "GET", "/inner/a", &timed_out), 8);
+    }
+    set_server_mode(2, "/test/service/50000");
+    set_server_mode(3, "/test/service/50000");
+    set_server_mode(2, "/test/hang/1");
+    // The sound server has its share; hedges of the others are limited by the
+    // service retry budget.
+    int answered = count_answered(8, "GET", "/inner/a", &timed_out);
+    CU_ASSERT_TRUE(answered >= 4);
+    CU_ASSERT_EQUAL(answered + timed_out, 8);
+    answered = count_answered(8, "POST", "/book/a", &timed_out);
+    CU_ASSERT_EQUAL(answered + timed_out, 8);
+    for (int i = 2; i < MACHINES_DEFAULT; i++) {
+        CU_ASSERT_TRUE(upstream_counter(i, "max_per_id") <= 1);
+    }
+    set_server_mode(2, "/test/hang/0");
+    CU_ASSERT_EQUAL(count_answered(8, "POST", "/book/a", &timed_out), 8);
+    stop_site();
+}
+
 /// Guards against unused slots while a node restarts and its server keeps
 /// running: only this node can reach the server.
 static void
@@ -463,6 +521,8 @@
         {"stop and reload", test_stop_and_reload},
         {"request that outlasts a stop",
          test_request_that_outlasts_a_stop_is_answered},
+        {"full server that never responds",
+         test_full_server_that_never_responds},
         {"stopping node", test_stopping_node_still_serves_its_server},
         CU_TEST_INFO_NULL,
     };
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -11,6 +11,9 @@
 ///     POST /test/reset/N    resets the connection instead of every Nth
 ///                           response; 0: never
 ///     POST /test/shed/N     sheds while N requests run or wait; 0: never
+///     POST /test/hang/N     never responds to a request that comes while N
+///                           requests run or wait, nor to any behind it on its
+///                           connection; 0: always responds
 ///     POST /test/hold/N     1: no run ends until 0 is posted
 ///     POST /test/late/N     lets every Nth run take EXTRA_DELAY_US longer;
 ///                           0: none
@@ -67,6 +70,7 @@
     int32_t service_us;
     int32_t cold_start_ms;
     int32_t truncate_every;
+    int32_t hang_threshold; ///< like shed_threshold, without a response
     int32_t shed_threshold; ///< running and waiting requests; 0: never sheds
     int32_t response_bytes_min;
     path_service_time_t path_times[PATHS_MAX];
@@ -380,6 +384,9 @@
     else if (slice_starts_with(path, SLICE_LITERAL("/test/shed/"))) {
         upstream.shed_threshold = parse_number_after(path, "/test/shed/");
     }
+    else if (slice_starts_with(path, SLICE_LITERAL("/test/hang/"))) {
+        upstream.hang_threshold = parse_number_after(path, "/test/hang/");
+    }
     else if (slice_starts_with(path, SLICE_LITERAL("/test/hold/"))) {
         upstream.hold_runs = parse_number_after(path, "/test/hold/") != 0;
     }
@@ -435,6 +442,9 @@
         return;
     }
     int32_t load = upstream.running + (int32_t)upstream.waiting.length;
+    if (upstream.hang_threshold > 0 && load >= upstream.hang_threshold) {
+        return; // The server reads no further request of the connection.
+    }
     if (upstream.shed_threshold > 0 && load >= upstream.shed_threshold) {
         shed(request);
         return;
