--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -63,6 +63,12 @@
       "counter", "Requests that no byte of could be sent to a node.")         \
     X(PROTOCOL_REFUSALS_TOTAL, "ibisfield_protocol_refusals_total",           \
       "counter", "Requests of nodes with another protocol version.")          \
+    X(REMOTE_BODY_BYTES_TOTAL, "ibisfield_remote_body_bytes_total",           \
+      "counter", "Those of the two remote totals that are bodies.")           \
+    X(REMOTE_REQUEST_BYTES_TOTAL, "ibisfield_remote_request_bytes_total",     \
+      "counter", "Bytes of requests sent to nodes of other data centres.")    \
+    X(REMOTE_RESPONSE_BYTES_TOTAL, "ibisfield_remote_response_bytes_total",   \
+      "counter", "Bytes of responses from nodes of other data centres.")      \
     X(REQUESTS_MALFORMED_TOTAL, "ibisfield_requests_malformed_total",         \
       "counter", "Requests refused because they were malformed.")             \
     X(REQUESTS_PIPELINED_TOTAL, "ibisfield_requests_pipelined_total",         \
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -34,6 +34,7 @@
     caller_call_t *call;
     uint32_t number; ///< 0: the request forwarded to the key's owner
     bool at_most_once;
+    bool remote; ///< the VM is in another data centre
     char vm[VM_NAME_MAX + 1];
     http_exchange_t *exchange;
     loop_timer_t not_listed_timer; ///< for report_not_listed()
@@ -378,10 +379,35 @@
     release_call(call);
 }
 
+/// Returns the size of headers as they are sent.
+static size_t
+header_bytes(const http_header_t *headers, size_t header_count)
+{
+    size_t bytes = 0;
+    for (size_t i = 0; i < header_count; i++) {
+        bytes += headers[i].name.len + headers[i].value.len + strlen(": \r\n");
+    }
+    return bytes;
+}
+
+static void
+count_remote_bytes(metric_id_t total, const http_header_t *headers,
+                   size_t header_count, slice_t body)
+{
+    metric_add(total,
+               (int64_t)(header_bytes(headers, header_count) + body.len));
+    metric_add(METRIC_REMOTE_BODY_BYTES_TOTAL, (int64_t)body.len);
+}
+
 static void
 attempt_done(void *context, const http_response_t *response)
 {
     caller_attempt_t *attempt = context;
+    if (attempt->remote && response->result == HTTP_COMPLETE) {
+        count_remote_bytes(METRIC_REMOTE_RESPONSE_BYTES_TOTAL,
+                           response->headers, response->header_count,
+                           response->body);
+    }
     if (response->result != HTTP_COMPLETE) {
         metric_increment(response->result == HTTP_CONNECT_FAILED
                              ? METRIC_PEER_CONNECT_FAILURES_TOTAL
@@ -470,6 +496,11 @@
     else if (attempt->at_most_once) {
         message_add_string(&message, HEADER_ONCE, "1");
     }
+    attempt->remote = strcmp(peer->data_centre, options->data_centre) != 0;
+    if (attempt->remote) {
+        count_remote_bytes(METRIC_REMOTE_REQUEST_BYTES_TOTAL, message.headers,
+                           message.header_count, call->request->body);
+    }
     attempt->exchange = http_exchange_start(
         peer_client_pool(options->peers, peer), call->request->method,
         call->request->path, message.headers, message.header_count,
--- a/src/ibisfield/io/caller_server.h
+++ b/src/ibisfield/io/caller_server.h
@@ -22,6 +22,7 @@
     peer_client_t *peers;
     span_source_t *spans;
     const header_names_t *header_names; ///< NULL: the ibisfield- headers
+    const char *data_centre;            ///< of this node
     const char *service;                ///< of the upstream on this VM
     call_depths_t *depths;
     change_feed_t *feed;
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -431,19 +431,21 @@
         node->adapter == NULL ? NULL : node->adapter->header_names;
     upstream_client_init(&node->upstream, &node->loop, settings, header_names,
                          handle_upstream_draining, node);
-    caller_server_init(&node->caller_server, &(caller_server_options_t){
-                                                 .loop = &node->loop,
-                                                 .entry = &node->entry,
-                                                 .picker = &node->picker,
-                                                 .customers = &node->customers,
-                                                 .vms = &node->vms,
-                                                 .peers = &node->peers,
-                                                 .spans = &node->spans,
-                                                 .header_names = header_names,
-                                                 .service = settings->service,
-                                                 .depths = &node->depths,
-                                                 .feed = &node->feed,
-                                             });
+    caller_server_init(&node->caller_server,
+                       &(caller_server_options_t){
+                           .loop = &node->loop,
+                           .entry = &node->entry,
+                           .picker = &node->picker,
+                           .customers = &node->customers,
+                           .vms = &node->vms,
+                           .peers = &node->peers,
+                           .spans = &node->spans,
+                           .header_names = header_names,
+                           .data_centre = settings->data_centre,
+                           .service = settings->service,
+                           .depths = &node->depths,
+                           .feed = &node->feed,
+                       });
     peer_server_init(&node->peer_server,
                      &(peer_server_options_t){
                          .guard = &node->guard,
