Test responses cut at any byte, and that only logs use the time of day

Report of another operator: a server stopped in the middle of its answer's head and closed, and clients got a whole 200.

--- a/test/functional/test_docs.c
+++ b/test/functional/test_docs.c
@@ -392,6 +392,35 @@
                         "docs/callers.md");
 }
 
+static void
+find_time_of_day(name_table_t *table, const char *path, const char *text)
+{
+    static const char *const calls[] = {
+        "CLOCK_REALTIME",  "gettimeofday",
+        "g_get_real_time", "g_date_time_new_now",
+        " time(NULL)",     "localtime",
+        "gmtime",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(calls); i++) {
+        if (strstr(text, calls[i]) != NULL) {
+            name_table_add(table, path, calls[i]);
+        }
+    }
+}
+
+/// Guards against decisions by the time of day, which may jump: only log lines
+/// use it.
+static void
+test_only_logs_use_the_time_of_day(void)
+{
+    name_table_t *code = name_table_new();
+    visit_sources("src", find_time_of_day, code);
+    visit_sources("platform", find_time_of_day, code);
+    CU_ASSERT_EQUAL(g_hash_table_size(code), 1);
+    CU_ASSERT_TRUE(g_hash_table_contains(code, "src/ibisfield/base/log.c"));
+    g_hash_table_destroy(code);
+}
+
 /// Adds the names of a source file: its path with and without each leading
 /// directory. For a test program also its name, and the wildcards that match
 /// it, such as test_entry_* for test_entry_throttle.
@@ -510,6 +539,7 @@
         {"metrics", test_metrics_are_documented},
         {"refusals", test_refusals_are_documented},
         {"headers", test_headers_are_documented},
+        {"time of day", test_only_logs_use_the_time_of_day},
         {"mentioned names", test_mentioned_names_exist},
         CU_TEST_INFO_NULL,
     };
--- a/test/functional/test_response_reader.c
+++ b/test/functional/test_response_reader.c
@@ -99,6 +99,43 @@
     response_reader_finish(&reader);
 }
 
+/// Guards against a response that a server broke off in its head or its body
+/// and that counts as complete: also the second one of a kept connection.
+static void
+test_response_cut_at_any_byte(void)
+{
+    static const char *const responses[] = {
+        "HTTP/1.1 200 OK\r\nX-Server-Seal: 3e1b.07\r\n"
+        "Content-Length: 5\r\nX-Request-Id: 9c\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nX-Server-Seal: 3e1b.07\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        // Without a length; the close ends it, but not its head.
+        "HTTP/1.1 200 OK\r\nX-Server-Seal: 3e1b.07\r\n"
+        "X-Request-Id: 9c\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+        "Content-Length: 0\r\n\r\n",
+    };
+    start(true);
+    for (size_t i = 0; i < G_N_ELEMENTS(responses); i++) {
+        size_t len = strlen(responses[i]);
+        for (size_t cut = 0; cut < len; cut++) {
+            response_reader_start(&reader, false);
+            feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            CU_ASSERT_EQUAL(reader.state, RESPONSE_COMPLETE);
+            response_reader_start(&reader, false);
+            response_reader_feed(&reader, (slice_t){responses[i], cut});
+            CU_ASSERT_EQUAL(reader.state, RESPONSE_PARTIAL);
+            response_reader_eof(&reader, true);
+            CU_ASSERT_EQUAL(reader.state, RESPONSE_INVALID);
+        }
+        response_reader_start(&reader, false);
+        response_reader_feed(&reader, (slice_t){responses[i], len});
+        response_reader_eof(&reader, true);
+        CU_ASSERT_EQUAL(reader.state, RESPONSE_COMPLETE);
+    }
+    response_reader_finish(&reader);
+}
+
 /// Guards against unbounded bodies and against accepting bytes that aren't
 /// HTTP.
 static void
@@ -123,6 +160,7 @@
         {"extra bytes", test_bytes_after_a_response_are_not_consumed},
         {"single bytes", test_response_in_single_bytes},
         {"close-delimited", test_close_delimited_responses},
+        {"cut at any byte", test_response_cut_at_any_byte},
         {"invalid responses", test_invalid_responses},
         CU_TEST_INFO_NULL,
     };
