--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -100,7 +100,8 @@
     int64_t linger_since_us; ///< 0: not closed by this side
     bool had_request;
     bool advancing;     ///< advance() is running
-    bool reads_no_more; ///< no further request is read or started
+    bool reads_no_more; ///< no further request is read; one that was read
+                        ///< may still be started
     bool ended;         ///< the last response has been handed to the socket
     bool peer_closed;
     bool reading_paused;
@@ -634,8 +635,8 @@
 }
 
 /// Does what the connection is ready for: reads, starts and responds to
-/// requests. A handler may respond before it returns; that call does nothing
-/// here but for this one to go on.
+/// requests. A handler may respond before it returns; the call that this makes
+/// returns at once, and the loop here continues with the response.
 static void
 advance(connection_t *connection)
 {
