Leave a local VM for a remote one that is 20 ms faster

Cause: a VM of the own data centre with room was kept up to twice the expected time of a remote one, whatever that time was.

Change: the extra time is bounded by 20 ms as well.

Test: test_picker 'local VM without room' with a VM that is slower by 50 ms of 100; fails before.

--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -61,8 +61,10 @@
 /// than this fraction of its limit is in use.
 #define LOCAL_LOAD_MAX 0.6
 /// A VM of the own data centre that has room is used unless its expected time
-/// is longer than this many times that of a VM elsewhere.
+/// is longer than this many times that of a VM elsewhere, or longer by
+/// LOCAL_EXTRA_TIME_MAX_US.
 #define LOCAL_TIME_RATIO_MAX 2.0
+#define LOCAL_EXTRA_TIME_MAX_US (20.0 * US_PER_MS)
 /// How long a service counts as overloaded after a refusal.
 #define OVERLOAD_TTL_US (500 * US_PER_MS)
 /// A probe succeeds if it takes at most this many mean latencies of its kind.
@@ -398,14 +400,15 @@
     second += second >= first ? 1 : 0;
     vm_handle_t a = candidate_at(picker, first);
     vm_handle_t b = candidate_at(picker, second);
-    bool b_is_remote =
-        find_vm(picker, b)->data_centre != picker->own_data_centre;
-    double ratio =
-        b_is_remote && has_local_room(picker, a) ? LOCAL_TIME_RATIO_MAX : 1;
-    return ratio * expected_time(picker, b, latency_us) <
-                   expected_time(picker, a, latency_us)
-               ? b
-               : a;
+    double time_a = expected_time(picker, a, latency_us);
+    double time_b = expected_time(picker, b, latency_us);
+    if (find_vm(picker, b)->data_centre != picker->own_data_centre &&
+        has_local_room(picker, a))
+    {
+        time_b = MIN(time_b * LOCAL_TIME_RATIO_MAX,
+                     time_b + LOCAL_EXTRA_TIME_MAX_US);
+    }
+    return time_b < time_a ? b : a;
 }
 
 static double
--- a/test/unit/test_picker.c
+++ b/test/unit/test_picker.c
@@ -522,8 +522,9 @@
     picker_finish(&picker);
 }
 
-/// Guards against a local VM that is preferred although it is much slower, has
-/// a queue, or is used by others beyond its room.
+/// Guards against a local VM that is preferred although it is much slower, or
+/// slower by tens of milliseconds, has a queue, or is used by others beyond
+/// its room.
 static void
 test_local_vm_without_room_is_not_preferred(void)
 {
@@ -533,6 +534,9 @@
     init_local_and_remote(3, &room);
     CU_ASSERT_TRUE(count_local(8) <= 2);
     picker_finish(&picker);
+    init_local_and_remote(2, &room);
+    CU_ASSERT_TRUE(count_local(8) <= 2);
+    picker_finish(&picker);
     init_local_and_remote(1, &queue);
     CU_ASSERT_TRUE(count_local(8) <= 6);
     picker_finish(&picker);
