--- a/src/ibisfield/retry/service_retry_budget.c
+++ b/src/ibisfield/retry/service_retry_budget.c
@@ -178,6 +178,8 @@
 /// is exhausted.
 ///
 /// @param depth  levels of calls below the service
+/// @param worth  of the retry, compared with the worth of first attempts; see
+///               call_progress_retry_worth()
 bool
 service_retry_budget_take(service_retry_budget_t *budget, const char *service,
                           uint32_t depth, int32_t worth)
