--- a/review/1/case.c
+++ b/review/1/case.c
@@ -40,18 +40,20 @@
 {
     char id[FLEET_TEXT_MAX] = "";
     fleet_header(request, "x-request-id", id, sizeof(id));
+    fleet_record("server %s runs %s", machine->instance, id);
     if (machine == leaver && draining_ms != 0) {
         int64_t since_ms = fleet_now_ms() - draining_ms;
         if (since_ms > DRAIN_MS) {
             __sync_fetch_and_add(&late, 1);
-            fleet_record("server %s runs %s %lld ms after it reported "
+            fleet_record("late: %s reaches %s %lld ms after it reported "
                          "draining",
-                         machine->instance, id, (long long)since_ms);
+                         id, machine->instance, (long long)since_ms);
         }
     }
     fleet_sleep_ms((int64_t)(WORK_MS / speeds[machine->index]));
     if (machine->server_exited) {
         __sync_fetch_and_add(&cut, 1);
+        fleet_record("server %s: its exit cuts %s", machine->instance, id);
         return;
     }
     fleet_respond(machine, fd, request, 200, 64);
@@ -74,6 +76,7 @@
                            "termin.example\r\nX-Request-Id: req-%d\r\n"
                            "X-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
                            number, number, TIME_BUDGET_MS);
+        fleet_record("client req-%d: sent to %s", number, machine->name);
         bool answered = fd >= 0 && fleet_send(fd, text, (size_t)len) &&
                         fleet_read_message(fd, response, true);
         if (fd >= 0) {
@@ -82,10 +85,8 @@
         if (done) {
             break; // Its answer is of no interest any more.
         }
-        if (!answered || response->status == 502) {
-            fleet_record("client req-%d: status=%d", number,
-                         answered ? response->status : 0);
-        }
+        fleet_record("client req-%d: status=%d", number,
+                     answered ? response->status : 0);
         __sync_fetch_and_add(!answered                 ? &answered_other
                              : response->status == 200 ? &answered_200
                              : response->status == 503 ? &answered_503
--- a/review/4/case.c
+++ b/review/4/case.c
@@ -86,6 +86,7 @@
                        "GET /stand/%d HTTP/1.1\r\nHost: laden.example\r\n"
                        "X-Request-Id: req-%d\r\nX-Deadline-Ms: %d\r\n\r\n",
                        number, number, TIME_BUDGET_MS);
+    fleet_record("client req-%d: sent to %s", number, machine->name);
     fleet_send(fd, text, (size_t)len);
     fleet_message_t *response = malloc(sizeof(*response));
     bool answered = fleet_read_message(fd, response, true);
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -42,22 +42,24 @@
 serve(fleet_machine_t *machine, int fd, const fleet_message_t *request)
 {
     int index = machine->index;
+    char id[FLEET_TEXT_MAX] = "";
+    fleet_header(request, "x-request-id", id, sizeof(id));
+    fleet_record("server %s runs %s", machine->instance, id);
     int64_t since_ms =
         removed_ms[index] == 0 ? 0 : fleet_now_ms() - removed_ms[index];
     // Within CONTACT_MS after the cut its machine isn't in touch.
     if (since_ms > DRAIN_MS && healed_ms != 0 &&
         fleet_now_ms() - healed_ms > CONTACT_MS + 200)
     {
-        char id[FLEET_TEXT_MAX] = "";
-        fleet_header(request, "x-request-id", id, sizeof(id));
         __sync_fetch_and_add(&late_requests[index], 1);
         latest_ms[index] = (int)since_ms;
-        fleet_record("server %s runs %s %lld ms after its removal",
-                     machine->instance, id, (long long)since_ms);
+        fleet_record("late: %s reaches %s %lld ms after its removal", id,
+                     machine->instance, (long long)since_ms);
     }
     fleet_sleep_ms(WORK_MS);
     if (machine->server_exited) {
         __sync_fetch_and_add(&cut, 1);
+        fleet_record("server %s: its exit cuts %s", machine->instance, id);
         return;
     }
     fleet_respond(machine, fd, request, 200, 64);
@@ -101,9 +103,13 @@
                      "X-Request-Id: m%d-%d\r\nX-Deadline-Ms: 5000"
                      "\r\nContent-Length: 0\r\n\r\n",
                      number, machine->index + 1, number);
+        fleet_record("client m%d-%d: sent to %s", machine->index + 1, number,
+                     machine->name);
         bool answered = fd >= 0 && fleet_send(fd, text, (size_t)len) &&
                         fleet_read_message(fd, response, true);
         char value[32] = "";
+        fleet_record("client m%d-%d: status=%d", machine->index + 1, number,
+                     answered ? response->status : 0);
         __sync_fetch_and_add(!answered                 ? &unanswered
                              : response->status == 200 ? &answered_200
                                                        : &answered_other,
