Ignore records that are older than a known removal

Cause: published_list_remove() forgot a VM together with its revision, so published_list_put() took any older record that arrived later for a new VM.

Change: one rule of order for all deliveries, in source_order.h. The list knows the revision up to which it has all changes. A record that isn't listed and was written up to it has been removed since, unless the source still had it at that revision or later (a newer listing). A pending removal keeps the revision of the removal. The item feed follows the same rule once it has discarded its tombstones. The new log line vm_record_outdated names the VM and both revisions.

Why it works: whichever way a late record comes (watch, listing, page, reader, catch-up), its revision is not above the revision that came with the removal. Nothing needs to be remembered for each removed VM.

--- a/src/ibisfield/config/item_feed.c
+++ b/src/ibisfield/config/item_feed.c
@@ -6,6 +6,8 @@
 
 #include "ibisfield/config/item_feed.h"
 
+#include "ibisfield/config/source_order.h"
+
 typedef struct {
     char *name;
     uint64_t version; ///< revision of the source at the last change
@@ -61,12 +63,20 @@
 }
 
 /// Stores an item, or its removal if value.len is 0. A version that is not
-/// above the stored one is ignored.
+/// above the stored one is ignored, and so is an item that was removed after
+/// it was read even if its tombstone has been discarded. @p read_revision is
+/// the revision at which the source still had the item, 0 if it comes from a
+/// change.
 void
-item_feed_put(item_feed_t *feed, const config_item_t *item)
+item_feed_put(item_feed_t *feed, const config_item_t *item,
+              uint64_t read_revision)
 {
     feed_record_t *record = g_hash_table_lookup(feed->items, item->name);
     if (record == NULL) {
+        if (source_record_is_outdated(feed->revision, item->version,
+                                      read_revision)) {
+            return;
+        }
         record = g_new0(feed_record_t, 1);
         record->name = g_strdup(item->name);
         g_hash_table_insert(feed->items, record->name, record);
--- a/src/ibisfield/config/item_feed.h
+++ b/src/ibisfield/config/item_feed.h
@@ -18,7 +18,8 @@
 
 void item_feed_init(item_feed_t *feed, uint32_t tombstones_max);
 void item_feed_finish(item_feed_t *feed);
-void item_feed_put(item_feed_t *feed, const config_item_t *item);
+void item_feed_put(item_feed_t *feed, const config_item_t *item,
+                   uint64_t read_revision);
 void item_feed_begin_listing(item_feed_t *feed);
 void item_feed_end_listing(item_feed_t *feed, uint64_t revision);
 void item_feed_advance(item_feed_t *feed, uint64_t revision);
--- a/src/ibisfield/config/published_list.c
+++ b/src/ibisfield/config/published_list.c
@@ -3,6 +3,11 @@
 
 #include "ibisfield/config/published_list.h"
 
+#include <inttypes.h>
+
+#include "ibisfield/base/log.h"
+#include "ibisfield/config/source_order.h"
+
 /// The source guarantees that live VMs whose records have expired are listed
 /// again within 2 s of its return; 300 ms more are for the way to this node.
 #define REMOVAL_GRACE_US (2300 * US_PER_MS)
@@ -13,7 +18,7 @@
 
 typedef struct {
     vm_info_t info;
-    uint64_t revision;
+    uint64_t revision;        ///< of the last change, or of a pending removal
     uint64_t list_generation; ///< number of the last full listing with it
 } published_record_t;
 
@@ -36,21 +41,41 @@
     g_hash_table_destroy(list->vms);
 }
 
-/// Adds or updates a VM. A revision that is older than the stored one is
-/// ignored.
+/// Returns whether a change or removal that this list already has is newer
+/// than the record.
+static bool
+is_outdated(const published_list_t *list, const published_record_t *record,
+            uint64_t revision, uint64_t read_revision)
+{
+    if (record == NULL) {
+        return source_record_is_outdated(list->revision, revision,
+                                         read_revision);
+    }
+    return record->info.removal_pending ? revision <= record->revision
+                                        : revision < record->revision;
+}
+
+/// Adds or updates a VM whose record was written at @p revision. The record is
+/// ignored if a later change or removal of the VM is known. @p read_revision
+/// is the revision at which the source still had the record, 0 if the record
+/// comes from a change.
 void
 published_list_put(published_list_t *list, const vm_info_t *info,
-                   uint64_t revision)
+                   uint64_t revision, uint64_t read_revision)
 {
     published_record_t *record = g_hash_table_lookup(list->vms, info->vm);
+    if (is_outdated(list, record, revision, read_revision)) {
+        log_info("vm_record_outdated",
+                 "upstream_vm=%s revision=%" PRIu64 " known=%" PRIu64,
+                 info->vm, revision,
+                 record == NULL ? list->revision : record->revision);
+        return;
+    }
     if (record == NULL) {
         record = g_new0(published_record_t, 1);
         record->info = *info;
         g_hash_table_insert(list->vms, record->info.vm, record);
     }
-    else if (revision < record->revision) {
-        return;
-    }
     bool changed =
         record->revision == 0 || !vm_info_equal(&record->info, info);
     record->info = *info;
@@ -91,9 +116,12 @@
     if (are_removals_final(list) || record->info.draining) {
         remove_record(list, record);
     }
-    else if (!record->info.removal_pending) {
-        record->info.removal_pending = true;
-        list->hooks.listed(list->context, &record->info);
+    else {
+        record->revision = revision;
+        if (!record->info.removal_pending) {
+            record->info.removal_pending = true;
+            list->hooks.listed(list->context, &record->info);
+        }
     }
 }
 
@@ -124,6 +152,14 @@
         published_list_remove(list, absent->pdata[i], revision);
     }
     g_ptr_array_unref(absent);
+    published_list_advance(list, revision);
+}
+
+/// Notes that all changes up to @p revision have been put or removed.
+void
+published_list_advance(published_list_t *list, uint64_t revision)
+{
+    list->revision = MAX(list->revision, revision);
 }
 
 /// Notes that the source has become unreachable.
--- a/src/ibisfield/config/published_list.h
+++ b/src/ibisfield/config/published_list.h
@@ -15,7 +15,9 @@
 /// node: records of live VMs may expire at the source while it can't be
 /// reached. Removals that become known during an outage, from other nodes, or
 /// in a grace period after it are deferred; until they take effect the VM is
-/// listed with removal_pending set.
+/// listed with removal_pending set. Deliveries may arrive in any order, late
+/// or more than once: the latest change or removal of a VM holds. Removed VMs
+/// need not be remembered for this, see source_record_is_outdated().
 typedef struct {
     const clock_source_t *clock;
     published_list_hooks_t hooks;
@@ -24,17 +26,19 @@
     int64_t outage_start_us;       ///< start of the source's outage; 0: none
     int64_t removal_grace_ends_us; ///< removals are deferred until then
     uint64_t list_generation;      ///< number of the last full listing
+    uint64_t revision;             ///< all changes up to it are known; 0: none
 } published_list_t;
 
 void published_list_init(published_list_t *list, const clock_source_t *clock,
                          const published_list_hooks_t *hooks, void *context);
 void published_list_finish(published_list_t *list);
 void published_list_put(published_list_t *list, const vm_info_t *info,
-                        uint64_t revision);
+                        uint64_t revision, uint64_t read_revision);
 void published_list_remove(published_list_t *list, const char *vm,
                            uint64_t revision);
 void published_list_begin_listing(published_list_t *list);
 void published_list_end_listing(published_list_t *list, uint64_t revision);
+void published_list_advance(published_list_t *list, uint64_t revision);
 void published_list_source_lost(published_list_t *list);
 void published_list_source_recovered(published_list_t *list);
 void published_list_source_unused(published_list_t *list);
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -243,8 +243,8 @@
     for (guint i = 0; i < message->items->len; i++) {
         const config_item_t *item =
             &g_array_index(message->items, config_item_t, i);
-        change_feed_put(feed, item);
-        feed->callbacks.item(feed->context, item);
+        change_feed_put(feed, item, message->revision);
+        feed->callbacks.item(feed->context, item, message->revision);
     }
     if (message->is_snapshot) {
         feed->callbacks.listing_ended(feed->context, message->revision);
@@ -673,11 +673,13 @@
     item_feed_begin_listing(&feed->items);
 }
 
+/// @p read_revision as for item_feed_put().
 void
-change_feed_put(change_feed_t *feed, const config_item_t *item)
+change_feed_put(change_feed_t *feed, const config_item_t *item,
+                uint64_t read_revision)
 {
     if (strlen(item->name) <= ITEM_NAME_MAX) {
-        item_feed_put(&feed->items, item);
+        item_feed_put(&feed->items, item, read_revision);
     }
 }
 
--- a/src/ibisfield/io/change_feed.h
+++ b/src/ibisfield/io/change_feed.h
@@ -15,7 +15,9 @@
 /// reported as if the source had been read.
 typedef struct {
     void (*listing_started)(void *context);
-    void (*item)(void *context, const config_item_t *item);
+    /// @p read_revision: the revision at which the other node held the item.
+    void (*item)(void *context, const config_item_t *item,
+                 uint64_t read_revision);
     void (*listing_ended)(void *context, uint64_t revision);
     /// All changes up to @p revision have been reported.
     void (*advanced)(void *context, uint64_t revision);
@@ -93,7 +95,8 @@
 void change_feed_set_draining(change_feed_t *feed);
 
 void change_feed_begin_listing(change_feed_t *feed);
-void change_feed_put(change_feed_t *feed, const config_item_t *item);
+void change_feed_put(change_feed_t *feed, const config_item_t *item,
+                     uint64_t read_revision);
 void change_feed_end_listing(change_feed_t *feed, uint64_t revision);
 void change_feed_advance(change_feed_t *feed, uint64_t revision);
 void change_feed_set_source_ok(change_feed_t *feed, bool ok);
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -503,6 +503,68 @@
     stop_site();
 }
 
+static bool
+all_nodes_watch(void *context)
+{
+    (void)context;
+    return store_stat("waiting") == site.machine_count;
+}
+
+static bool
+has_first_node_removed(void *context)
+{
+    char *log = process_log(&site.machines[0].node);
+    bool removed = g_strrstr(log, context) != NULL;
+    g_free(log);
+    if (!removed) {
+        // Responses report the revision that other nodes hold.
+        text_response_t response =
+            request_via_node(0, "POST", "/book/a", "id-while-cut");
+        CU_ASSERT_EQUAL(response.status, 200);
+        text_response_free(&response);
+    }
+    return removed;
+}
+
+/// Guards against a removed server that is listed again for good (review/5):
+/// its last heartbeat arrives in a late answer to a watch, after other nodes
+/// have reported the removal.
+static void
+test_late_answer_lists_no_removed_server(void)
+{
+    start_site_with_addresses(MACHINES_DEFAULT, read_store_through_relay);
+    publish_site();
+    const process_t *node = &site.machines[0].node;
+    CU_ASSERT_TRUE(wait_until(all_nodes_watch, NULL));
+    kill(store_relay.pid, SIGSTOP);
+    put_server_record(&site.machines[3], "ready");
+    remove_server_record(&site.machines[3]);
+    CU_ASSERT_TRUE(wait_until(has_first_node_removed,
+                              "event=vm_removed upstream_vm=i-3"));
+    kill(store_relay.pid, SIGCONT);
+    put_desired_state(5, NULL);
+    CU_ASSERT_TRUE(process_wait_log(node, "contracts_in_force version=5 "));
+    put_desired_state(7, NULL);
+    CU_ASSERT_TRUE(process_wait_log(node, "contracts_in_force version=7 "));
+    int64_t runs = upstream_counter(3, "runs");
+    send_requests_via_first_node(G_USEC_PER_SEC);
+    CU_ASSERT_EQUAL(upstream_counter(3, "runs"), runs);
+    char *log = process_log(node);
+    CU_ASSERT_PTR_NULL(strstr(strstr(log, "event=vm_removed"),
+                              "event=vm_listed upstream_vm=i-3"));
+    g_free(log);
+    // The server starts again under its id.
+    put_server_record(&site.machines[3], "ready");
+    put_desired_state(9, NULL);
+    CU_ASSERT_TRUE(process_wait_log(node, "contracts_in_force version=9 "));
+    log = process_log(node);
+    CU_ASSERT_PTR_NOT_NULL(strstr(strstr(log, "event=vm_removed"),
+                                  "event=vm_listed upstream_vm=i-3"));
+    g_free(log);
+    process_finish(&store_relay);
+    stop_site();
+}
+
 int
 main(void)
 {
@@ -516,6 +578,7 @@
         {"watches in an outage",
          test_watches_opened_in_an_outage_are_replaced},
         {"unanswered watch", test_unanswered_watch_does_not_delay_changes},
+        {"late answer", test_late_answer_lists_no_removed_server},
         {"draining server", test_draining_server},
         {"removed server", test_node_of_a_removed_server_refuses},
         {"stop and reload", test_stop_and_reload},
--- a/test/unit/test_item_feed.c
+++ b/test/unit/test_item_feed.c
@@ -15,7 +15,8 @@
     item_feed_put(feed,
                   &(config_item_t){name, version,
                                    value == NULL ? (slice_t){NULL, 0}
-                                                 : slice_from_string(value)});
+                                                 : slice_from_string(value)},
+                  0);
 }
 
 static void
@@ -140,6 +141,29 @@
     item_feed_finish(&feed);
 }
 
+/// Guards against followers that list a removed VM again: a late change
+/// brought it back once its tombstone had been discarded (review/5).
+static void
+test_late_changes_after_discarded_tombstones(void)
+{
+    item_feed_t feed;
+    start(&feed);
+    for (uint64_t i = 0; i <= TOMBSTONES_MAX; i++) {
+        char name[2] = {(char)('p' + i), 0};
+        put(&feed, name, 10 + i, NULL);
+    }
+    put(&feed, "a", 19, NULL);
+    item_feed_advance(&feed, 20);
+    put(&feed, "a", 18, "late");
+    assert_changes(&feed, 0, "b", true);
+    // The source still has it: this feed didn't get it before.
+    item_feed_put(&feed, &(config_item_t){"c", 7, slice_from_string("1")}, 20);
+    assert_changes(&feed, 0, "bc", true);
+    put(&feed, "a", 21, "new");
+    assert_changes(&feed, 20, "a", false);
+    item_feed_finish(&feed);
+}
+
 /// Guards against a message that exceeds the limits of the decoder.
 static void
 test_changes_beyond_one_message(void)
@@ -166,6 +190,7 @@
         {"changes", test_changes},
         {"snapshot without history", test_snapshot_without_history},
         {"full listing removes", test_full_listing_removes_absent_items},
+        {"late changes", test_late_changes_after_discarded_tombstones},
         {"changes beyond one message", test_changes_beyond_one_message},
         CU_TEST_INFO_NULL,
     };
--- a/test/unit/test_published_list.c
+++ b/test/unit/test_published_list.c
@@ -45,7 +45,22 @@
 {
     vm_info_t info = {.draining = draining};
     g_strlcpy(info.vm, vm, sizeof(info.vm));
-    published_list_put(&list, &info, revision);
+    published_list_put(&list, &info, revision, 0);
+}
+
+/// Puts a record that the source still had at @p read_revision.
+static void
+put_listed(const char *vm, uint64_t revision, uint64_t read_revision)
+{
+    vm_info_t info = {0};
+    g_strlcpy(info.vm, vm, sizeof(info.vm));
+    published_list_put(&list, &info, revision, read_revision);
+}
+
+static bool
+is_listed(const char *vm)
+{
+    return g_hash_table_contains(list.vms, vm);
 }
 
 static void
@@ -159,6 +174,150 @@
     published_list_finish(&list);
 }
 
+/// Guards against requests to a removed VM: its last record, which arrives
+/// after its removal has become known from another node, listed it again for
+/// good (requirement DRAIN of the users' platform, review/5).
+static void
+test_late_changes_list_no_removed_vm(void)
+{
+    start();
+    put("gone", 5, false);
+    put("stays", 6, false);
+    published_list_advance(&list, 6);
+    // Reported by another node.
+    published_list_remove(&list, "gone", 9);
+    published_list_advance(&list, 9);
+    CU_ASSERT_EQUAL(removed_count, 1);
+    // Late: the answer to a watch, the changes that a reader sends.
+    put("gone", 8, false);
+    CU_ASSERT_FALSE(is_listed("gone"));
+    put_listed("gone", 8, 8);
+    CU_ASSERT_FALSE(is_listed("gone"));
+    put("gone", 8, true);
+    CU_ASSERT_FALSE(is_listed("gone"));
+    CU_ASSERT_TRUE(is_listed("stays"));
+    // The VM starts again under its name.
+    put("gone", 10, false);
+    CU_ASSERT_TRUE(is_listed("gone"));
+    published_list_finish(&list);
+}
+
+/// Guards against a full listing that was read before a removal, as a whole or
+/// in its first pages, and lists the removed VM again.
+static void
+test_late_listings_list_no_removed_vm(void)
+{
+    start();
+    put("gone", 5, false);
+    put("stays", 6, false);
+    published_list_advance(&list, 6);
+    published_list_remove(&list, "gone", 20);
+    put("new", 21, false);
+    published_list_advance(&list, 21);
+    published_list_begin_listing(&list);
+    put_listed("gone", 5, 12);
+    put_listed("stays", 6, 22);
+    published_list_end_listing(&list, 12);
+    CU_ASSERT_FALSE(is_listed("gone"));
+    CU_ASSERT_TRUE(is_listed("stays"));
+    CU_ASSERT_TRUE(is_listed("new"));
+    // The removed VMs of a listing are as gone as those of a change.
+    published_list_begin_listing(&list);
+    put_listed("stays", 6, 30);
+    published_list_end_listing(&list, 30);
+    CU_ASSERT_FALSE(is_listed("new"));
+    put("new", 29, false);
+    put("new", 30, false);
+    CU_ASSERT_FALSE(is_listed("new"));
+    published_list_finish(&list);
+}
+
+/// Guards against the loss of VMs that this node hasn't got or understood: a
+/// listing that was read later than all that is known here is complete.
+static void
+test_newer_listings_list_unknown_vms(void)
+{
+    start();
+    published_list_advance(&list, 40);
+    published_list_begin_listing(&list);
+    put_listed("old", 7, 40);
+    put_listed("older", 3, 41);
+    published_list_end_listing(&list, 40);
+    CU_ASSERT_TRUE(is_listed("old"));
+    CU_ASSERT_TRUE(is_listed("older"));
+    CU_ASSERT_EQUAL(removed_count, 0);
+    published_list_finish(&list);
+}
+
+/// Guards against an older record that ends a pending removal, or takes back
+/// that a VM drains.
+static void
+test_older_records_undo_nothing(void)
+{
+    start();
+    put("dead", 5, false);
+    put("drains", 6, false);
+    published_list_source_lost(&list);
+    published_list_remove(&list, "dead", 12);
+    put("drains", 13, true);
+    published_list_advance(&list, 13);
+    int listed = listed_count;
+    put("dead", 8, false);
+    put("dead", 12, false);
+    put_listed("dead", 8, 9);
+    put("drains", 11, false);
+    CU_ASSERT_EQUAL(listed_count, listed);
+    manual_clock_advance(&test_clock, 2 * US_PER_S);
+    published_list_source_recovered(&list);
+    put("dead", 8, false);
+    manual_clock_advance(&test_clock, 2400 * US_PER_MS);
+    published_list_tick(&list);
+    CU_ASSERT_FALSE(is_listed("dead"));
+    CU_ASSERT_TRUE(is_listed("drains"));
+    published_list_remove(&list, "drains", 14);
+    CU_ASSERT_FALSE(is_listed("drains"));
+    published_list_finish(&list);
+}
+
+/// Guards against lists that depend on the order in which deliveries arrive:
+/// all permutations of the history of a VM end with its last state.
+static void
+test_order_of_deliveries_does_not_matter(void)
+{
+    enum { STEPS = 4 };
+    static const int orders[24][STEPS] = {
+        {0, 1, 2, 3}, {0, 1, 3, 2}, {0, 2, 1, 3}, {0, 2, 3, 1}, {0, 3, 1, 2},
+        {0, 3, 2, 1}, {1, 0, 2, 3}, {1, 0, 3, 2}, {1, 2, 0, 3}, {1, 2, 3, 0},
+        {1, 3, 0, 2}, {1, 3, 2, 0}, {2, 0, 1, 3}, {2, 0, 3, 1}, {2, 1, 0, 3},
+        {2, 1, 3, 0}, {2, 3, 0, 1}, {2, 3, 1, 0}, {3, 0, 1, 2}, {3, 0, 2, 1},
+        {3, 1, 0, 2}, {3, 1, 2, 0}, {3, 2, 0, 1}, {3, 2, 1, 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(orders); i++) {
+        start();
+        published_list_advance(&list, 4);
+        for (int j = 0; j < STEPS; j++) {
+            switch (orders[i][j]) {
+            case 0:
+                put("vm", 5, false);
+                published_list_advance(&list, 5);
+                break;
+            case 1:
+                put("vm", 6, true);
+                published_list_advance(&list, 6);
+                break;
+            case 2:
+                published_list_remove(&list, "vm", 7);
+                published_list_advance(&list, 7);
+                break;
+            default:
+                put_listed("vm", 6, 6);
+                break;
+            }
+        }
+        CU_ASSERT_FALSE(is_listed("vm"));
+        published_list_finish(&list);
+    }
+}
+
 /// Guards against a split that deviates from its weights over few requests.
 static void
 test_splits_keep_their_weights(void)
@@ -190,6 +349,11 @@
          test_removals_during_an_outage_are_pending},
         {"unused source", test_removals_are_final_if_the_source_is_unused},
         {"full listings", test_full_listings_remove_absent_vms},
+        {"late changes", test_late_changes_list_no_removed_vm},
+        {"late listings", test_late_listings_list_no_removed_vm},
+        {"newer listings", test_newer_listings_list_unknown_vms},
+        {"older records", test_older_records_undo_nothing},
+        {"any order", test_order_of_deliveries_does_not_matter},
         {"splits", test_splits_keep_their_weights},
         CU_TEST_INFO_NULL,
     };
