Start queued requests at a leaving upstream only if they end in time

Cause: guard_set_draining() refused new requests only, and run_admission() went on starting the queued ones; the guard didn't know when its upstream ends. Evidence: queue of a draining server in functional_test_store starts queued bookings after drain_s on the code before.

When the end becomes known, queued requests that aren't expected to start in time are refused at once as not run (leaving), so that their senders use another server; the end is checked again before each start.

Why it works: the last start is before the end whatever the order, length and pace of the queue, also after a pause of the process.

Tests: on the code before, queue of a draining server fails, as do queue at the end, after the end and in time of test_guard (built there with an empty guard_set_end()).

--- a/src/ibisfield/admission/admission.c
+++ b/src/ibisfield/admission/admission.c
@@ -133,6 +133,28 @@
                now_us + (int64_t)(WAIT_RATIO_MAX * (double)remaining_us));
 }
 
+/// Returns the latest time at which a request may start so that it finishes
+/// before the end of serving in most cases.
+static int64_t
+latest_start_before_end(const admission_t *admission, uint32_t kind,
+                        int64_t deadline_us)
+{
+    return serving_end_latest_start(
+        admission->end_us, deadline_us,
+        (int64_t)service_time_upper_us(&admission->service_times, kind));
+}
+
+/// Returns how many requests of short or of long kinds run at the same time.
+static uint32_t
+queue_concurrency(const admission_t *admission, bool long_kind)
+{
+    uint32_t limit = limiter_limit(&admission->limiter);
+    // The limit may have fallen to the number of running long requests or
+    // below it.
+    uint32_t used_by_long = MIN(running_long_count(admission), limit - 1);
+    return long_kind ? long_limit(limit) : limit - used_by_long;
+}
+
 /// Returns the expected time until all queued requests of the same or a higher
 /// worth have started.
 static double
@@ -143,11 +165,7 @@
     for (int32_t i = worth_index(worth); i <= CONTRACT_WORTH_MAX; i++) {
         ahead_us += admission->queued_work_us[queue_index][i];
     }
-    uint32_t limit = limiter_limit(&admission->limiter);
-    // The limit may have fallen to the number of running long requests or
-    // below it.
-    uint32_t used_by_long = MIN(running_long_count(admission), limit - 1);
-    return ahead_us / (long_kind ? long_limit(limit) : limit - used_by_long);
+    return ahead_us / queue_concurrency(admission, long_kind);
 }
 
 static void
@@ -157,8 +175,12 @@
     queued_request_t waiting = {
         .ticket = request->ticket,
         .latest_start_us = latest_start_us,
+        .deadline_us = request->deadline_us,
         .expected_service_us =
             service_time_mean_us(&admission->service_times, request->kind),
+        .is_end_limited = latest_start_us ==
+                          latest_start_before_end(admission, request->kind,
+                                                  request->deadline_us),
         .kind = request->kind,
         .worth = worth,
     };
@@ -202,6 +224,7 @@
     *admission = (admission_t){
         .clock = clock,
         .queue_max = options->queue_max,
+        .end_us = SERVING_END_NONE,
         .disabled_features = options->disabled_features,
         .evicted = g_array_new(FALSE, FALSE, sizeof(uint64_t)),
         .random = g_rand_new_with_seed(options->seed),
@@ -250,6 +273,45 @@
     admission->queue_max = default_queue_max(slots);
 }
 
+static void
+limit_queue_to_end(admission_t *admission, wait_queue_t *queue, bool long_kind)
+{
+    int64_t now_us = clock_now_us(admission->clock);
+    double concurrency = queue_concurrency(admission, long_kind);
+    double ahead_us = 0;
+    GArray *tickets = wait_queue_tickets(queue);
+    for (guint i = 0; i < tickets->len; i++) {
+        uint64_t ticket = g_array_index(tickets, uint64_t, i);
+        const queued_request_t *waiting = wait_queue_find(queue, ticket);
+        int64_t latest_us = latest_start_before_end(admission, waiting->kind,
+                                                    waiting->deadline_us);
+        if (now_us + (int64_t)(ahead_us / concurrency) > latest_us) {
+            latest_us = now_us;
+        }
+        else {
+            ahead_us += waiting->expected_service_us;
+        }
+        wait_queue_limit_start(queue, ticket, latest_us);
+    }
+    g_array_unref(tickets);
+}
+
+/// Sets the end of serving: the time at which the upstream or this process may
+/// end, SERVING_END_NONE if it isn't known. Requests start only if they finish
+/// before it in most cases. Those that wait and aren't expected to are refused
+/// by the next events, so that their senders can send them elsewhere in time.
+void
+admission_set_end(admission_t *admission, int64_t end_us)
+{
+    admission->end_us = end_us;
+    if (end_us != SERVING_END_NONE) {
+        limit_queue_to_end(admission,
+                           &admission->queues[ADMISSION_QUEUE_SHORT], false);
+        limit_queue_to_end(admission, &admission->queues[ADMISSION_QUEUE_LONG],
+                           true);
+    }
+}
+
 /// Returns the index of a kind, which is assigned on first use. All kinds
 /// beyond ADMISSION_KINDS_MAX share the last index.
 uint32_t
@@ -294,13 +356,22 @@
     pressure_record_arrival(
         &admission->pressure,
         service_time_mean_us(&admission->service_times, request->kind));
+    int64_t end_start_us = latest_start_before_end(admission, request->kind,
+                                                   request->deadline_us);
+    if (now_us > end_start_us) {
+        return ADMISSION_REFUSED_ENDING;
+    }
     if (can_start_immediately(admission, request->kind)) {
         record_start(admission, request->kind, worth);
         return ADMISSION_RUN;
     }
-    int64_t latest_start_us = latest_start(admission, request, now_us);
+    int64_t latest_start_us =
+        MIN(latest_start(admission, request, now_us), end_start_us);
     bool long_kind = is_long(admission, request->kind);
     double wait_us = expected_wait_us(admission, long_kind, worth);
+    if (now_us + (int64_t)wait_us > end_start_us) {
+        return ADMISSION_REFUSED_ENDING;
+    }
     if (is_enabled(admission, ADMISSION_FEATURE_DEADLINE) &&
         now_us + (int64_t)wait_us > latest_start_us)
     {
@@ -375,10 +446,13 @@
     }
     const queued_request_t *waiting = first_expired(admission);
     if (waiting != NULL) {
+        bool ending = waiting->is_end_limited;
         *ticket = waiting->ticket;
-        record_refusal(admission, waiting->worth);
+        if (!ending) {
+            record_refusal(admission, waiting->worth);
+        }
         remove_waiting(admission, waiting->ticket);
-        return ADMISSION_EVENT_EXPIRED;
+        return ending ? ADMISSION_EVENT_ENDING : ADMISSION_EVENT_EXPIRED;
     }
     waiting = next_to_run(admission);
     if (waiting == NULL) {
--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -8,6 +8,7 @@
 #include "ibisfield/admission/limiter.h"
 #include "ibisfield/admission/pressure.h"
 #include "ibisfield/admission/service_time.h"
+#include "ibisfield/admission/serving_end.h"
 #include "ibisfield/admission/shed_cause.h"
 #include "ibisfield/admission/wait_queue.h"
 #include "ibisfield/base/clock.h"
@@ -56,6 +57,8 @@
     ADMISSION_QUEUED, ///< waits for admission_next_event()
     ADMISSION_REFUSED_OVERLOADED,
     ADMISSION_REFUSED_DEADLINE, ///< the deadline has passed
+    ADMISSION_REFUSED_ENDING,   ///< it may not finish before the end of
+                                ///< serving
 } admission_decision_t;
 
 /// What happens to the request that admission_next_event() returns.
@@ -66,6 +69,8 @@
                              ///< can't be met any more
     ADMISSION_EVENT_EVICTED, ///< to be refused: a request of higher worth took
                              ///< its place in the queue
+    ADMISSION_EVENT_ENDING,  ///< to be refused: it may not finish before the
+                             ///< end of serving
 } admission_event_t;
 
 #define ADMISSION_KINDS_MAX SERVICE_TIME_KINDS_MAX
@@ -85,6 +90,7 @@
     shed_cause_t shed_cause;
     pressure_t pressure;
     wait_queue_t queues[ADMISSION_QUEUE_COUNT];
+    int64_t end_us;  ///< end of serving; SERVING_END_NONE: not known
     GArray *evicted; ///< tickets (uint64_t) with pending events
     /// Sums of the expected service times of queued requests, by queue and
     /// worth.
@@ -98,6 +104,7 @@
                     const admission_options_t *options);
 void admission_finish(admission_t *admission);
 void admission_set_slots(admission_t *admission, uint32_t slots);
+void admission_set_end(admission_t *admission, int64_t end_us);
 uint32_t admission_kind_index(admission_t *admission, slice_t customer,
                               slice_t kind);
 admission_decision_t admission_submit(admission_t *admission,
--- a/src/ibisfield/admission/wait_queue.c
+++ b/src/ibisfield/admission/wait_queue.c
@@ -116,6 +116,38 @@
     return g_hash_table_lookup(queue->by_ticket, &ticket);
 }
 
+/// Returns the tickets (uint64_t) of all requests in the order in which they
+/// are to run. The caller owns the array.
+GArray *
+wait_queue_tickets(const wait_queue_t *queue)
+{
+    GArray *tickets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GSequenceIter *iter = g_sequence_get_begin_iter(queue->by_order);
+    while (!g_sequence_iter_is_end(iter)) {
+        const queued_request_t *item = g_sequence_get(iter);
+        g_array_append_val(tickets, item->ticket);
+        iter = g_sequence_iter_next(iter);
+    }
+    return tickets;
+}
+
+/// Brings the latest start of a request forward, because the end of serving
+/// requires it. A later time than the present one is ignored.
+void
+wait_queue_limit_start(wait_queue_t *queue, uint64_t ticket,
+                       int64_t latest_start_us)
+{
+    queued_request_t *item = g_hash_table_lookup(queue->by_ticket, &ticket);
+    if (item == NULL || latest_start_us >= item->latest_start_us) {
+        return;
+    }
+    item->latest_start_us = latest_start_us;
+    item->is_end_limited = true;
+    g_sequence_sort_changed(item->order_iter, compare_order, queue);
+    g_sequence_sort_changed(item->latest_start_iter, compare_latest_start,
+                            queue);
+}
+
 /// Removes a request. Returns false if it isn't in the queue.
 bool
 wait_queue_remove(wait_queue_t *queue, uint64_t ticket)
--- a/src/ibisfield/admission/wait_queue.h
+++ b/src/ibisfield/admission/wait_queue.h
@@ -17,6 +17,8 @@
     uint64_t ticket;         ///< identifies the request to the guard
     uint64_t sequence;       ///< number in order of arrival; set by the queue
     int64_t latest_start_us; ///< the request is refused after this time
+    bool is_end_limited;     ///< latest_start_us depends on the end of serving
+    int64_t deadline_us;
     double expected_service_us;
     uint32_t kind; ///< from admission_kind_index()
     int32_t worth;
@@ -41,6 +43,9 @@
 const queued_request_t *wait_queue_next_to_expire(const wait_queue_t *queue);
 const queued_request_t *wait_queue_find(const wait_queue_t *queue,
                                         uint64_t ticket);
+GArray *wait_queue_tickets(const wait_queue_t *queue);
+void wait_queue_limit_start(wait_queue_t *queue, uint64_t ticket,
+                            int64_t latest_start_us);
 bool wait_queue_remove(wait_queue_t *queue, uint64_t ticket);
 uint32_t wait_queue_length(const wait_queue_t *queue);
 
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -204,6 +204,19 @@
     end_request(guard, request, REASON_DEADLINE, OUTCOME_NOT_RUN);
 }
 
+static reason_t
+event_reason(admission_event_t event)
+{
+    switch (event) {
+    case ADMISSION_EVENT_EXPIRED:
+        return REASON_DEADLINE;
+    case ADMISSION_EVENT_ENDING:
+        return REASON_LEAVING;
+    default:
+        return REASON_OVERLOADED;
+    }
+}
+
 /// Starts and refuses queued requests as the admission decides.
 static void
 run_admission(guard_t *guard)
@@ -221,10 +234,7 @@
             start_unless_expired(guard, request);
         }
         else {
-            end_request(guard, request,
-                        next == ADMISSION_EVENT_EXPIRED ? REASON_DEADLINE
-                                                        : REASON_OVERLOADED,
-                        OUTCOME_NOT_RUN);
+            end_request(guard, request, event_reason(next), OUTCOME_NOT_RUN);
         }
     }
 }
@@ -302,6 +312,9 @@
     case ADMISSION_REFUSED_DEADLINE:
         end_request(guard, added, REASON_DEADLINE, OUTCOME_NOT_RUN);
         break;
+    case ADMISSION_REFUSED_ENDING:
+        end_request(guard, added, REASON_LEAVING, OUTCOME_NOT_RUN);
+        break;
     default:
         end_request(guard, added, REASON_OVERLOADED, OUTCOME_NOT_RUN);
         break;
@@ -401,14 +414,24 @@
     run_admission(guard);
 }
 
-/// Sets whether the guard is draining: it refuses new requests then, and
-/// completes those that it holds.
+/// Sets whether the guard is draining: it refuses new requests then. Those
+/// that it holds are completed unless guard_set_end() has set an end.
 void
 guard_set_draining(guard_t *guard, bool draining)
 {
     guard->draining = draining;
 }
 
+/// Sets the time at which the upstream or this process may end;
+/// SERVING_END_NONE if it isn't known. Queued requests that can't be expected
+/// to finish by then are refused as not run.
+void
+guard_set_end(guard_t *guard, int64_t end_us)
+{
+    admission_set_end(&guard->admission, end_us);
+    run_admission(guard);
+}
+
 /// Returns whether the guard is draining and so refuses new requests.
 bool
 guard_is_draining(const guard_t *guard)
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -122,6 +122,7 @@
 void guard_sender_disconnected(guard_t *guard, call_handle_t handle);
 void guard_tick(guard_t *guard);
 void guard_set_draining(guard_t *guard, bool draining);
+void guard_set_end(guard_t *guard, int64_t end_us);
 bool guard_is_draining(const guard_t *guard);
 guard_load_t guard_load(const guard_t *guard);
 uint32_t guard_in_flight(const guard_t *guard);
--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -26,6 +26,11 @@
                            const char *field_path, struct json_object *value,
                            void *out);
 
+static void read_optional_number(json_reader_t *reader,
+                                 const json_field_t *field,
+                                 const char *field_path,
+                                 struct json_object *value, void *out);
+
 #define NAME_FIELD(member)                                                    \
     {                                                                         \
         .name = #member, .read = json_read_name,                              \
@@ -72,6 +77,7 @@
 /// One retry per five requests, both counted over 10 s.
 #define RETRY_RATIO_DEFAULT 0.2
 #define RETRY_WINDOW_DEFAULT_S 10.0
+#define UPSTREAM_DRAIN_DEFAULT_S 2.0
 
 static const json_field_t settings_fields[] = {
     NAME_FIELD(vm),
@@ -100,6 +106,12 @@
     INT_FIELD(key_linger_ms, 0, 600000, 5000),
     INT_FIELD(drain_limit_ms, 1, 3600000, 30000),
     NUMBER_FIELD(stop_limit_s, 1, 3600, "seconds from 1 to 3600"),
+    {.name = "upstream_drain_s",
+     .read = read_optional_number,
+     .offset = offsetof(settings_t, upstream_drain_s),
+     .min = 0,
+     .max = 3600,
+     .expected = "seconds from 0 to 3600, or empty text"},
     NUMBER_FIELD(retry_ratio, 0, 10, "a ratio from 0 to 10"),
     NUMBER_FIELD(retry_window_s, 1, 3600, "seconds from 1 to 3600"),
     INT_FIELD(answer_store_bytes, 0, 1073741824, 16777216),
@@ -208,6 +220,30 @@
     }
 }
 
+/// Reads a number, or a number as text. Empty text leaves the default: a
+/// template that fills in a value which its platform may lack gives that.
+static void
+read_optional_number(json_reader_t *reader, const json_field_t *field,
+                     const char *field_path, struct json_object *value,
+                     void *out)
+{
+    const char *text = json_string(value);
+    if (text == NULL) {
+        json_read_number(reader, field, field_path, value, out);
+        return;
+    }
+    char *end = NULL;
+    double number = g_ascii_strtod(text, &end);
+    if (*text == '\0') {
+        return;
+    }
+    if (*end != '\0' || !(number >= field->min && number <= field->max)) {
+        json_add_invalid_value(reader, field_path, value, field->expected);
+        return;
+    }
+    memcpy((char *)out + field->offset, &number, sizeof(number));
+}
+
 static void
 read_log_level(json_reader_t *reader, const json_field_t *field,
                const char *field_path, struct json_object *value, void *out)
@@ -351,6 +387,7 @@
         .log_level = "info",
         .retry_ratio = RETRY_RATIO_DEFAULT,
         .retry_window_s = RETRY_WINDOW_DEFAULT_S,
+        .upstream_drain_s = UPSTREAM_DRAIN_DEFAULT_S,
     };
     json_reader_t reader;
     if (!json_reader_open(&reader, file, text, problems)) {
--- a/src/ibisfield/contract/settings_defs.h
+++ b/src/ibisfield/contract/settings_defs.h
@@ -46,7 +46,10 @@
     /// Longest time of a shutdown, at whose end the calls in flight are cut;
     /// default 30000.
     int32_t drain_limit_ms;
-    double stop_limit_s;   ///< from SIGTERM to the exit; 0: not set
+    double stop_limit_s; ///< from SIGTERM to the exit; 0: not set
+    /// For how long the upstream serves after it is listed as draining or its
+    /// record is removed; default 2.
+    double upstream_drain_s;
     double retry_ratio;    ///< retries per request to a service
     double retry_window_s; ///< over which both are counted
     /// For the responses that are stored for request keys; default 16777216.
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -26,6 +26,9 @@
 /// Idempotency keys of which a node keeps a record at the same time. A record
 /// is kept from the first request with the key until the key expires.
 #define KEY_RECORDS_MAX 65536
+/// Time that a change of the VM list may take to reach this node while the
+/// source is reachable.
+#define LIST_DELAY_MAX_US (500 * US_PER_MS)
 #define CONTRACT_PREFIX "contract/"
 
 static void
@@ -121,6 +124,18 @@
     return causes != 0;
 }
 
+/// Returns until when the upstream serves for certain. It counts
+/// upstream_drain_s from the publication of its leaving, which this node
+/// learns later.
+static int64_t
+upstream_end_us(const node_t *node)
+{
+    int64_t drain_us = (int64_t)(node->settings->upstream_drain_s * US_PER_S);
+    return drain_us == 0 ? SERVING_END_NONE
+                         : clock_now_us(&node->clock) +
+                               MAX(drain_us - LIST_DELAY_MAX_US, 0);
+}
+
 /// Sets or clears a cause for draining.
 void
 node_set_drain_cause(node_t *node, drain_cause_t cause, bool draining)
@@ -133,6 +148,11 @@
     log_info("leave_changed", "causes=%u leaving=%d", node->drain_causes,
              node->drain_causes != 0);
     guard_set_draining(&node->guard, guard_should_drain(node));
+    if (cause == DRAIN_LISTED) {
+        node->upstream_end_us =
+            draining ? upstream_end_us(node) : SERVING_END_NONE;
+        guard_set_end(&node->guard, node->upstream_end_us);
+    }
     // The entry doesn't depend on the own upstream.
     entry_set_draining(&node->entry,
                        (node->drain_causes & ~DRAIN_UPSTREAM) != 0);
@@ -496,7 +516,9 @@
 node_init(node_t *node, const settings_t *settings,
           const platform_adapter_t *adapter, GError **error)
 {
-    *node = (node_t){.settings = settings, .adapter = adapter};
+    *node = (node_t){.settings = settings,
+                     .adapter = adapter,
+                     .upstream_end_us = SERVING_END_NONE};
     uint32_t seeds[5];
     boot_clock_init(&node->clock);
     loop_init(&node->loop, &node->clock);
--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -144,7 +144,8 @@
         "{\"vm\":\"vm-%d\",\"data_centre\":\"z\",\"service\":\"%s\","
         "\"caller_listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
         "\"readiness_listen\":\"%s:%d\",\"operator_listen\":\"%s:%d\","
-        "\"upstream\":\"%s:%d\",\"store\":\"%s:%d\",\"stop_limit_s\":6}",
+        "\"upstream\":\"%s:%d\",\"store\":\"%s:%d\",\"stop_limit_s\":6,"
+        "\"upstream_drain_s\":2}",
         number, machine->service, machine->address, PORT_CALLER,
         machine->address, PORT_PEER, machine->address, PORT_READINESS,
         machine->address, PORT_OPERATOR, machine->published_address,
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -268,6 +268,58 @@
     stop_site();
 }
 
+#define QUEUED_CALLS 40
+/// Of the store site: for how long a server serves after the store holds that
+/// it drains.
+#define UPSTREAM_DRAIN_US ((gint64)2 * G_USEC_PER_SEC)
+
+static bool
+both_servers_are_full(void *context)
+{
+    (void)context;
+    return upstream_counter(2, "runs") == 8 &&
+           upstream_counter(3, "runs") == 8;
+}
+
+/// Guards against queued requests that start at a draining server when it is
+/// about to end, which cuts them (review/1). They are refused by its node, and
+/// the other server, which has room for them, runs them.
+static void
+test_queue_of_a_draining_server(void)
+{
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    http_call_t *calls[QUEUED_CALLS];
+    set_server_mode(2, "/test/service/500000");
+    set_server_mode(3, "/test/service/500000");
+    for (int i = 0; i < QUEUED_CALLS; i++) {
+        char headers[128];
+        g_snprintf(headers, sizeof(headers),
+                   "host: site.example\nx-request-id: id-queue-%d\n"
+                   "x-deadline-ms: 5000",
+                   i);
+        calls[i] = http_call_start(site.machines[i % 2].address, PORT_CALLER,
+                                   "POST", "/book/a", headers, "");
+    }
+    CU_ASSERT_TRUE(wait_until(both_servers_are_full, NULL));
+    // What runs at the first server ends no sooner than it does, so its node
+    // has a queue.
+    set_server_mode(2, "/test/hold/1");
+    put_server_record(&site.machines[2], "draining");
+    g_usleep(UPSTREAM_DRAIN_US);
+    int64_t runs = upstream_counter(2, "runs");
+    set_server_mode(2, "/test/hold/0");
+    for (int i = 0; i < QUEUED_CALLS; i++) {
+        text_response_t response = http_call_wait(calls[i]);
+        CU_ASSERT_EQUAL(response.status, 200);
+        text_response_free(&response);
+    }
+    CU_ASSERT_EQUAL(upstream_counter(2, "runs"), runs);
+    CU_ASSERT_EQUAL(upstream_counter(2, "runs") + upstream_counter(3, "runs"),
+                    QUEUED_CALLS);
+    stop_site();
+}
+
 /// Guards against requests to a server whose record is gone, from senders that
 /// don't know it yet.
 static void
@@ -580,6 +632,7 @@
         {"unanswered watch", test_unanswered_watch_does_not_delay_changes},
         {"late answer", test_late_answer_lists_no_removed_server},
         {"draining server", test_draining_server},
+        {"queue of a draining server", test_queue_of_a_draining_server},
         {"removed server", test_node_of_a_removed_server_refuses},
         {"stop and reload", test_stop_and_reload},
         {"request that outlasts a stop",
--- a/test/unit/test_guard.c
+++ b/test/unit/test_guard.c
@@ -146,6 +146,124 @@
     stop_guard();
 }
 
+#define LEARNED_SERVICE_US (500 * US_PER_MS)
+
+static call_handle_t
+request_with_budget(uint32_t sender, int64_t budget_us)
+{
+    guard_request_t incoming = {
+        .customer = SLICE_LITERAL("c"),
+        .kind = SLICE_LITERAL("k"),
+        .worth = 5,
+        .budget_us = budget_us,
+        .at_most_once = true,
+        .user = &senders[sender],
+    };
+    return guard_request(&guard, &incoming);
+}
+
+/// Lets the guard learn how long the requests of these tests run.
+static void
+learn_service_time(void)
+{
+    for (int i = 0; i < 100; i++) {
+        call_handle_t handle = request_with_budget(0, 10 * US_PER_S);
+        manual_clock_advance(&manual, LEARNED_SERVICE_US);
+        guard_upstream_done(&guard, handle, UPSTREAM_ANSWERED);
+    }
+    memset(senders, 0, sizeof(senders));
+}
+
+/// Guards against requests that wait in the queue of a draining upstream and
+/// start when it is about to end, which cuts them (review/1): those that fit
+/// run, the others are refused at once, so that their senders can send them
+/// elsewhere.
+static void
+test_queued_requests_start_before_the_end_or_not_at_all(void)
+{
+    start_guard(1, 16);
+    learn_service_time();
+    call_handle_t handles[SENDERS_MAX];
+    for (uint32_t i = 0; i < SENDERS_MAX; i++) {
+        handles[i] = request_with_budget(i, 20 * US_PER_S);
+        CU_ASSERT_NOT_EQUAL(handles[i], 0);
+    }
+    int64_t end_us = clock_now_us(&manual.base) + 2 * US_PER_S;
+    guard_set_draining(&guard, true);
+    guard_set_end(&guard, end_us);
+    CU_ASSERT_EQUAL(senders[SENDERS_MAX - 1].response.reason, REASON_LEAVING);
+    CU_ASSERT_EQUAL(senders[SENDERS_MAX - 1].response.outcome,
+                    OUTCOME_NOT_RUN);
+    CU_ASSERT_EQUAL(senders[1].response_count, 0);
+    int started = 1;
+    for (uint32_t i = 0; i < SENDERS_MAX; i++) {
+        if (senders[i].start_count == 0) {
+            continue;
+        }
+        manual_clock_advance(&manual, LEARNED_SERVICE_US);
+        guard_upstream_done(&guard, handles[i], UPSTREAM_ANSWERED);
+        started += i + 1 < SENDERS_MAX && senders[i + 1].start_count == 1;
+        CU_ASSERT_TRUE(clock_now_us(&manual.base) <= end_us);
+    }
+    CU_ASSERT_TRUE(started >= 3);
+    manual_clock_advance(&manual, 10 * US_PER_S);
+    guard_tick(&guard);
+    for (uint32_t i = 0; i < SENDERS_MAX; i++) {
+        CU_ASSERT_EQUAL(senders[i].response_count, 1);
+        CU_ASSERT_EQUAL(senders[i].response.outcome,
+                        senders[i].start_count == 1 ? OUTCOME_ANSWERED
+                                                    : OUTCOME_NOT_RUN);
+    }
+    CU_ASSERT_EQUAL(guard_in_flight(&guard), 0);
+    stop_guard();
+}
+
+/// Guards against requests that a paused process starts when it resumes after
+/// the end, and against a queue whose requests start later because the
+/// upstream has become slower.
+static void
+test_no_start_after_the_end(void)
+{
+    start_guard(1, 4);
+    learn_service_time();
+    call_handle_t running = request_with_budget(0, 20 * US_PER_S);
+    request_with_budget(1, 20 * US_PER_S);
+    guard_set_draining(&guard, true);
+    guard_set_end(&guard, clock_now_us(&manual.base) + 2 * US_PER_S);
+    CU_ASSERT_EQUAL(senders[1].response_count, 0);
+    manual_clock_advance(&manual, 5 * US_PER_S);
+    guard_upstream_done(&guard, running, UPSTREAM_ANSWERED);
+    CU_ASSERT_EQUAL(senders[1].start_count, 0);
+    CU_ASSERT_EQUAL(senders[1].response.reason, REASON_LEAVING);
+    CU_ASSERT_EQUAL(senders[1].response.outcome, OUTCOME_NOT_RUN);
+    stop_guard();
+}
+
+/// Guards against refusals of requests that end before the process does: by
+/// their deadline, or by how long such requests take, also if that isn't
+/// known.
+static void
+test_requests_that_end_in_time_are_accepted(void)
+{
+    start_guard(8, 4);
+    guard_set_end(&guard, clock_now_us(&manual.base) + 2 * US_PER_S);
+    CU_ASSERT_NOT_EQUAL(request_with_budget(1, 20 * US_PER_S), 0);
+    guard_set_end(&guard, SERVING_END_NONE);
+    learn_service_time();
+    int64_t end_us = clock_now_us(&manual.base) + 2 * US_PER_S;
+    guard_set_end(&guard, end_us);
+    CU_ASSERT_NOT_EQUAL(request_with_budget(2, 20 * US_PER_S), 0);
+    manual_clock_advance(&manual, 1700 * US_PER_MS);
+    CU_ASSERT_NOT_EQUAL(request_with_budget(3, 200 * US_PER_MS), 0);
+    CU_ASSERT_EQUAL(request_with_budget(4, 20 * US_PER_S), 0);
+    CU_ASSERT_EQUAL(senders[4].response.reason, REASON_LEAVING);
+    CU_ASSERT_EQUAL(senders[4].response.outcome, OUTCOME_NOT_RUN);
+    // The upstream stays after all.
+    guard_set_end(&guard, SERVING_END_NONE);
+    CU_ASSERT_NOT_EQUAL(request_with_budget(5, 20 * US_PER_S), 0);
+    stop_guard();
+}
+
 /// Guards against running a request at the upstream of another service when
 /// the sender's VM list is out of date.
 static void
@@ -306,6 +424,10 @@
     CU_TestInfo tests[] = {
         {"result mapping", test_result_mapping},
         {"leaving", test_draining},
+        {"queue at the end",
+         test_queued_requests_start_before_the_end_or_not_at_all},
+        {"after the end", test_no_start_after_the_end},
+        {"in time", test_requests_that_end_in_time_are_accepted},
         {"misdirected", test_request_for_other_service_is_refused},
         {"expired and abandoned",
          test_expired_and_disconnected_requests_do_not_start},
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -116,6 +116,30 @@
     }
 }
 
+/// Guards against a node that doesn't start because its platform lacks the
+/// value that the template fills in, or that ignores it.
+static void
+test_drain_time_may_be_text(void)
+{
+    static const struct {
+        const char *value;
+        double seconds;
+    } cases[] = {
+        {"3", 3}, {"2.5", 2.5}, {"\"2.5\"", 2.5}, {"\"\"", 2}, {"0", 0}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        settings_t settings;
+        char *text = g_strdup_printf("{" REQUIRED ",\"upstream_drain_s\":%s}",
+                                     cases[i].value);
+        char *problems = problems_of(slice_from_string(text), &settings);
+        CU_ASSERT_STRING_EQUAL(problems, "");
+        CU_ASSERT_EQUAL(settings.upstream_drain_s, cases[i].seconds);
+        g_free(problems);
+        g_free(text);
+    }
+    assert_problem("{\"upstream_drain_s\":\"2s\"}", "upstream_drain_s: found");
+    assert_problem("{\"upstream_drain_s\":-1}", "upstream_drain_s: found");
+}
+
 /// Guards against unusable endpoints and URLs that are accepted.
 static void
 test_invalid_fields_are_refused(void)
@@ -245,6 +269,7 @@
     CU_TestInfo tests[] = {
         {"fields and defaults", test_fields_and_defaults},
         {"optional fields", test_optional_fields_are_read},
+        {"drain time", test_drain_time_may_be_text},
         {"stop limit", test_stop_limit_shortens_the_shutdown},
         {"invalid fields", test_invalid_fields_are_refused},
         {"contradictions", test_contradictions_are_refused},
