Refuse calls and requests that outlast the process, before they are sent

Cause: may_start() took calls of the own upstream up to the end of the process without regard to what was known of their length; the node gave up 250 ms before the end of its grace time; upstreams got the whole time budget, and so worked for responses that couldn't be passed on. The guard, repeats, hedges and callers' requests lacked the same decision.

Change: from SIGTERM on, entry and guard know the end of serving, 100 ms before drain_limit_ms. A request is sent if its deadline passes before the end, or if such requests end before it in most cases (95th percentile of the kind, and at least the age of those under way); a kind without a sample is taken for short. Otherwise it is refused as not run. Upstreams are given the time until the end (ibisfield-run-us between nodes), so that one that stops at its deadline responds itself. drain_limit_ms ends 50 ms before stop_limit_s, and the exit follows as soon as the last responses are written.

Why it works: what can be known when a request comes decides before anything is sent, at each place that sends; what can't be known ends at the server's own deadline.

Tests: calls that outlast a stop (functional_test_store) fails on the code before, calls that end before a stop passes on both. New unit tests in test_entry_unkeyed and test_guard; they weren't built on the code before, which lacks the functions. test_settings now expects 5950 and 9950 ms where it expected 5750 and 9750, and a linger of 2975 ms for 6 s: the bound is the exit within stop_limit_s, as before. The routes read and inner of the test site have a timeout of 8 s instead of 5, so that calls late in a stop don't end at their parent's timeout.

--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -19,6 +19,7 @@
         .options = *options,
         .calls = g_new0(entry_call_t, options->max_calls),
         .random = g_rand_new_with_seed(options->seed),
+        .end_us = SERVING_END_NONE,
     };
     slot_table_init(&entry->slots, options->max_calls);
 }
@@ -238,11 +239,19 @@
     }
 }
 
-/// Returns whether a request may start. Calls by the own upstream always may:
-/// they belong to requests that have started, which are completed.
+/// Returns whether a request may start. Calls by the own upstream belong to
+/// requests that have started and are to be completed, so only the end of the
+/// process keeps them from starting: a call that outlasts it would be broken
+/// off.
 static bool
 may_start(entry_t *entry, const incoming_request_t *incoming, reason_t *reason)
 {
+    if (!entry_ends_in_time(entry, hash_kind(incoming),
+                            effective_deadline_us(entry, incoming)))
+    {
+        *reason = REASON_LEAVING;
+        return false;
+    }
     if (incoming->parent != NULL) {
         return true;
     }
@@ -315,6 +324,7 @@
         .service = call->service,
         .worth = call->worth,
         .budget_us = budget_us,
+        .run_us = budget_us,
         .response_timeout_us = budget_us,
         .retry_tokens = entry_grant_tokens(entry, call),
         .at_most_once = true,
@@ -347,6 +357,9 @@
     else if (clock_now_us(entry->options.clock) >= call->deadline_us) {
         entry_refuse_call(entry, call, REASON_DEADLINE, OUTCOME_NOT_RUN);
     }
+    else if (!entry_ends_in_time(entry, call->kind_hash, call->deadline_us)) {
+        entry_refuse_call(entry, call, REASON_LEAVING, OUTCOME_NOT_RUN);
+    }
     else {
         entry_start_call(entry, call);
     }
@@ -533,6 +546,15 @@
     entry->ready = ready;
 }
 
+/// Sets the time after which responses can't be passed on any more, because
+/// the process ends. Requests that can't be expected to end by then are
+/// refused as not run, and upstreams get no more time than is left until then.
+void
+entry_set_end(entry_t *entry, int64_t end_us)
+{
+    entry->end_us = end_us;
+}
+
 /// Refuses callers' requests as not run from now on, because the process ends
 /// soon. Calls by the own upstream are still accepted.
 void
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "ibisfield/admission/entry_throttle.h"
+#include "ibisfield/admission/serving_end.h"
 #include "ibisfield/base/clock.h"
 #include "ibisfield/base/slot_table.h"
 #include "ibisfield/call/call_defs.h"
@@ -66,7 +67,10 @@
     const char *kind;
     const char *service;
     int32_t worth;
-    int64_t budget_us;           ///< time left until the deadline
+    int64_t budget_us; ///< time left until the deadline
+    int64_t run_us;    ///< time in which the upstream has to respond;
+                       ///< shorter than the budget if this process
+                       ///< ends before the deadline
     int64_t response_timeout_us; ///< how long the adapter waits for the
                                  ///< response; longer than the budget when
                                  ///< the request carries a key
@@ -206,6 +210,8 @@
     GRand *random;
     bool ready;
     bool draining;
+    int64_t end_us; ///< responses that arrive later can't be passed on,
+                    ///< because the process ends; SERVING_END_NONE: not known
     bool refuses_callers; ///< callers' requests are refused, because the
                           ///< process ends soon
 } entry_t;
@@ -220,6 +226,7 @@
 void entry_caller_disconnected(entry_t *entry, call_handle_t handle);
 void entry_tick(entry_t *entry);
 void entry_set_ready(entry_t *entry, bool ready);
+void entry_set_end(entry_t *entry, int64_t end_us);
 void entry_refuse_callers(entry_t *entry);
 void entry_end_calls(entry_t *entry);
 void entry_set_draining(entry_t *entry, bool draining);
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -48,6 +48,40 @@
                             MEAN_RETRY_AFTER_MS * 3 / 2);
 }
 
+/// Returns the time that calls of a kind have been running for, that of the
+/// oldest: those that will start now may take as long.
+static int64_t
+oldest_running_us(const entry_t *entry, uint64_t kind_hash)
+{
+    int64_t now_us = clock_now_us(entry->options.clock);
+    int64_t oldest_us = 0;
+    for (uint32_t i = 0; i < entry->slots.count; i++) {
+        const entry_call_t *call =
+            &entry->calls[slot_table_at(&entry->slots, i)];
+        if (call->kind_hash == kind_hash && call->attempt_count > 0) {
+            oldest_us = MAX(oldest_us, now_us - call->attempts[0].sent_us);
+        }
+    }
+    return oldest_us;
+}
+
+/// Returns whether an attempt for a request of the kind may be sent now: its
+/// deadline passes before the end of the process, or such requests get their
+/// response before it in most cases.
+bool
+entry_ends_in_time(const entry_t *entry, uint64_t kind_hash,
+                   int64_t deadline_us)
+{
+    if (entry->end_us == SERVING_END_NONE) {
+        return true;
+    }
+    int64_t expected_us =
+        MAX(picker_latency_upper_us(entry->options.picker, kind_hash),
+            oldest_running_us(entry, kind_hash));
+    return clock_now_us(entry->options.clock) <
+           serving_end_latest_start(entry->end_us, deadline_us, expected_us);
+}
+
 /// Increments the metric of calls with this outcome.
 void
 entry_count_outcome(outcome_t outcome)
@@ -172,6 +206,7 @@
         .service = call->service,
         .worth = call->worth,
         .budget_us = call->deadline_us - now_us,
+        .run_us = MIN(call->deadline_us, entry->end_us) - now_us,
         .response_timeout_us = call->wait_end_us - now_us,
         .retry_tokens = attempt->retry_tokens,
         .at_most_once = call->has_key || call->unkeyed_non_idempotent,
@@ -412,14 +447,16 @@
 
 /// Sends a retry or a hedge, which costs one retry token unless @p is_free.
 /// Returns false if the caller has its response or has disconnected, if the
-/// deadline has passed, if all attempts or all retry tokens are used up, if no
-/// VM can take the request, or if the service retry budget is exhausted.
+/// deadline has passed or the process may end before a response, if all
+/// attempts or all retry tokens are used up, if no VM can take the request, or
+/// if the service retry budget is exhausted.
 static bool
 send_extra_attempt(entry_t *entry, entry_call_t *call, bool is_free)
 {
     if (!call->caller_waiting ||
         call->attempt_count >= G_N_ELEMENTS(call->attempts) ||
         clock_now_us(entry->options.clock) >= call->deadline_us ||
+        !entry_ends_in_time(entry, call->kind_hash, call->deadline_us) ||
         (!is_free && retry_tokens_left(entry, call) == 0))
     {
         return false;
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -27,7 +27,13 @@
 guard_init(guard_t *guard, const clock_source_t *clock, guard_io_t *io,
            request_contexts_t *contexts, const admission_options_t *options)
 {
-    *guard = (guard_t){.clock = clock, .io = io, .contexts = contexts};
+    *guard = (guard_t){
+        .clock = clock,
+        .io = io,
+        .contexts = contexts,
+        .upstream_end_us = SERVING_END_NONE,
+        .process_end_us = SERVING_END_NONE,
+    };
     admission_init(&guard->admission, clock, options);
     retry_ratio_init(&guard->retry_ratio, clock, DEFAULT_RETRY_WINDOW_US);
     uint32_t capacity = options->slots * REQUESTS_PER_SLOT +
@@ -188,15 +194,16 @@
                   guard->contexts, request->requested_context_id, &context);
     guard->io->vtable->start(
         guard->io, request->handle, request->user, request->context_id,
-        request->deadline_us - now_us, request->wait_end_us - now_us);
+        MIN(request->run_end_us, guard->process_end_us) - now_us,
+        request->wait_end_us - now_us);
 }
 
-/// Starts an admitted request unless its deadline has passed: a paused process
-/// may get here long after the admission.
+/// Starts an admitted request unless its time to run has passed: a paused
+/// process may get here long after the admission.
 static void
 start_unless_expired(guard_t *guard, guarded_request_t *request)
 {
-    if (clock_now_us(guard->clock) < request->deadline_us) {
+    if (clock_now_us(guard->clock) < request->run_end_us) {
         start_request(guard, request);
         return;
     }
@@ -261,6 +268,10 @@
         .worth = request->worth,
         .deadline_us = clock_now_us(guard->clock) + request->budget_us,
     };
+    added->run_end_us = request->run_us > 0
+                            ? MIN(added->deadline_us,
+                                  clock_now_us(guard->clock) + request->run_us)
+                            : added->deadline_us;
     added->wait_end_us = added->deadline_us +
                          (request->at_most_once ? LATE_RESPONSE_WAIT_US : 0);
     size_t len = MIN(request->customer.len, sizeof(added->customer) - 1);
@@ -300,7 +311,7 @@
     admission_request_t admission_request = {
         .kind = added->kind_index,
         .worth = added->worth,
-        .deadline_us = added->deadline_us,
+        .deadline_us = added->run_end_us,
         .ticket = handle,
     };
     switch (admission_submit(&guard->admission, &admission_request)) {
@@ -415,23 +426,42 @@
 }
 
 /// Sets whether the guard is draining: it refuses new requests then. Those
-/// that it holds are completed unless guard_set_end() has set an end.
+/// that it holds are completed if they end in time, see
+/// guard_set_upstream_end().
 void
 guard_set_draining(guard_t *guard, bool draining)
 {
     guard->draining = draining;
 }
 
-/// Sets the time at which the upstream or this process may end;
-/// SERVING_END_NONE if it isn't known. Queued requests that can't be expected
-/// to finish by then are refused as not run.
-void
-guard_set_end(guard_t *guard, int64_t end_us)
+static void
+update_end(guard_t *guard)
 {
-    admission_set_end(&guard->admission, end_us);
+    admission_set_end(&guard->admission,
+                      MIN(guard->upstream_end_us, guard->process_end_us));
     run_admission(guard);
 }
 
+/// Sets the time at which the upstream may end; SERVING_END_NONE if it isn't
+/// known. Requests that can't be expected to finish by then are refused as not
+/// run, queued ones too.
+void
+guard_set_upstream_end(guard_t *guard, int64_t end_us)
+{
+    guard->upstream_end_us = end_us;
+    update_end(guard);
+}
+
+/// The same for the time after which responses can't be passed on any more,
+/// because this process ends. The upstream gets no more time than is left
+/// until then.
+void
+guard_set_process_end(guard_t *guard, int64_t end_us)
+{
+    guard->process_end_us = end_us;
+    update_end(guard);
+}
+
 /// Returns whether the guard is draining and so refuses new requests.
 bool
 guard_is_draining(const guard_t *guard)
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -15,6 +15,8 @@
     slice_t service;       ///< that the request is for; "" if not named
     int32_t worth;         ///< of the root request
     int64_t budget_us;     ///< time left until the deadline, at arrival
+    int64_t run_us;        ///< time in which the upstream has to respond, at
+                           ///< arrival; 0: as long as the budget
     uint32_t retry_tokens; ///< granted to this attempt
     bool at_most_once;     ///< not cancelled once it runs
     uint64_t context_id;   ///< id that the upstream's calls for it will carry;
@@ -87,6 +89,7 @@
     int32_t worth;
     uint64_t context_id; ///< 0 until it runs, or if there was no room
     int64_t deadline_us;
+    int64_t run_end_us;  ///< upstream's deadline, at or before deadline_us
     int64_t wait_end_us; ///< until when the upstream's response is awaited
     int64_t started_us;
     char customer[64]; ///< with CONTRACT_NAME_MAX bytes at most
@@ -101,6 +104,8 @@
     slot_table_t slots;
     guarded_request_t *requests;
     bool draining;
+    int64_t upstream_end_us; ///< the upstream may end then; SERVING_END_NONE
+    int64_t process_end_us;  ///< responses can't be passed on after it
     retry_ratio_t retry_ratio;
     uint32_t depth;             ///< levels of calls below the upstream
     uint64_t rejected_instance; ///< target_instance of the last request that
@@ -122,7 +127,8 @@
 void guard_sender_disconnected(guard_t *guard, call_handle_t handle);
 void guard_tick(guard_t *guard);
 void guard_set_draining(guard_t *guard, bool draining);
-void guard_set_end(guard_t *guard, int64_t end_us);
+void guard_set_upstream_end(guard_t *guard, int64_t end_us);
+void guard_set_process_end(guard_t *guard, int64_t end_us);
 bool guard_is_draining(const guard_t *guard);
 guard_load_t guard_load(const guard_t *guard);
 uint32_t guard_in_flight(const guard_t *guard);
--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -321,9 +321,9 @@
     }
 }
 
-/// Time between the exit of a node and the end of stop_limit_s, at which it
-/// would be killed. It lets the last responses leave the node's sockets.
-#define EXIT_MARGIN_MS 250
+/// Time between drain_limit_ms and the end of stop_limit_s, at which the
+/// process would be killed. The last responses leave the node's sockets in it.
+#define EXIT_MARGIN_MS 50
 /// Longest time after SIGTERM in which callers are served if stop_limit_s is
 /// set. A platform that checks readiness each second sends them elsewhere by
 /// then, and a request that is taken later may not end before the process.
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -456,6 +456,9 @@
     message_add_string(message, HEADER_SERVICE, info->service);
     message_add_number(message, HEADER_WORTH, info->worth);
     message_add_number(message, HEADER_BUDGET_US, info->budget_us);
+    if (info->run_us < info->budget_us) {
+        message_add_number(message, HEADER_RUN_US, info->run_us);
+    }
     message_add_number(message, HEADER_RETRIES, info->retry_tokens);
     if (info->is_retry) {
         message_add_string(message, HEADER_REPEAT, "1");
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -27,6 +27,9 @@
 /// Marks the request as a retry, or as a call made while serving a retry.
 #define HEADER_REPEAT "ibisfield-repeat"
 #define HEADER_REMAINING "ibisfield-remaining"
+/// Time in which the upstream has to respond, if it is shorter than the time
+/// left until the deadline.
+#define HEADER_RUN_US "ibisfield-run-us"
 /// Id of the request context that an upstream's calls belong to.
 #define HEADER_REQUEST "ibisfield-request"
 /// Retry tokens granted to the attempt.
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -21,8 +21,13 @@
 /// Time between the refusal of new connections, after key_linger_ms, and the
 /// close of the listeners. Handshakes that are under way complete in it.
 #define HANDSHAKE_GRACE_US (100 * US_PER_MS)
-/// Time between the last responses, at drain_limit_ms, and the exit.
-#define LAST_RESPONSES_US (100 * US_PER_MS)
+/// Longest time between the last responses, at drain_limit_ms, and the exit,
+/// which follows as soon as they are written.
+#define LAST_RESPONSES_US (40 * US_PER_MS)
+#define LAST_RESPONSES_CHECK_US (5 * US_PER_MS)
+/// Requests end this long before drain_limit_ms, so that a response given at
+/// the end of the time budget gets through.
+#define RESPONSE_MARGIN_US (100 * US_PER_MS)
 /// Idempotency keys of which a node keeps a record at the same time. A record
 /// is kept from the first request with the key until the key expires.
 #define KEY_RECORDS_MAX 65536
@@ -149,9 +154,8 @@
              node->drain_causes != 0);
     guard_set_draining(&node->guard, guard_should_drain(node));
     if (cause == DRAIN_LISTED) {
-        node->upstream_end_us =
-            draining ? upstream_end_us(node) : SERVING_END_NONE;
-        guard_set_end(&node->guard, node->upstream_end_us);
+        guard_set_upstream_end(&node->guard, draining ? upstream_end_us(node)
+                                                      : SERVING_END_NONE);
     }
     // The entry doesn't depend on the own upstream.
     entry_set_draining(&node->entry,
@@ -516,9 +520,7 @@
 node_init(node_t *node, const settings_t *settings,
           const platform_adapter_t *adapter, GError **error)
 {
-    *node = (node_t){.settings = settings,
-                     .adapter = adapter,
-                     .upstream_end_us = SERVING_END_NONE};
+    *node = (node_t){.settings = settings, .adapter = adapter};
     uint32_t seeds[5];
     boot_clock_init(&node->clock);
     loop_init(&node->loop, &node->clock);
@@ -628,10 +630,26 @@
     return node->listeners_closed;
 }
 
+static int64_t
+drain_limit_us(const node_t *node)
+{
+    return node->shutdown_started_us +
+           node->settings->drain_limit_ms * US_PER_MS;
+}
+
+/// Stops the loop once the last responses are written.
 static void
-stop_loop(void *context)
+finish_shutdown(void *context)
 {
-    loop_stop(&((node_t *)context)->loop);
+    node_t *node = context;
+    if (http_server_is_idle(node->server) ||
+        clock_now_us(&node->clock) - drain_limit_us(node) >= LAST_RESPONSES_US)
+    {
+        loop_stop(&node->loop);
+        return;
+    }
+    loop_timer_start(&node->loop, &node->shutdown_timer,
+                     LAST_RESPONSES_CHECK_US, finish_shutdown, node);
 }
 
 /// Runs the shutdown. Until key_linger_ms callers are served; afterwards their
@@ -642,16 +660,16 @@
 check_shutdown(void *context)
 {
     node_t *node = context;
-    int64_t elapsed_ms =
-        (clock_now_us(&node->clock) - node->shutdown_started_us) / US_PER_MS;
+    int64_t now_us = clock_now_us(&node->clock);
+    int64_t elapsed_ms = (now_us - node->shutdown_started_us) / US_PER_MS;
     uint32_t unfinished = count_unfinished_calls(node);
-    if (elapsed_ms >= node->settings->drain_limit_ms) {
+    if (now_us >= drain_limit_us(node)) {
         metric_add(METRIC_CALLS_CUT_TOTAL, unfinished);
         log_warning("drain_limit_reached", "cut=%u", unfinished);
         node->exit_code = unfinished == 0 ? 0 : 1;
         entry_end_calls(&node->entry);
-        loop_timer_start(&node->loop, &node->shutdown_timer, LAST_RESPONSES_US,
-                         stop_loop, node);
+        loop_timer_start(&node->loop, &node->shutdown_timer,
+                         LAST_RESPONSES_CHECK_US, finish_shutdown, node);
         return;
     }
     if (elapsed_ms >= node->settings->key_linger_ms && node->adapter != NULL &&
@@ -671,7 +689,8 @@
         loop_stop(&node->loop);
         return;
     }
-    loop_timer_start(&node->loop, &node->shutdown_timer, SHUTDOWN_CHECK_US,
+    loop_timer_start(&node->loop, &node->shutdown_timer,
+                     MIN(SHUTDOWN_CHECK_US, drain_limit_us(node) - now_us),
                      check_shutdown, node);
 }
 
@@ -704,6 +723,9 @@
     node->shutdown_started_us = clock_now_us(&node->clock);
     log_info("shutdown_started", "unfinished=%u",
              count_unfinished_calls(node));
+    int64_t end_us = drain_limit_us(node) - RESPONSE_MARGIN_US;
+    entry_set_end(&node->entry, end_us);
+    guard_set_process_end(&node->guard, end_us);
     node_set_drain_cause(node, DRAIN_SHUTDOWN, true);
     change_feed_set_draining(&node->feed);
     http_server_set_draining(node->server);
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -54,8 +54,6 @@
     loop_timer_t tick_timer;
     loop_timer_t shutdown_timer;
     unsigned int drain_causes; ///< set of drain_cause_t
-    int64_t upstream_end_us;   ///< the upstream may end then; SERVING_END_NONE
-                               ///< if that isn't known
     bool upstream_was_listed;  ///< this node's own, at some time
     bool ready;
     bool listeners_closed; ///< since HANDSHAKE_GRACE_US after drop_start_us
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -257,6 +257,8 @@
                               CONTRACT_RETRIES_MAX, &retries) &&
                  parse_number(http_request_header(request, HEADER_BUDGET_US),
                               G_MAXINT32 * US_PER_MS, &out->budget_us);
+    parse_number(http_request_header(request, HEADER_RUN_US),
+                 G_MAXINT32 * US_PER_MS, &out->run_us);
     int64_t remaining = 0;
     if (parse_number(http_request_header(request, HEADER_REMAINING),
                      G_MAXINT32, &remaining))
--- a/src/ibisfield/routing/kind_latency.c
+++ b/src/ibisfield/routing/kind_latency.c
@@ -73,6 +73,15 @@
     return slot == NULL ? 0 : slot->mean_us;
 }
 
+/// Returns the time in which most requests of the kind get their response, 0
+/// if none was recorded.
+double
+kind_latency_upper_us(const kind_latencies_t *latencies, uint64_t kind)
+{
+    const kind_latency_t *slot = find(latencies, kind);
+    return slot == NULL ? 0 : slot->p95_us;
+}
+
 /// Returns the delay after which to send a hedge; 0 means no hedge.
 int64_t
 kind_latency_hedge_delay_us(const kind_latencies_t *latencies, uint64_t kind,
--- a/src/ibisfield/routing/kind_latency.h
+++ b/src/ibisfield/routing/kind_latency.h
@@ -25,6 +25,7 @@
                          int64_t latency_us);
 void kind_latency_record_refusal(kind_latencies_t *latencies, uint64_t kind,
                                  int64_t now_us);
+double kind_latency_upper_us(const kind_latencies_t *latencies, uint64_t kind);
 double kind_latency_mean_us(const kind_latencies_t *latencies, uint64_t kind);
 int64_t kind_latency_hedge_delay_us(const kind_latencies_t *latencies,
                                     uint64_t kind, int64_t now_us);
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -930,6 +930,14 @@
     return pressure;
 }
 
+/// Returns the time in which most requests of the kind get their response, by
+/// the recent latencies; 0 if there are none.
+int64_t
+picker_latency_upper_us(const picker_t *picker, uint64_t kind)
+{
+    return (int64_t)kind_latency_upper_us(picker->latencies, kind);
+}
+
 /// Returns the delay after which to send a hedge, by the recent latencies of
 /// the kind; 0 means no hedge.
 int64_t
--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -77,13 +77,13 @@
         state,
         "{\"version\":%d,\"routes\":["
         "{\"name\":\"read\",\"host\":\"site.example\",\"prefix\":\"/read/\","
-        "\"kind\":\"idempotent\",\"timeout_s\":5,\"priority\":2,"
+        "\"kind\":\"idempotent\",\"timeout_s\":8,\"priority\":2,"
         "\"service\":\"front\",\"max_attempts\":2},"
         "{\"name\":\"book\",\"host\":\"site.example\",\"prefix\":\"/book/\","
         "\"kind\":\"non_idempotent\",\"timeout_s\":5,\"priority\":0,"
         "\"service\":\"back\",\"max_attempts\":2},"
         "{\"name\":\"inner\",\"host\":\"site.example\",\"prefix\":\"/inner/\","
-        "\"kind\":\"idempotent\",\"timeout_s\":5,\"priority\":1,"
+        "\"kind\":\"idempotent\",\"timeout_s\":8,\"priority\":1,"
         "\"service\":\"back\",\"max_attempts\":2}",
         version);
     if (extra != NULL) {
--- a/test/functional/test_store.c
+++ b/test/functional/test_store.c
@@ -4,6 +4,7 @@
 /// Machines 0 and 1 are of service "front", whose server calls "back"; 2 and 3
 /// are of service "back".
 
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <unistd.h>
@@ -504,6 +505,96 @@
     stop_site();
 }
 
+#define STOPPED_CALLS 4
+/// Time from the SIGTERM to the calls; callers are no longer served then.
+#define CALLS_AFTER_STOP_US 3200000
+
+/// Starts a site in which one front server is used, whose node has taken part
+/// in calls that took @p learned_us (0: none). Stops this node while its
+/// server runs requests that make calls of @p call_us. Returns how many got a
+/// 200.
+static int
+count_answered_around_stop(int64_t learned_us, int64_t call_us, int64_t *calls)
+{
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    remove_server_record(&site.machines[1]);
+    wait_nodes_logged("event=vm_removed upstream_vm=i-1");
+    char service[64];
+    http_call_t *requests[STOPPED_CALLS];
+    for (int round = learned_us == 0 ? 1 : 0; round < 2; round++) {
+        g_snprintf(service, sizeof(service), "/test/service/%" PRId64,
+                   round == 0 ? learned_us : call_us);
+        set_server_mode(2, service);
+        set_server_mode(3, service);
+        if (round == 1) {
+            g_snprintf(service, sizeof(service), "/test/service/%d",
+                       CALLS_AFTER_STOP_US + 200000);
+            set_server_mode(0, service);
+        }
+        *calls = upstream_counter(2, "runs") + upstream_counter(3, "runs");
+        for (int i = 0; i < STOPPED_CALLS; i++) {
+            char headers[128];
+            g_snprintf(headers, sizeof(headers),
+                       "host: site.example\nx-request-id: id-%d-%d\n"
+                       "x-deadline-ms: 8000",
+                       round, i);
+            requests[i] =
+                http_call_start(site.machines[1].address, PORT_CALLER, "GET",
+                                "/read/a", headers, "");
+        }
+        if (round == 1) {
+            g_usleep(200000);
+            kill(site.machines[0].node.pid, SIGTERM);
+        }
+        for (int i = 0; round == 0 && i < STOPPED_CALLS; i++) {
+            text_response_t response = http_call_wait(requests[i]);
+            CU_ASSERT_EQUAL(response.status, 200);
+            text_response_free(&response);
+        }
+    }
+    int answered = 0;
+    for (int i = 0; i < STOPPED_CALLS; i++) {
+        text_response_t response = http_call_wait(requests[i]);
+        answered += response.status == 200;
+        text_response_free(&response);
+    }
+    *calls =
+        upstream_counter(2, "runs") + upstream_counter(3, "runs") - *calls;
+    return answered;
+}
+
+/// Guards against calls that a stopping node takes from its server and breaks
+/// off at its end (review/4): by what the node has learned they don't end in
+/// time, so they are refused as not run.
+static void
+test_stopping_node_refuses_calls_that_outlast_it(void)
+{
+    int64_t calls = 0;
+    CU_ASSERT_EQUAL(count_answered_around_stop(2900000, 2900000, &calls), 0);
+    CU_ASSERT_EQUAL(calls, 0);
+    CU_ASSERT_EQUAL(process_wait(&site.machines[0].node), 0);
+    CU_ASSERT_TRUE(process_has_logged(&site.machines[0].node,
+                                      "reason=leaving outcome=not-run"));
+    stop_site();
+}
+
+/// Guards against refusals of calls that end before a stopping node does, also
+/// if the node doesn't know how long they take (review/4).
+static void
+test_stopping_node_completes_calls_of_its_server(void)
+{
+    int64_t calls = 0;
+    CU_ASSERT_EQUAL(count_answered_around_stop(0, 1000, &calls),
+                    STOPPED_CALLS);
+    CU_ASSERT_EQUAL(process_wait(&site.machines[0].node), 0);
+    stop_site();
+    CU_ASSERT_EQUAL(count_answered_around_stop(0, 1500000, &calls),
+                    STOPPED_CALLS);
+    CU_ASSERT_EQUAL(process_wait(&site.machines[0].node), 0);
+    stop_site();
+}
+
 /// Between the store and the node of the first machine.
 static process_t store_relay;
 
@@ -639,6 +730,10 @@
          test_request_that_outlasts_a_stop_is_answered},
         {"full server that never responds",
          test_full_server_that_never_responds},
+        {"calls that outlast a stop",
+         test_stopping_node_refuses_calls_that_outlast_it},
+        {"calls that end before a stop",
+         test_stopping_node_completes_calls_of_its_server},
         {"stopping node", test_stopping_node_still_serves_its_server},
         CU_TEST_INFO_NULL,
     };
--- a/test/unit/test_entry_unkeyed.c
+++ b/test/unit/test_entry_unkeyed.c
@@ -344,6 +344,113 @@
     stop();
 }
 
+#define LEARNED_LATENCY_US (500 * US_PER_MS)
+
+static void
+answer_after(int number, int64_t latency_us)
+{
+    manual_clock_advance(&manual, latency_us);
+    finish_attempt(number, ATTEMPT_ANSWERED, REASON_NONE, 200);
+}
+
+/// Starts an entry that has learned the latency of LOOKUP and whose process
+/// ends after @p left_us. Callers' requests are refused; the request PARENT_ID
+/// still runs at the own upstream.
+static void
+start_ending(int64_t left_us)
+{
+    start();
+    request_context_t parent = {.worth = 100, .deadline_us = INT64_MAX};
+    request_contexts_add_with_id(&contexts, PARENT_ID, &parent);
+    for (int i = 0; i < 8; i++) {
+        request(LOOKUP, 0);
+        answer_after(i, LEARNED_LATENCY_US);
+    }
+    CU_ASSERT_EQUAL(response_count, 8);
+    sent_count = 0;
+    response_count = 0;
+    entry_refuse_callers(&entry);
+    entry_set_end(&entry, manual.now_us + left_us);
+}
+
+/// Guards against calls that a stopping node takes and breaks off at its end
+/// while their server is at work (review/4): they are refused as not run.
+static void
+test_calls_that_outlast_the_process_are_refused(void)
+{
+    start_ending(400 * US_PER_MS);
+    request(LOOKUP, PARENT_ID);
+    CU_ASSERT_EQUAL(sent_count, 0);
+    CU_ASSERT_EQUAL(response_count, 1);
+    CU_ASSERT_EQUAL(last_response.reason, REASON_LEAVING);
+    CU_ASSERT_EQUAL(last_response.outcome, OUTCOME_NOT_RUN);
+    stop();
+}
+
+/// Guards against refusals of calls that end before the process: by how long
+/// such calls take, by their deadline, or of a kind that hasn't been called.
+static void
+test_calls_that_end_in_time_are_accepted(void)
+{
+    start_ending(700 * US_PER_MS);
+    request(LOOKUP, PARENT_ID);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 1);
+    CU_ASSERT_EQUAL(sent[0].info.budget_us, 1000 * US_PER_MS);
+    CU_ASSERT_EQUAL(sent[0].info.run_us, 700 * US_PER_MS);
+    answer_after(0, LEARNED_LATENCY_US);
+    CU_ASSERT_EQUAL(last_response.outcome, OUTCOME_ANSWERED);
+    stop();
+    start_ending(400 * US_PER_MS);
+    request(BOOKING, PARENT_ID);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 1);
+    CU_ASSERT_EQUAL(sent[0].info.run_us, 400 * US_PER_MS);
+    const uint64_t soon = PARENT_ID + 1;
+    request_context_t parent = {
+        .worth = 100, .deadline_us = manual.now_us + 390 * US_PER_MS};
+    request_contexts_add_with_id(&contexts, soon, &parent);
+    request(LOOKUP, soon);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 2);
+    CU_ASSERT_EQUAL(sent[1].info.run_us, 390 * US_PER_MS);
+    stop();
+}
+
+/// Guards against further calls of a kind of which none has ended yet, when
+/// those under way have taken longer than the time that is left.
+static void
+test_calls_under_way_show_how_long_others_take(void)
+{
+    start_ending(900 * US_PER_MS);
+    request(BOOKING, PARENT_ID);
+    manual_clock_advance(&manual, 300 * US_PER_MS);
+    request(BOOKING, PARENT_ID);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    manual_clock_advance(&manual, 200 * US_PER_MS);
+    request(BOOKING, PARENT_ID);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    CU_ASSERT_EQUAL(last_response.reason, REASON_LEAVING);
+    CU_ASSERT_EQUAL(last_response.outcome, OUTCOME_NOT_RUN);
+    stop();
+}
+
+/// Guards against repeats that begin so late that the end of the process
+/// breaks them off.
+static void
+test_no_repeat_outlasts_the_process(void)
+{
+    start_ending(700 * US_PER_MS);
+    request(LOOKUP, PARENT_ID);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 1);
+    manual_clock_advance(&manual, 100 * US_PER_MS);
+    finish_attempt(0, ATTEMPT_REFUSED, REASON_LEAVING, 503);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 2);
+    manual_clock_advance(&manual, 200 * US_PER_MS);
+    finish_attempt(1, ATTEMPT_REFUSED, REASON_OVERLOADED, 503);
+    CU_ASSERT_EQUAL(sent_count, 2);
+    CU_ASSERT_EQUAL(response_count, 1);
+    CU_ASSERT_EQUAL(last_response.outcome, OUTCOME_NOT_RUN);
+    stop();
+}
+
 int
 main(void)
 {
@@ -355,6 +462,11 @@
         {"attempts", test_attempts_reaching_an_upstream_are_bounded},
         {"wrong instances", test_attempts_at_wrong_instances_are_bounded},
         {"calls of a request", test_calls_inherit_from_their_request},
+        {"calls that outlast the process",
+         test_calls_that_outlast_the_process_are_refused},
+        {"calls that end in time", test_calls_that_end_in_time_are_accepted},
+        {"calls under way", test_calls_under_way_show_how_long_others_take},
+        {"late repeats", test_no_repeat_outlasts_the_process},
         {"timeouts", test_timeouts_and_disconnected_callers},
         CU_TEST_INFO_NULL,
     };
--- a/test/unit/test_guard.c
+++ b/test/unit/test_guard.c
@@ -190,7 +190,7 @@
     }
     int64_t end_us = clock_now_us(&manual.base) + 2 * US_PER_S;
     guard_set_draining(&guard, true);
-    guard_set_end(&guard, end_us);
+    guard_set_upstream_end(&guard, end_us);
     CU_ASSERT_EQUAL(senders[SENDERS_MAX - 1].response.reason, REASON_LEAVING);
     CU_ASSERT_EQUAL(senders[SENDERS_MAX - 1].response.outcome,
                     OUTCOME_NOT_RUN);
@@ -229,7 +229,7 @@
     call_handle_t running = request_with_budget(0, 20 * US_PER_S);
     request_with_budget(1, 20 * US_PER_S);
     guard_set_draining(&guard, true);
-    guard_set_end(&guard, clock_now_us(&manual.base) + 2 * US_PER_S);
+    guard_set_upstream_end(&guard, clock_now_us(&manual.base) + 2 * US_PER_S);
     CU_ASSERT_EQUAL(senders[1].response_count, 0);
     manual_clock_advance(&manual, 5 * US_PER_S);
     guard_upstream_done(&guard, running, UPSTREAM_ANSWERED);
@@ -246,12 +246,12 @@
 test_requests_that_end_in_time_are_accepted(void)
 {
     start_guard(8, 4);
-    guard_set_end(&guard, clock_now_us(&manual.base) + 2 * US_PER_S);
+    guard_set_upstream_end(&guard, clock_now_us(&manual.base) + 2 * US_PER_S);
     CU_ASSERT_NOT_EQUAL(request_with_budget(1, 20 * US_PER_S), 0);
-    guard_set_end(&guard, SERVING_END_NONE);
+    guard_set_upstream_end(&guard, SERVING_END_NONE);
     learn_service_time();
     int64_t end_us = clock_now_us(&manual.base) + 2 * US_PER_S;
-    guard_set_end(&guard, end_us);
+    guard_set_upstream_end(&guard, end_us);
     CU_ASSERT_NOT_EQUAL(request_with_budget(2, 20 * US_PER_S), 0);
     manual_clock_advance(&manual, 1700 * US_PER_MS);
     CU_ASSERT_NOT_EQUAL(request_with_budget(3, 200 * US_PER_MS), 0);
@@ -259,11 +259,41 @@
     CU_ASSERT_EQUAL(senders[4].response.reason, REASON_LEAVING);
     CU_ASSERT_EQUAL(senders[4].response.outcome, OUTCOME_NOT_RUN);
     // The upstream stays after all.
-    guard_set_end(&guard, SERVING_END_NONE);
+    guard_set_upstream_end(&guard, SERVING_END_NONE);
     CU_ASSERT_NOT_EQUAL(request_with_budget(5, 20 * US_PER_S), 0);
     stop_guard();
 }
 
+/// Guards against an upstream that works on when its response can't be passed
+/// on any more, because this process or the sender's ends. The guard still
+/// waits for the response until the deadline.
+static void
+test_time_to_run_is_limited_by_the_end(void)
+{
+    start_guard(4, 4);
+    guard_request_t incoming = {
+        .customer = SLICE_LITERAL("c"),
+        .kind = SLICE_LITERAL("k"),
+        .budget_us = 5 * US_PER_S,
+        .run_us = 3 * US_PER_S,
+        .user = &senders[0],
+    };
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &incoming), 0);
+    CU_ASSERT_EQUAL(senders[0].budget_us, 3 * US_PER_S);
+    CU_ASSERT_EQUAL(senders[0].wait_us, 5 * US_PER_S);
+    guard_set_process_end(&guard, clock_now_us(&manual.base) + 2 * US_PER_S);
+    incoming.user = &senders[1];
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &incoming), 0);
+    CU_ASSERT_EQUAL(senders[1].budget_us, 2 * US_PER_S);
+    CU_ASSERT_EQUAL(senders[1].wait_us, 5 * US_PER_S);
+    // The upstream may serve on after it was expected to end.
+    guard_set_upstream_end(&guard, clock_now_us(&manual.base) + US_PER_S);
+    incoming.user = &senders[2];
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &incoming), 0);
+    CU_ASSERT_EQUAL(senders[2].budget_us, 2 * US_PER_S);
+    stop_guard();
+}
+
 /// Guards against running a request at the upstream of another service when
 /// the sender's VM list is out of date.
 static void
@@ -427,6 +457,7 @@
         {"queue at the end",
          test_queued_requests_start_before_the_end_or_not_at_all},
         {"after the end", test_no_start_after_the_end},
+        {"time to run", test_time_to_run_is_limited_by_the_end},
         {"in time", test_requests_that_end_in_time_are_accepted},
         {"misdirected", test_request_for_other_service_is_refused},
         {"expired and abandoned",
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -102,7 +102,7 @@
         const char *stop_limit_s;
         int32_t linger_ms;
         int32_t drain_ms;
-    } cases[] = {{"6", 2875, 5750}, {"10", 3000, 9750}, {"60", 3000, 30000}};
+    } cases[] = {{"6", 2975, 5950}, {"10", 3000, 9950}, {"60", 3000, 30000}};
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         settings_t settings;
         char *text = g_strdup_printf("{" REQUIRED ",\"stop_limit_s\":%s}",
