Bound the memory that heads of responses take

What callers would see: a faulty server that sends heads without end on many connections makes the node beside it exceed its memory limit; it is ended, and the requests of other callers with it.

Cause: http_parser bounds the bytes of a head, but each header takes 32 bytes more here, and trailers as much again; the pool's limit on held bytes counted bodies only. Evidence: 400 connections with 79,000 bytes of headers of four bytes each took the node to 283,972 KiB (limit 266,240).

Change: at most 256 headers in a response, trailers included; the pool's limit counts heads; large head buffers are freed after their response; the receive buffer of connections to the own upstream is 64 KiB, so that a fast server doesn't keep other connections waiting.

--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -29,7 +29,7 @@
     GQueue idle;                 ///< of connection_t, most recently used first
     GQueue waiting;              ///< of http_exchange_t, without a connection
     uint32_t connections_in_use; ///< connections with an exchange
-    size_t buffered_bytes;       ///< of bodies that are being read
+    size_t buffered_bytes;       ///< of responses that are being read
     uint32_t exchanges;          ///< exchanges not ended yet; they keep the
                                  ///< pool alive
     loop_timer_t sweep_timer;
@@ -158,7 +158,7 @@
     }
 }
 
-/// Updates the size of the body that the connection holds.
+/// Updates the size of the response that the connection holds.
 static void
 set_buffered_bytes(connection_t *connection, size_t bytes)
 {
@@ -324,7 +324,7 @@
         size_t used =
             response_reader_feed(reader, (slice_t){input->bytes, input->size});
         h2o_buffer_consume(&socket->input, used);
-        set_buffered_bytes(connection, reader->body->len);
+        set_buffered_bytes(connection, response_reader_held_bytes(reader));
         if (reader->state != RESPONSE_COMPLETE ||
             !is_stale_response(connection)) {
             break;
@@ -446,6 +446,10 @@
                          exchange);
         return;
     }
+    if (pool->options.receive_buffer_bytes > 0) {
+        socket_set_receive_buffer(h2o_socket_get_fd(socket),
+                                  pool->options.receive_buffer_bytes);
+    }
     connection_t *connection = g_new0(connection_t, 1);
     connection->pool = pool;
     connection->socket = socket;
--- a/src/ibisfield/io/http_client.h
+++ b/src/ibisfield/io/http_client.h
@@ -37,8 +37,10 @@
     endpoint_t endpoint;
     uint32_t connections_max;
     size_t max_response_bytes;
-    size_t max_buffered_bytes;  ///< of the bodies that are being read on all
-                                ///< connections together; 0: no limit
+    size_t max_buffered_bytes;  ///< of the responses that are being read on
+                                ///< all connections together; 0: no limit
+    int receive_buffer_bytes;   ///< of the kernel, for each connection; 0: the
+                                ///< system's default
     int64_t connect_timeout_us; ///< 0: only the exchange's timeout applies
     /// Header, in lower case, that a response echoes from its request. A
     /// response with another value belongs to an earlier request and is
--- a/src/ibisfield/io/response_reader.c
+++ b/src/ibisfield/io/response_reader.c
@@ -8,6 +8,12 @@
 
 /// A body buffer above this size is freed after its response.
 #define BODY_KEEP_BYTES 65536
+/// The same for the text of headers.
+#define HEADER_TEXT_KEEP_BYTES 8192
+/// A server that sends more headers, trailers included, is faulty. http_parser
+/// limits the bytes of the headers, but one that has four bytes there takes
+/// many more here.
+#define HEADERS_MAX 256
 /// A server that sends more interim responses (1xx) is faulty.
 #define INTERIM_RESPONSES_MAX 16
 
@@ -39,6 +45,9 @@
 {
     response_reader_t *reader = reader_of(parser);
     if (reader->header_offsets->len == 0 || reader->in_header_value) {
+        if (reader->header_offsets->len >= HEADERS_MAX) {
+            return -1;
+        }
         header_offsets_t header = {.name = reader->header_text->len};
         g_array_append_val(reader->header_offsets, header);
         reader->in_header_value = false;
@@ -109,6 +118,10 @@
 static void
 reset(response_reader_t *reader)
 {
+    if (reader->header_text->allocated_len > HEADER_TEXT_KEEP_BYTES) {
+        g_string_free(reader->header_text, TRUE);
+        reader->header_text = g_string_sized_new(256);
+    }
     g_string_truncate(reader->header_text, 0);
     g_array_set_size(reader->header_offsets, 0);
     if (reader->body->len > BODY_KEEP_BYTES) {
@@ -235,6 +248,14 @@
     reader->state = RESPONSE_INVALID;
 }
 
+/// Returns the bytes of memory that the response takes so far.
+size_t
+response_reader_held_bytes(const response_reader_t *reader)
+{
+    return reader->body->len + reader->header_text->len +
+           reader->header_offsets->len * sizeof(header_offsets_t);
+}
+
 size_t
 response_reader_header_count(const response_reader_t *reader)
 {
--- a/src/ibisfield/io/socket_options.c
+++ b/src/ibisfield/io/socket_options.c
@@ -25,6 +25,14 @@
     (void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
+/// Limits the bytes that the kernel holds for a connection until they are
+/// read.
+void
+socket_set_receive_buffer(int fd, int bytes)
+{
+    set_int_option(fd, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
 /// Disables Nagle's algorithm and makes an unresponsive peer fail the
 /// connection.
 void
--- a/src/ibisfield/io/upstream_client.c
+++ b/src/ibisfield/io/upstream_client.c
@@ -19,6 +19,9 @@
 /// come from a faulty upstream only, and would exhaust the memory of the VM.
 #define LARGEST_RESPONSES_MAX 8
 #define HEALTH_TIMEOUT_US US_PER_S
+/// All that has arrived on a connection is read before another one has its
+/// turn, so this bounds how long a fast upstream keeps the others waiting.
+#define RECEIVE_BUFFER_BYTES 65536
 
 static void check_health(void *context);
 
@@ -89,6 +92,7 @@
         .max_buffered_bytes =
             (size_t)settings->max_answer_bytes * LARGEST_RESPONSES_MAX,
         .connect_timeout_us = CONNECT_TIMEOUT_US,
+        .receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
         .refusal_header = HEADER_SHED,
     };
     if (header_names == NULL) {
--- a/test/functional/test_response_reader.c
+++ b/test/functional/test_response_reader.c
@@ -46,6 +46,39 @@
     response_reader_finish(&reader);
 }
 
+/// Guards against a faulty server whose heads take many times their size in
+/// memory: four bytes of header text took 36.
+static void
+test_number_of_headers_is_bounded(void)
+{
+    for (int trailers = 0; trailers < 2; trailers++) {
+        start(false);
+        feed("HTTP/1.1 200 OK\r\n");
+        if (trailers == 1) {
+            feed("Transfer-Encoding: chunked\r\n\r\n0\r\n");
+        }
+        size_t most = 0;
+        for (int i = 0; i < 20000 && reader.state == RESPONSE_PARTIAL; i++) {
+            feed("a:\r\n");
+            most = MAX(most, response_reader_held_bytes(&reader));
+        }
+        CU_ASSERT_EQUAL(reader.state, RESPONSE_INVALID);
+        CU_ASSERT_TRUE(most < 16384);
+        response_reader_finish(&reader);
+    }
+    start(false);
+    feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n");
+    for (int i = 0; i < 200; i++) {
+        feed("a: b\r\n");
+    }
+    feed("\r\n");
+    CU_ASSERT_EQUAL(reader.state, RESPONSE_COMPLETE);
+    CU_ASSERT_EQUAL(response_reader_header_count(&reader), 201);
+    response_reader_start(&reader, false);
+    CU_ASSERT_TRUE(response_reader_held_bytes(&reader) < 16384);
+    response_reader_finish(&reader);
+}
+
 /// Guards against errors in assembling a response that arrives byte by byte.
 static void
 test_response_in_single_bytes(void)
@@ -157,6 +190,7 @@
 main(void)
 {
     CU_TestInfo tests[] = {
+        {"number of headers", test_number_of_headers_is_bounded},
         {"extra bytes", test_bytes_after_a_response_are_not_consumed},
         {"single bytes", test_response_in_single_bytes},
         {"close-delimited", test_close_delimited_responses},
