Give test sites that run beside each other addresses of their own

Cause: a site's network was the process id modulo 200, so two programs whose ids differ by a multiple of 200 had the same addresses. The network now depends on more of the id.

--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -175,10 +175,15 @@
     site =
         (store_site_t){.directory = g_dir_make_tmp("ibisfield-XXXXXX", NULL),
                        .machine_count = machines};
-    int net = 1 + (int)(getpid() % 200);
+    // Programs that run beside each other need addresses of their own.
+    int pid = (int)getpid();
+    // The soak uses the network above that of the site for its proxy.
+    int site_net = 77 + 2 * (pid / 200 % 16);
+    int net = 1 + pid % 200;
     int host = next_host;
     next_host += machines + 1;
-    g_snprintf(site.address, sizeof(site.address), "127.77.%d.%d", net, host);
+    g_snprintf(site.address, sizeof(site.address), "127.%d.%d.%d", site_net,
+               net, host);
     char listen[32];
     g_snprintf(listen, sizeof(listen), "%s:%d", site.address, PORT_STORE);
     char *log = g_strdup_printf("%s/store.log", site.directory);
@@ -188,8 +193,8 @@
     g_free(log);
     for (int i = 0; i < site.machine_count; i++) {
         machine_t *machine = &site.machines[i];
-        g_snprintf(machine->address, sizeof(machine->address), "127.77.%d.%d",
-                   net, host + 1 + i);
+        g_snprintf(machine->address, sizeof(machine->address), "127.%d.%d.%d",
+                   site_net, net, host + 1 + i);
         g_snprintf(machine->instance, sizeof(machine->instance), "i-%d", i);
         machine->service = i < site.machine_count / 2 ? "front" : "back";
         g_strlcpy(machine->published_address, machine->address,
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -684,14 +684,15 @@
     int i = (int)(machine - site.machines);
     static const uint16_t ports[ROUTE_COUNT] = {PORT_PEER, PORT_UPSTREAM,
                                                 PORT_STORE};
+    int site_net = 0;
     int net = 0;
     int host = 0;
-    if (sscanf(machine->address, "127.77.%d.%d", &net, &host) != 2) {
-        g_error("machine address %s is not in 127.77.0.0/16",
-                machine->address);
+    if (sscanf(machine->address, "127.%d.%d.%d", &site_net, &net, &host) != 3)
+    {
+        g_error("machine address %s is not in 127.0.0.0/8", machine->address);
     }
     g_snprintf(machine->published_address, sizeof(machine->published_address),
-               "127.78.%d.%d", net, host);
+               "127.%d.%d.%d", site_net + 1, net, host);
     g_strlcpy(machine->store_address, machine->published_address,
               sizeof(machine->store_address));
     for (int j = 0; j < ROUTE_COUNT; j++) {
