Refuse late calls of a stopping node unless they are shown to end

Cause: entry_ends_in_time() took a kind that had never been timed for short. The outcome was then left to the last 100 ms of the grace time, so it depended on the speed of the machine.

Change: from 3 s after SIGTERM on, a request starts only if its deadline passes, or the longest of its kind that was timed ends, a tenth of drain_limit_ms before the limit. A node that hasn't timed the kind leaves the decision to the guard that would run the request, which has timed it for all senders (header ibisfield-must-end) and refuses it before its upstream sees it. Until 3 s after SIGTERM everything is decided as before.

Why it works: the decision no longer rests on the time that a response takes to get through.

--- a/src/ibisfield/admission/admission.c
+++ b/src/ibisfield/admission/admission.c
@@ -559,6 +559,18 @@
                          limiter_limit(&admission->limiter));
 }
 
+/// Returns whether a request of a kind, its wait included, takes less than
+/// @p time_us by the requests that were timed here; false if none was.
+bool
+admission_ends_within(const admission_t *admission, uint32_t kind,
+                      int32_t worth, int64_t time_us)
+{
+    int64_t bound_us = service_time_bound_us(&admission->service_times, kind);
+    double wait_us =
+        expected_wait_us(admission, is_long(admission, kind), worth);
+    return bound_us > 0 && (int64_t)wait_us + bound_us < time_us;
+}
+
 /// Returns the load that the guard reports to senders.
 guard_load_t
 admission_load(const admission_t *admission)
--- a/src/ibisfield/admission/service_time.c
+++ b/src/ibisfield/admission/service_time.c
@@ -40,6 +40,7 @@
         SAMPLE_WEIGHT * (fabs(distance_us) - kind_time->deviation_us);
     kind_time->period_sum_us += sample_us;
     kind_time->period_count++;
+    duration_bound_record(&kind_time->bound, service_us);
     if (times->mean_us == 0) {
         times->mean_us = sample_us;
     }
@@ -79,6 +80,14 @@
     return kind_time->mean_us + UPPER_DEVIATIONS * kind_time->deviation_us;
 }
 
+/// Returns the time within which all requests of a kind finish, by those that
+/// were timed; 0 if it has no samples.
+int64_t
+service_time_bound_us(const service_time_t *times, uint32_t kind_index)
+{
+    return duration_bound_us(&times->kinds[kind_index].bound);
+}
+
 /// Returns the mean service time of a kind at a healthy upstream, 0 if
 /// unknown.
 double
--- a/src/ibisfield/admission/service_time.h
+++ b/src/ibisfield/admission/service_time.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ibisfield/admission/serving_end.h"
+
 #define SERVICE_TIME_KINDS_MAX 64
 
 /// Service times of one kind, in microseconds.
@@ -14,6 +16,7 @@
                          ///< while the means are higher
     double period_sum_us;
     uint32_t period_count;
+    duration_bound_t bound;
 } kind_time_t;
 
 /// Service times at one upstream, by the index of the kind in the admission.
@@ -29,6 +32,8 @@
 void service_time_record_arrival(service_time_t *times, uint32_t kind_index);
 double service_time_mean_us(const service_time_t *times, uint32_t kind_index);
 double service_time_upper_us(const service_time_t *times, uint32_t kind_index);
+int64_t service_time_bound_us(const service_time_t *times,
+                              uint32_t kind_index);
 double service_time_baseline_us(const service_time_t *times,
                                 uint32_t kind_index);
 bool service_time_is_long(const service_time_t *times, uint32_t kind_index);
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -19,7 +19,7 @@
         .options = *options,
         .calls = g_new0(entry_call_t, options->max_calls),
         .random = g_rand_new_with_seed(options->seed),
-        .end_us = SERVING_END_NONE,
+        .end = {.end_us = SERVING_END_NONE},
     };
     slot_table_init(&entry->slots, options->max_calls);
 }
@@ -246,8 +246,9 @@
 static bool
 may_start(entry_t *entry, const incoming_request_t *incoming, reason_t *reason)
 {
-    if (!entry_ends_in_time(entry, hash_kind(incoming),
-                            effective_deadline_us(entry, incoming)))
+    if (entry_check_end(entry, hash_kind(incoming),
+                        effective_deadline_us(entry, incoming)) ==
+        SERVING_END_TOO_LATE)
     {
         *reason = REASON_LEAVING;
         return false;
@@ -357,7 +358,9 @@
     else if (clock_now_us(entry->options.clock) >= call->deadline_us) {
         entry_refuse_call(entry, call, REASON_DEADLINE, OUTCOME_NOT_RUN);
     }
-    else if (!entry_ends_in_time(entry, call->kind_hash, call->deadline_us)) {
+    else if (entry_check_end(entry, call->kind_hash, call->deadline_us) ==
+             SERVING_END_TOO_LATE)
+    {
         entry_refuse_call(entry, call, REASON_LEAVING, OUTCOME_NOT_RUN);
     }
     else {
@@ -549,10 +552,11 @@
 /// Sets the time after which responses can't be passed on any more, because
 /// the process ends. Requests that can't be expected to end by then are
 /// refused as not run, and upstreams get no more time than is left until then.
+/// Late ones of kinds that this node hasn't timed are left to the guards.
 void
-entry_set_end(entry_t *entry, int64_t end_us)
+entry_set_end(entry_t *entry, const serving_end_t *end)
 {
-    entry->end_us = end_us;
+    entry->end = *end;
 }
 
 /// Refuses callers' requests as not run from now on, because the process ends
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -74,9 +74,11 @@
     int64_t response_timeout_us; ///< how long the adapter waits for the
                                  ///< response; longer than the budget when
                                  ///< the request carries a key
-    uint32_t retry_tokens;       ///< granted to the attempt
-    bool at_most_once;           ///< not cancelled once it runs
-    bool is_retry; ///< a retry, or a call made while serving a retry
+    bool must_end; ///< the guard refuses it unless it is known to end within
+                   ///< run_us, because this process ends
+    uint32_t retry_tokens; ///< granted to the attempt
+    bool at_most_once;     ///< not cancelled once it runs
+    bool is_retry;         ///< a retry, or a call made while serving a retry
     uint32_t calls_remaining; ///< that the root needs when this one has ended
 } attempt_info_t;
 
@@ -210,8 +212,7 @@
     GRand *random;
     bool ready;
     bool draining;
-    int64_t end_us; ///< responses that arrive later can't be passed on,
-                    ///< because the process ends; SERVING_END_NONE: not known
+    serving_end_t end;    ///< of this process
     bool refuses_callers; ///< callers' requests are refused, because the
                           ///< process ends soon
 } entry_t;
@@ -226,7 +227,7 @@
 void entry_caller_disconnected(entry_t *entry, call_handle_t handle);
 void entry_tick(entry_t *entry);
 void entry_set_ready(entry_t *entry, bool ready);
-void entry_set_end(entry_t *entry, int64_t end_us);
+void entry_set_end(entry_t *entry, const serving_end_t *end);
 void entry_refuse_callers(entry_t *entry);
 void entry_end_calls(entry_t *entry);
 void entry_set_draining(entry_t *entry, bool draining);
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -65,21 +65,20 @@
     return oldest_us;
 }
 
-/// Returns whether an attempt for a request of the kind may be sent now: its
-/// deadline passes before the end of the process, or such requests get their
-/// response before it in most cases.
-bool
-entry_ends_in_time(const entry_t *entry, uint64_t kind_hash,
-                   int64_t deadline_us)
+/// Returns whether an attempt for a request of the kind may be sent now, as
+/// far as the end of the process is concerned.
+serving_end_verdict_t
+entry_check_end(const entry_t *entry, uint64_t kind_hash, int64_t deadline_us)
 {
-    if (entry->end_us == SERVING_END_NONE) {
-        return true;
+    if (entry->end.end_us == SERVING_END_NONE) {
+        return SERVING_END_FITS;
     }
-    int64_t expected_us =
-        MAX(picker_latency_upper_us(entry->options.picker, kind_hash),
-            oldest_running_us(entry, kind_hash));
-    return clock_now_us(entry->options.clock) <
-           serving_end_latest_start(entry->end_us, deadline_us, expected_us);
+    const picker_t *picker = entry->options.picker;
+    return serving_end_check(&entry->end, clock_now_us(entry->options.clock),
+                             deadline_us,
+                             MAX(picker_latency_upper_us(picker, kind_hash),
+                                 oldest_running_us(entry, kind_hash)),
+                             picker_latency_bound_us(picker, kind_hash));
 }
 
 /// Increments the metric of calls with this outcome.
@@ -206,7 +205,10 @@
         .service = call->service,
         .worth = call->worth,
         .budget_us = call->deadline_us - now_us,
-        .run_us = MIN(call->deadline_us, entry->end_us) - now_us,
+        .run_us = MIN(call->deadline_us, serving_end_at(&entry->end, now_us)) -
+                  now_us,
+        .must_end = entry_check_end(entry, call->kind_hash,
+                                    call->deadline_us) == SERVING_END_UNKNOWN,
         .response_timeout_us = call->wait_end_us - now_us,
         .retry_tokens = attempt->retry_tokens,
         .at_most_once = call->has_key || call->unkeyed_non_idempotent,
@@ -456,7 +458,8 @@
     if (!call->caller_waiting ||
         call->attempt_count >= G_N_ELEMENTS(call->attempts) ||
         clock_now_us(entry->options.clock) >= call->deadline_us ||
-        !entry_ends_in_time(entry, call->kind_hash, call->deadline_us) ||
+        entry_check_end(entry, call->kind_hash, call->deadline_us) ==
+            SERVING_END_TOO_LATE ||
         (!is_free && retry_tokens_left(entry, call) == 0))
     {
         return false;
--- a/src/ibisfield/call/entry_attempts.h
+++ b/src/ibisfield/call/entry_attempts.h
@@ -11,8 +11,8 @@
                             ///< succeed
 } entry_refusal_t;
 
-bool entry_ends_in_time(const entry_t *entry, uint64_t kind_hash,
-                        int64_t deadline_us);
+serving_end_verdict_t entry_check_end(const entry_t *entry, uint64_t kind_hash,
+                                      int64_t deadline_us);
 entry_call_t *entry_find_call(entry_t *entry, call_handle_t handle);
 int32_t entry_retry_after_ms(entry_t *entry, reason_t reason,
                              outcome_t outcome);
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -308,6 +308,14 @@
         return 0;
     }
     call_handle_t handle = added->handle;
+    // The sender's process ends and it hasn't timed the kind itself.
+    if (request->must_end &&
+        !admission_ends_within(&guard->admission, added->kind_index,
+                               added->worth, request->run_us))
+    {
+        end_request(guard, added, REASON_DEADLINE, OUTCOME_NOT_RUN);
+        return 0;
+    }
     admission_request_t admission_request = {
         .kind = added->kind_index,
         .worth = added->worth,
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -459,6 +459,9 @@
     if (info->run_us < info->budget_us) {
         message_add_number(message, HEADER_RUN_US, info->run_us);
     }
+    if (info->must_end) {
+        message_add_string(message, HEADER_MUST_END, "1");
+    }
     message_add_number(message, HEADER_RETRIES, info->retry_tokens);
     if (info->is_retry) {
         message_add_string(message, HEADER_REPEAT, "1");
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -30,6 +30,7 @@
 /// Time in which the upstream has to respond, if it is shorter than the time
 /// left until the deadline.
 #define HEADER_RUN_US "ibisfield-run-us"
+#define HEADER_MUST_END "ibisfield-must-end"
 /// Id of the request context that an upstream's calls belong to.
 #define HEADER_REQUEST "ibisfield-request"
 /// Retry tokens granted to the attempt.
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -28,6 +28,13 @@
 /// Requests end this long before drain_limit_ms, so that a response given at
 /// the end of the time budget gets through.
 #define RESPONSE_MARGIN_US (100 * US_PER_MS)
+/// Time after the start of the shutdown from which requests start only if
+/// they are shown to end in time: a platform may judge each later request that
+/// is broken off.
+#define PROOF_AFTER_US (3 * US_PER_S)
+/// Such requests end this part of drain_limit_ms before it. It bounds the
+/// delays of their messages on the slowest VM.
+#define PROOF_ROOM_DIVISOR 10
 /// Idempotency keys of which a node keeps a record at the same time. A record
 /// is kept from the first request with the key until the key expires.
 #define KEY_RECORDS_MAX 65536
@@ -724,7 +731,15 @@
     log_info("shutdown_started", "unfinished=%u",
              count_unfinished_calls(node));
     int64_t end_us = drain_limit_us(node) - RESPONSE_MARGIN_US;
-    entry_set_end(&node->entry, end_us);
+    entry_set_end(
+        &node->entry,
+        &(serving_end_t){
+            .end_us = end_us,
+            .proof_from_us = node->shutdown_started_us + PROOF_AFTER_US,
+            .proof_end_us =
+                drain_limit_us(node) - node->settings->drain_limit_ms *
+                                           US_PER_MS / PROOF_ROOM_DIVISOR,
+        });
     guard_set_process_end(&node->guard, end_us);
     node_set_drain_cause(node, DRAIN_SHUTDOWN, true);
     change_feed_set_draining(&node->feed);
--- a/src/ibisfield/routing/kind_latency.c
+++ b/src/ibisfield/routing/kind_latency.c
@@ -49,6 +49,7 @@
     kind_latency_t *slot = find_or_replace(latencies, kind);
     double sample_us = (double)MAX(latency_us, 1);
     slot->samples++;
+    duration_bound_record(&slot->bound, latency_us);
     double weight = MAX(MEAN_SAMPLE_WEIGHT, 1.0 / slot->samples);
     slot->mean_us += weight * (sample_us - slot->mean_us);
     double step_us = TAIL_STEP * slot->mean_us;
@@ -82,6 +83,15 @@
     return slot == NULL ? 0 : slot->p95_us;
 }
 
+/// Returns the time in which all requests of the kind get their response, by
+/// those that were timed; 0 if none was.
+int64_t
+kind_latency_bound_us(const kind_latencies_t *latencies, uint64_t kind)
+{
+    const kind_latency_t *slot = find(latencies, kind);
+    return slot == NULL ? 0 : duration_bound_us(&slot->bound);
+}
+
 /// Returns the delay after which to send a hedge; 0 means no hedge.
 int64_t
 kind_latency_hedge_delay_us(const kind_latencies_t *latencies, uint64_t kind,
--- a/src/ibisfield/routing/kind_latency.h
+++ b/src/ibisfield/routing/kind_latency.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ibisfield/admission/serving_end.h"
+
 #define KIND_LATENCY_SLOTS 1024
 
 /// Learned latency of one kind over all VMs.
@@ -12,6 +14,7 @@
     double mean_us;
     double p95_us; ///< estimate of the 95th percentile
     uint32_t samples;
+    duration_bound_t bound;
     int64_t last_refusal_us; ///< last refusal for overload
 } kind_latency_t;
 
@@ -26,6 +29,8 @@
 void kind_latency_record_refusal(kind_latencies_t *latencies, uint64_t kind,
                                  int64_t now_us);
 double kind_latency_upper_us(const kind_latencies_t *latencies, uint64_t kind);
+int64_t kind_latency_bound_us(const kind_latencies_t *latencies,
+                              uint64_t kind);
 double kind_latency_mean_us(const kind_latencies_t *latencies, uint64_t kind);
 int64_t kind_latency_hedge_delay_us(const kind_latencies_t *latencies,
                                     uint64_t kind, int64_t now_us);
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -938,6 +938,14 @@
     return (int64_t)kind_latency_upper_us(picker->latencies, kind);
 }
 
+/// Returns the time in which all requests of a kind get their response, by
+/// those that were timed; 0 if none was.
+int64_t
+picker_latency_bound_us(const picker_t *picker, uint64_t kind)
+{
+    return kind_latency_bound_us(picker->latencies, kind);
+}
+
 /// Returns the delay after which to send a hedge, by the recent latencies of
 /// the kind; 0 means no hedge.
 int64_t
--- a/src/ibisfield/routing/picker.h
+++ b/src/ibisfield/routing/picker.h
@@ -115,6 +115,7 @@
                    attempt_report_t report, int64_t latency_us,
                    const guard_load_t *load);
 uint32_t picker_pressure(const picker_t *picker, const char *service);
+int64_t picker_latency_bound_us(const picker_t *picker, uint64_t kind);
 int64_t picker_latency_upper_us(const picker_t *picker, uint64_t kind);
 int64_t picker_hedge_delay_us(const picker_t *picker, uint64_t kind);
 
--- a/test/unit/test_guard.c
+++ b/test/unit/test_guard.c
@@ -294,6 +294,39 @@
     stop_guard();
 }
 
+/// Guards against running a request of a kind that was never timed, or that
+/// takes too long, for a sender that ends soon (review/4).
+static void
+test_request_that_must_end_needs_a_timed_kind(void)
+{
+    start_guard(4, 4);
+    guard_request_t incoming = {
+        .customer = SLICE_LITERAL("c"),
+        .kind = SLICE_LITERAL("k"),
+        .budget_us = 5 * US_PER_S,
+        .run_us = 2 * US_PER_S,
+        .must_end = true,
+        .user = &senders[0],
+    };
+    CU_ASSERT_EQUAL(guard_request(&guard, &incoming), 0);
+    CU_ASSERT_EQUAL(senders[0].start_count, 0);
+    CU_ASSERT_EQUAL(senders[0].response.outcome, OUTCOME_NOT_RUN);
+    incoming.must_end = false;
+    incoming.user = &senders[1];
+    call_handle_t timed = guard_request(&guard, &incoming);
+    manual_clock_advance(&manual, 900 * US_PER_MS);
+    guard_upstream_done(&guard, timed, UPSTREAM_ANSWERED);
+    incoming.must_end = true;
+    incoming.user = &senders[2];
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &incoming), 0);
+    // One sample counts twice.
+    incoming.run_us = 1700 * US_PER_MS;
+    incoming.user = &senders[3];
+    CU_ASSERT_EQUAL(guard_request(&guard, &incoming), 0);
+    CU_ASSERT_EQUAL(senders[3].response.outcome, OUTCOME_NOT_RUN);
+    stop_guard();
+}
+
 /// Guards against running a request at the upstream of another service when
 /// the sender's VM list is out of date.
 static void
@@ -458,6 +491,8 @@
          test_queued_requests_start_before_the_end_or_not_at_all},
         {"after the end", test_no_start_after_the_end},
         {"time to run", test_time_to_run_is_limited_by_the_end},
+        {"request that must end",
+         test_request_that_must_end_needs_a_timed_kind},
         {"in time", test_requests_that_end_in_time_are_accepted},
         {"misdirected", test_request_for_other_service_is_refused},
         {"expired and abandoned",
