Admit callers by access keys of workspaces, and rank requests by workspace

Cause: workspaces (the users' tenants) were unknown to the product.

Change: contracts and the platform's desired state hold workspaces with keys, rank, rate and burst; versions whose keys contradict each other are refused whole. The entry looks the key up by its digest and refuses unknown ones with 401; the key is never passed on, the name of the workspace is set whatever the caller sent. The rank goes before the worth of kinds at the guard and in the throttle; retries are still compared by the worth of the kind.

Caps and the bound on revocation aren't built yet.

--- a/src/ibisfield/admission/entry_throttle.c
+++ b/src/ibisfield/admission/entry_throttle.c
@@ -132,11 +132,15 @@
 }
 
 /// Returns whether to refuse a caller's request of the kind before it starts,
-/// and records its worth if it is the highest so far.
+/// and records its worth if it is the highest so far. Requests of a better
+/// rank than the last one (the highest number) are refused only like those of
+/// the highest worth.
 bool
 entry_throttle_refuses(entry_throttle_t *throttle, uint64_t kind_hash,
-                       int32_t worth)
+                       int32_t worth, int32_t rank)
 {
+    throttle->last_rank = MAX(throttle->last_rank, rank);
+    bool is_preferred = rank < throttle->last_rank;
     throttle->highest_worth = MAX(throttle->highest_worth, worth);
     const throttle_kind_t *kind =
         g_hash_table_lookup(throttle->kinds, &kind_hash);
@@ -145,7 +149,7 @@
     }
     double pressure = current_pressure(throttle, kind);
     double refuse_fraction =
-        worth < throttle->highest_worth
+        worth < throttle->highest_worth && !is_preferred
             ? lower_worth_refuse_fraction(throttle, kind, pressure)
             : (pressure - HIGHEST_WORTH_PRESSURE_MIN) /
                   (1 - HIGHEST_WORTH_PRESSURE_MIN);
--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -22,6 +22,7 @@
 #define REASON_LIST(X)                                                        \
     X(NONE, "", 200)                                                          \
     X(MALFORMED, "malformed", 400)                                            \
+    X(UNKNOWN_ACCESS_KEY, "unknown-access-key", 401)                          \
     X(NO_SUCH_KIND, "no-such-kind", 404)                                      \
     X(IN_PROGRESS, "in-progress", 409)                                        \
     X(KEY_EXPIRED, "key-expired", 410)                                        \
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -41,7 +41,8 @@
     const request_context_t *parent; ///< context of the request for which the
                                      ///< upstream makes this call; NULL if
                                      ///< none
-    int64_t key_ttl_us;              ///< 0 if the kind needs no key
+    const workspace_entry_t *workspace; ///< NULL: none needed
+    int64_t key_ttl_us;                 ///< 0 if the kind needs no key
 } incoming_request_t;
 
 static uint64_t
@@ -122,10 +123,35 @@
     return deadline_us;
 }
 
+/// Returns whether the customer has workspaces, whose ranks go before the
+/// worths of kinds.
+static bool
+is_ranked(const entry_t *entry, const incoming_request_t *incoming)
+{
+    return entry->options.workspaces != NULL &&
+           workspaces_in_force(entry->options.workspaces,
+                               incoming->contract->customer);
+}
+
+/// Returns the rank of a request where workspaces exist. A call has that of
+/// its parent.
 static int32_t
-effective_worth(const incoming_request_t *incoming)
+effective_rank(const incoming_request_t *incoming)
+{
+    if (incoming->parent != NULL) {
+        return workspace_rank_of(incoming->parent->worth);
+    }
+    return incoming->workspace == NULL ? WORKSPACE_RANK_ANONYMOUS
+                                       : incoming->workspace->workspace.rank;
+}
+
+static int32_t
+effective_worth(const entry_t *entry, const incoming_request_t *incoming)
 {
     int32_t worth = incoming->kind->worth;
+    if (is_ranked(entry, incoming)) {
+        worth = workspace_worth(effective_rank(incoming), worth);
+    }
     if (incoming->parent != NULL) {
         worth = MAX(worth, incoming->parent->worth);
     }
@@ -185,10 +211,13 @@
         .is_retry = incoming->parent != NULL && incoming->parent->is_retry,
         .source_hash = request->source_hash,
         .kind_hash = hash_kind(incoming),
-        .worth = effective_worth(incoming),
+        .worth = effective_worth(entry, incoming),
         .deadline_us = effective_deadline_us(entry, incoming),
         .key_ttl_us = incoming->key_ttl_us,
     };
+    call->retry_worth = is_ranked(entry, incoming)
+                            ? workspace_kind_worth(call->worth)
+                            : call->worth;
     call->wait_end_us =
         call->deadline_us + (call->has_key ? LATE_RESPONSE_WAIT_US : 0);
     g_strlcpy(call->customer, incoming->contract->customer,
@@ -196,6 +225,10 @@
     g_strlcpy(call->kind, incoming->kind->name, sizeof(call->kind));
     g_strlcpy(call->service, traffic_split_next(incoming->kind),
               sizeof(call->service));
+    if (incoming->workspace != NULL) {
+        g_strlcpy(call->workspace, incoming->workspace->workspace.name,
+                  sizeof(call->workspace));
+    }
     if (incoming->parent != NULL && entry->options.depths != NULL) {
         call_depths_record_call(entry->options.depths, call->service);
     }
@@ -260,9 +293,10 @@
         *reason = REASON_LEAVING;
         return false;
     }
+    int32_t rank = is_ranked(entry, incoming) ? effective_rank(incoming) : 0;
     if (entry->options.throttle != NULL &&
         entry_throttle_refuses(entry->options.throttle, hash_kind(incoming),
-                               incoming->kind->worth))
+                               incoming->kind->worth, rank))
     {
         metric_increment(METRIC_CALLS_HELD_OFF_TOTAL);
         *reason = REASON_OVERLOADED;
@@ -323,6 +357,7 @@
         .customer = call->customer,
         .kind = call->kind,
         .service = call->service,
+        .workspace = call->workspace,
         .worth = call->worth,
         .budget_us = budget_us,
         .run_us = budget_us,
@@ -458,6 +493,39 @@
                : slice_from_string(incoming->parent->customer);
 }
 
+/// Looks up the workspace of a request. Calls of the own upstream belong to a
+/// request that has been admitted and carry no key, and a request that another
+/// node forwards was admitted there. Returns false and sets @p reason if the
+/// request may not run.
+static bool
+find_workspace(const entry_t *entry, incoming_request_t *incoming,
+               reason_t *reason)
+{
+    const workspaces_t *workspaces = entry->options.workspaces;
+    const entry_request_t *request = incoming->request;
+    const char *customer = incoming->contract->customer;
+    // With an adapter, only a known parent distinguishes a call from a
+    // request of a caller.
+    bool is_call = incoming->parent != NULL ||
+                   (request->egress && !entry->options.no_context_propagation);
+    if (workspaces == NULL || incoming->kind->anonymous || is_call ||
+        request->from_peer || !workspaces_in_force(workspaces, customer))
+    {
+        return true;
+    }
+    incoming->workspace =
+        workspaces_find_key(workspaces, customer, request->access_key);
+    if (incoming->workspace != NULL) {
+        return true;
+    }
+    // The parent of a call may be unknown because this node was restarted
+    // while its upstream ran on. Without the parent nothing shows that it is
+    // a call, so it doesn't run; but it is no caller with a wrong key.
+    bool orphaned = request->egress && request->access_key.len == 0;
+    *reason = orphaned ? REASON_NOT_READY : REASON_UNKNOWN_ACCESS_KEY;
+    return false;
+}
+
 /// Accepts a request. The adapter's respond() is called for it, at once or
 /// later. Returns the handle of its call, or 0 if the call has already ended.
 call_handle_t
@@ -483,6 +551,11 @@
         refuse_early(entry, &incoming, REASON_NO_SUCH_KIND);
         return 0;
     }
+    reason_t reason = REASON_NONE;
+    if (!find_workspace(entry, &incoming, &reason)) {
+        refuse_early(entry, &incoming, reason);
+        return 0;
+    }
     incoming.key_ttl_us =
         kind_limits(incoming.contract, incoming.kind).key_ttl_ms * US_PER_MS;
     return request->key.len > 0 ? handle_keyed_request(entry, &incoming)
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -16,6 +16,7 @@
 #include "ibisfield/retry/service_retry_budget.h"
 #include "ibisfield/routing/call_depth.h"
 #include "ibisfield/routing/picker.h"
+#include "ibisfield/workspace/workspaces.h"
 
 /// A request from a caller, from this VM's own upstream (egress), or forwarded
 /// by another node because this node owns the request's key.
@@ -25,6 +26,7 @@
     slice_t path;          ///< includes the query
     uint64_t request_hash; ///< XXH3 of method, path and body
     slice_t key;           ///< header ibisfield-key; "" if none
+    slice_t access_key;    ///< of a workspace; "" if none
     uint32_t source_hash;  ///< hash of the caller's address; 0: the client
                            ///< retry budget doesn't apply
     bool egress;           ///< sent by the own upstream
@@ -66,6 +68,7 @@
     const char *customer;
     const char *kind;
     const char *service;
+    const char *workspace; ///< that the request belongs to; "": none
     int32_t worth;
     int64_t budget_us; ///< time left until the deadline
     int64_t run_us;    ///< time in which the upstream has to respond;
@@ -140,6 +143,7 @@
     entry_io_t *io;
     contract_lookup_t lookup;
     void *lookup_context;
+    const workspaces_t *workspaces; ///< NULL: callers need no key
     picker_t *picker;
     key_table_t *keys;
     request_contexts_t *contexts;
@@ -192,6 +196,7 @@
     uint32_t source_hash;       ///< hash of the caller's address
     uint64_t kind_hash;         ///< hash of customer and kind
     int32_t worth;
+    int32_t retry_worth; ///< by which retries are compared
     int64_t deadline_us;
     int64_t wait_end_us;  ///< until when late responses are awaited
     int64_t hedge_due_us; ///< when to send a hedge; 0: never
@@ -201,6 +206,7 @@
     char customer[CONTRACT_NAME_MAX + 1];
     char kind[CONTRACT_NAME_MAX + 1];
     char service[CONTRACT_NAME_MAX + 1];
+    char workspace[CONTRACT_NAME_MAX + 1]; ///< "": none
     uint32_t attempt_count;
     entry_attempt_t attempts[1 + CONTRACT_RETRIES_MAX];
 } entry_call_t;
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -203,6 +203,7 @@
         .customer = call->customer,
         .kind = call->kind,
         .service = call->service,
+        .workspace = call->workspace,
         .worth = call->worth,
         .budget_us = call->deadline_us - now_us,
         .run_us = MIN(call->deadline_us, serving_end_at(&entry->end, now_us)) -
@@ -259,7 +260,8 @@
 {
     if (entry->options.progress != NULL) {
         call_progress_record(entry->options.progress, call->service,
-                             call->worth, call->calls_remaining, succeeded);
+                             call->retry_worth, call->calls_remaining,
+                             succeeded);
     }
     if (call->parent_context_id != 0) {
         request_contexts_end_call(entry->options.contexts,
@@ -423,7 +425,8 @@
     // called.
     if (entry->options.service_retry_budget != NULL && !call->is_retry) {
         service_retry_budget_record_first_attempt(
-            entry->options.service_retry_budget, call->service, call->worth);
+            entry->options.service_retry_budget, call->service,
+            call->retry_worth);
     }
     send_attempt(entry, call, vm);
 }
@@ -441,9 +444,9 @@
 retry_worth(const entry_t *entry, const entry_call_t *call)
 {
     return entry->options.progress == NULL
-               ? call->worth
+               ? call->retry_worth
                : call_progress_retry_worth(entry->options.progress,
-                                           call->service, call->worth,
+                                           call->service, call->retry_worth,
                                            call->calls_remaining);
 }
 
--- a/src/ibisfield/contract/contract.c
+++ b/src/ibisfield/contract/contract.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "ibisfield/contract/json_reader.h"
+#include "ibisfield/workspace/workspaces.h"
 
 /// Shortest deadline that leaves time for two network hops and the processing
 /// of the request.
@@ -31,6 +32,15 @@
 static void read_kinds(json_reader_t *reader, const json_field_t *field,
                        const char *field_path, struct json_object *value,
                        void *out);
+static void read_anonymous(json_reader_t *reader, const json_field_t *field,
+                           const char *field_path, struct json_object *value,
+                           void *out);
+static void read_keys(json_reader_t *reader, const json_field_t *field,
+                      const char *field_path, struct json_object *value,
+                      void *out);
+static void read_workspaces(json_reader_t *reader, const json_field_t *field,
+                            const char *field_path, struct json_object *value,
+                            void *out);
 
 #define NAME_FIELD(type, member)                                              \
     {                                                                         \
@@ -64,6 +74,26 @@
      .required = true,
      .expected = "\"repeatable\" or \"once\""},
     INT_FIELD(kind_t, resend_s, 1, RESEND_MAX_S, false),
+    {.name = "anonymous", .read = read_anonymous, .expected = "true or false"},
+};
+
+static const json_field_t workspace_fields[] = {
+    NAME_FIELD(workspace_t, name),
+    {.name = "access_keys",
+     .read = read_keys,
+     .required = true,
+     .expected = "an array of keys"},
+    INT_FIELD(workspace_t, rank, 0, WORKSPACE_RANK_MAX, false),
+    {.name = "rate_per_s",
+     .read = json_read_number,
+     .offset = offsetof(workspace_t, rate_per_s),
+     .max = WORKSPACE_RATE_MAX,
+     .expected = "requests per second, 0 for no cap"},
+    {.name = "burst",
+     .read = json_read_number,
+     .offset = offsetof(workspace_t, burst),
+     .max = WORKSPACE_RATE_MAX,
+     .expected = "a number of requests"},
 };
 
 static const json_field_t contract_fields[] = {
@@ -78,6 +108,9 @@
      .read = read_kinds,
      .required = true,
      .expected = "an array of 1 to 256 kinds"},
+    {.name = "workspaces",
+     .read = read_workspaces,
+     .expected = "an array of at most 1024 workspaces"},
 };
 
 static void
@@ -288,6 +321,90 @@
     }
 }
 
+static void
+read_anonymous(json_reader_t *reader, const json_field_t *field,
+               const char *field_path, struct json_object *value, void *out)
+{
+    if (!json_object_is_type(value, json_type_boolean)) {
+        json_add_invalid_value(reader, field_path, value, field->expected);
+        return;
+    }
+    ((kind_t *)out)->anonymous = json_object_get_boolean(value);
+}
+
+/// Reads access keys. Messages name the place of an invalid key and not the
+/// key, since they reach logs and terminals.
+static void
+read_keys(json_reader_t *reader, const json_field_t *field,
+          const char *field_path, struct json_object *value, void *out)
+{
+    workspace_t *workspace = out;
+    if (!json_object_is_type(value, json_type_array)) {
+        json_add_problem(reader, field_path, "expected %s", field->expected);
+        return;
+    }
+    for (size_t i = 0; i < json_object_array_length(value); i++) {
+        const char *key = json_string(json_object_array_get_idx(value, i));
+        if (key == NULL ||
+            !workspace_add_key(workspace, slice_from_string(key))) {
+            json_add_problem(reader, field_path,
+                             "key %zu is invalid, expected a text of 1 to %d "
+                             "visible ASCII characters",
+                             i, ACCESS_KEY_MAX);
+        }
+    }
+}
+
+static void
+check_workspace_names(json_reader_t *reader, const char *field_path,
+                      const contract_t *contract)
+{
+    for (uint32_t i = 0; i < contract->workspace_count; i++) {
+        for (uint32_t j = 0; j < i; j++) {
+            const char *name = contract->workspaces[i].name;
+            if (name[0] != '\0' &&
+                strcmp(contract->workspaces[j].name, name) == 0) {
+                json_add_problem(reader, field_path,
+                                 "found a second workspace named \"%s\", "
+                                 "expected unique names",
+                                 name);
+            }
+        }
+    }
+}
+
+static void
+read_workspaces(json_reader_t *reader, const json_field_t *field,
+                const char *field_path, struct json_object *value, void *out)
+{
+    contract_t *contract = out;
+    size_t count = json_object_is_type(value, json_type_array)
+                       ? json_object_array_length(value)
+                       : CONTRACT_WORKSPACES_MAX + 1;
+    if (count > CONTRACT_WORKSPACES_MAX) {
+        json_add_problem(reader, field_path, "expected %s", field->expected);
+        return;
+    }
+    contract->workspaces = g_new0(workspace_t, count + 1);
+    contract->workspace_count = (uint32_t)count;
+    for (size_t i = 0; i < count; i++) {
+        char *child = g_strdup_printf("%s[%zu]", field_path, i);
+        json_read_fields(reader, child, json_object_array_get_idx(value, i),
+                         workspace_fields, G_N_ELEMENTS(workspace_fields),
+                         &contract->workspaces[i]);
+        g_free(child);
+    }
+    check_workspace_names(reader, field_path, contract);
+    const char *shared = workspace_list_find_shared_key(
+        contract->workspaces, contract->workspace_count);
+    if (shared != NULL) {
+        json_add_problem(reader, field_path,
+                         "\"%s\" has an access key of another workspace, "
+                         "expected each key in one workspace",
+                         shared);
+    }
+}
+
 /// Parses and validates one contract (JSON with comments). @p file names the
 /// source in messages. Appends every problem found to @p problems (char *, one
 /// line each: file, line, field, found, expected). Returns false if there is
@@ -319,6 +436,10 @@
         g_free(contract->kinds[i].split_targets);
     }
     g_free(contract->kinds);
+    for (uint32_t i = 0; i < contract->workspace_count; i++) {
+        workspace_finish(&contract->workspaces[i]);
+    }
+    g_free(contract->workspaces);
     *contract = (contract_t){0};
 }
 
@@ -392,6 +513,15 @@
     return kind_fields;
 }
 
+/// Returns the fields of a workspace, which a test compares with the
+/// documentation.
+const json_field_t *
+workspace_field_list(size_t *count)
+{
+    *count = G_N_ELEMENTS(workspace_fields);
+    return workspace_fields;
+}
+
 /// Returns the limits derived for a kind; explain_contract() prints the
 /// reasons.
 kind_limits_t
--- a/src/ibisfield/contract/contract.h
+++ b/src/ibisfield/contract/contract.h
@@ -17,5 +17,6 @@
 kind_limits_t kind_limits(const contract_t *contract, const kind_t *kind);
 const struct json_field *contract_field_list(size_t *count);
 const struct json_field *kind_field_list(size_t *count);
+const struct json_field *workspace_field_list(size_t *count);
 
 #endif
--- a/src/ibisfield/contract/contract_defs.h
+++ b/src/ibisfield/contract/contract_defs.h
@@ -10,6 +10,7 @@
 /// Kinds and hosts of one contract.
 #define CONTRACT_KINDS_MAX 256
 #define CONTRACT_HOSTS_MAX 16
+#define CONTRACT_WORKSPACES_MAX 1024
 #define CONTRACT_WORTH_MAX 100
 #define CONTRACT_RETRIES_MAX 10
 
@@ -44,6 +45,7 @@
     int32_t attempts_max;      ///< for one request; 0: 1 + contract's retries
     split_target_t *split_targets; ///< NULL: all requests go to service
     uint32_t split_target_count;
+    bool anonymous; ///< needs no access key, also where workspaces exist
 } kind_t;
 
 /// One customer's contract.
@@ -55,6 +57,9 @@
     int32_t client_retry_percent; ///< client retries per 100 first requests
     kind_t *kinds;
     uint32_t kind_count;
+    struct workspace *workspaces; ///< with access keys of their own; NULL:
+                                  ///< callers need no key
+    uint32_t workspace_count;
 } contract_t;
 
 /// Limits that follow from a kind and its contract; printed by `explain`.
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -439,15 +439,22 @@
     if (names == NULL) {
         message_add_end_to_end(message, request->headers,
                                request->header_count);
+        if (info->workspace[0] != '\0') {
+            message_add_string(message, HEADER_WORKSPACE, info->workspace);
+        }
     }
     else {
         const char *const replaced[] = {names->deadline_ms, names->instance,
-                                        names->caller_service};
+                                        names->caller_service,
+                                        names->access_key, names->workspace};
         message_add_end_to_end_except(message, request->headers,
                                       request->header_count, replaced,
                                       G_N_ELEMENTS(replaced));
         message_add_string(message, names->caller_service,
                            call->server->options.service);
+        if (info->workspace[0] != '\0') {
+            message_add_string(message, names->workspace, info->workspace);
+        }
     }
     message_add(message, "host", request->host);
     message_add_string(message, HEADER_PROTOCOL, PROTOCOL_VERSION);
@@ -645,6 +652,7 @@
         .method = request->method,
         .path = request->path,
         .key = http_request_header(request, HEADER_KEY),
+        .access_key = http_request_header(request, HEADER_ACCESS_KEY),
         .source_hash = origin == FROM_CALLER ? request->source_hash : 0,
         .egress = origin == FROM_EGRESS,
         .user = call,
@@ -664,6 +672,8 @@
         // Contracts of such a platform define neither request keys nor a
         // client retry budget.
         params.key = (slice_t){NULL, 0};
+        params.access_key = http_request_header(
+            request, server->options.header_names->access_key);
         params.source_hash = 0;
         params.budget_us =
             read_budget_us(server->options.header_names, request);
--- a/src/ibisfield/io/config_source.h
+++ b/src/ibisfield/io/config_source.h
@@ -12,10 +12,11 @@
 
 /// Calls from a source to its user.
 typedef struct {
-    /// Reports the contracts (contract_t, on the heap) of one version. They
-    /// replace all earlier ones. The receiver owns the array.
+    /// Reports the contracts (contract_t, on the heap) and the workspaces of
+    /// all customers (workspace_t; NULL: none) of one version. They replace
+    /// all earlier ones. The receiver owns the arrays.
     void (*contracts_read)(void *context, GPtrArray *contracts,
-                           uint64_t version);
+                           GArray *workspaces, uint64_t version);
     void (*vm_listed)(void *context, const vm_info_t *info);
     void (*vm_removed)(void *context, const char *vm);
 } config_source_callbacks_t;
--- a/src/ibisfield/io/customers.c
+++ b/src/ibisfield/io/customers.c
@@ -19,6 +19,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_contract);
     customers->by_host =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    workspaces_init(&customers->workspaces);
     customers->version = 0;
 }
 
@@ -27,6 +28,7 @@
 {
     g_hash_table_destroy(customers->by_host);
     g_hash_table_destroy(customers->contracts);
+    workspaces_finish(&customers->workspaces);
 }
 
 /// Rebuilds the index of hosts. Contracts are published one by one, so several
@@ -57,6 +59,22 @@
     }
 }
 
+static void
+index_workspaces(customers_t *customers)
+{
+    workspaces_clear(&customers->workspaces);
+    GHashTableIter iter;
+    void *pointer = NULL;
+    g_hash_table_iter_init(&iter, customers->contracts);
+    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
+        const contract_t *contract = pointer;
+        if (contract->workspaces != NULL) {
+            workspaces_put(&customers->workspaces, contract->customer,
+                           contract->workspaces, contract->workspace_count);
+        }
+    }
+}
+
 /// Parses the contract in a configuration item and puts it in force. Returns
 /// false if it is invalid; the previous one then stays in force. Its problems
 /// were reported when the item was checked.
@@ -73,16 +91,28 @@
     }
     g_hash_table_replace(customers->contracts, contract->customer, contract);
     index_hosts(customers);
+    index_workspaces(customers);
     return true;
 }
 
+/// Releases an array of workspace_t; NULL is allowed.
+static void
+free_workspaces(GArray *workspaces)
+{
+    for (guint i = 0; workspaces != NULL && i < workspaces->len; i++) {
+        workspace_finish(&g_array_index(workspaces, workspace_t, i));
+    }
+    g_clear_pointer(&workspaces, g_array_unref);
+}
+
 /// Replaces all contracts in force by those (contract_t, on the heap) of
-/// @p version. Takes ownership of the array. Returns false and changes nothing
-/// unless @p version is above the one in force: a node never returns to an
-/// older version.
+/// @p version, and the workspaces of all customers by @p workspaces
+/// (workspace_t; NULL: callers need no key). Takes ownership of both arrays.
+/// Returns false and changes nothing unless @p version is above the one in
+/// force: a node never returns to an older version.
 bool
 customers_set_all(customers_t *customers, GPtrArray *contracts,
-                  uint64_t version)
+                  GArray *workspaces, uint64_t version)
 {
     bool newer = version > customers->version;
     if (newer) {
@@ -103,7 +133,14 @@
     g_ptr_array_free(contracts, TRUE);
     if (newer) {
         index_hosts(customers);
+        index_workspaces(customers);
+    }
+    if (newer && workspaces != NULL) {
+        workspaces_put(&customers->workspaces, "",
+                       (const workspace_t *)(const void *)workspaces->data,
+                       workspaces->len);
     }
+    free_workspaces(workspaces);
     return newer;
 }
 
@@ -112,6 +149,7 @@
 {
     g_hash_table_remove(customers->contracts, customer);
     index_hosts(customers);
+    index_workspaces(customers);
 }
 
 static const contract_t *
--- a/src/ibisfield/io/customers.h
+++ b/src/ibisfield/io/customers.h
@@ -5,12 +5,14 @@
 
 #include "ibisfield/base/slice.h"
 #include "ibisfield/contract/contract.h"
+#include "ibisfield/workspace/workspaces.h"
 
 /// The contracts in force, indexed by customer and by host.
 typedef struct {
     GHashTable *contracts; ///< customer name to contract_t
     GHashTable *by_host;   ///< lower-case host name to contract_t
-    uint64_t version;      ///< set by customers_set_all(); 0: not called yet
+    workspaces_t workspaces;
+    uint64_t version; ///< set by customers_set_all(); 0: not called yet
 } customers_t;
 
 void customers_init(customers_t *customers);
@@ -18,7 +20,7 @@
 bool customers_set(customers_t *customers, const char *item_name,
                    slice_t value);
 bool customers_set_all(customers_t *customers, GPtrArray *contracts,
-                       uint64_t version);
+                       GArray *workspaces, uint64_t version);
 void customers_remove(customers_t *customers, const char *customer);
 const contract_t *customers_find(const customers_t *customers, slice_t name);
 const contract_t *customers_find_host(const customers_t *customers,
--- a/src/ibisfield/io/header_names.h
+++ b/src/ibisfield/io/header_names.h
@@ -15,6 +15,8 @@
     const char *instance;       ///< the only upstream instance that may run it
     const char *not_run;        ///< the upstream did not run the request
     const char *seal;           ///< set by the upstream on its own responses
+    const char *access_key;     ///< of a caller; never passed on
+    const char *workspace;      ///< set for the upstream: whose request it is
     /// Returns the part of @p request_id that identifies the parent request,
     /// empty if there is none. A request that an upstream makes in order to
     /// serve another one has that one as its parent.
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -30,6 +30,8 @@
 /// Time in which the upstream has to respond, if it is shorter than the time
 /// left until the deadline.
 #define HEADER_RUN_US "ibisfield-run-us"
+#define HEADER_ACCESS_KEY "ibisfield-access-key"
+#define HEADER_WORKSPACE "ibisfield-workspace"
 #define HEADER_MUST_END "ibisfield-must-end"
 /// Id of the request context that an upstream's calls belong to.
 #define HEADER_REQUEST "ibisfield-request"
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -240,19 +240,22 @@
 /* Configuration from the source of an adapter. */
 
 static void
-handle_contracts(void *context, GPtrArray *contracts, uint64_t version)
+handle_contracts(void *context, GPtrArray *contracts, GArray *workspaces,
+                 uint64_t version)
 {
     node_t *node = context;
     uint64_t previous = node->customers.version;
-    if (!customers_set_all(&node->customers, contracts, version)) {
+    if (!customers_set_all(&node->customers, contracts, workspaces, version)) {
         log_info("contracts_not_newer",
                  "version=%" PRIu64 " in_force=%" PRIu64, version, previous);
         return;
     }
     metric_increment(METRIC_CONFIG_ADOPTIONS_TOTAL);
     log_info("contracts_in_force",
-             "version=%" PRIu64 " before=%" PRIu64 " customers=%u", version,
-             previous, g_hash_table_size(node->customers.contracts));
+             "version=%" PRIu64 " before=%" PRIu64
+             " customers=%u workspaces=%u",
+             version, previous, g_hash_table_size(node->customers.contracts),
+             g_hash_table_size(node->customers.workspaces.by_id));
     if (!node->ready) {
         node->ready = true;
         entry_set_ready(&node->entry, true);
@@ -427,6 +430,7 @@
                    .io = &node->caller_server.io,
                    .lookup = look_up_contract,
                    .lookup_context = &node->customers,
+                   .workspaces = &node->customers.workspaces,
                    .picker = &node->picker,
                    .keys = &node->keys,
                    .contexts = &node->contexts,
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -161,6 +161,10 @@
     message_add(message, HEADER_CUSTOMER,
                 http_request_header(request, HEADER_CUSTOMER));
     message_add_number(message, HEADER_BUDGET_US, budget_us);
+    slice_t workspace = http_request_header(request, HEADER_WORKSPACE);
+    if (workspace.len > 0) {
+        message_add(message, HEADER_WORKSPACE, workspace);
+    }
     if (request_id != 0) {
         char text[24];
         g_snprintf(text, sizeof(text), "%" PRIx64, request_id);
--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -71,6 +71,15 @@
 /// or the path prefix of one more route.
 void
 put_desired_state(int version, const char *extra)
+{
+    put_desired_state_with_tenants(version, extra, NULL);
+}
+
+/// The same with a list of tenants (JSON); NULL: none. An extra route is then
+/// anonymous.
+void
+put_desired_state_with_tenants(int version, const char *extra,
+                               const char *tenants)
 {
     GString *state = g_string_new(NULL);
     g_string_append_printf(
@@ -91,11 +100,15 @@
             state,
             ",{\"name\":\"extra\",\"host\":\"site.example\",\"prefix\":"
             "\"%s\",\"kind\":\"idempotent\",\"timeout_s\":5,"
-            "\"service\":\"back\",\"max_attempts\":1}",
+            "\"service\":\"back\",\"max_attempts\":1,\"anonymous\":true}",
             extra);
     }
     g_string_append(state, "],\"services\":[{\"name\":\"front\"},"
-                           "{\"name\":\"back\"}]}");
+                           "{\"name\":\"back\"}]");
+    if (tenants != NULL) {
+        g_string_append_printf(state, ",\"tenants\":%s", tenants);
+    }
+    g_string_append_c(state, '}');
     store_request("PUT", "/test/items/op/config", state->str);
     g_string_free(state, TRUE);
     site.desired_state_version = version;
@@ -270,6 +283,22 @@
     wait_nodes_logged(last);
 }
 
+/// Sends a caller's request with an access key (NULL: none) to a machine's
+/// node. It also names a workspace, which the node must not pass on.
+text_response_t
+request_with_key(int machine, const char *path, const char *id,
+                 const char *key)
+{
+    char *headers = g_strdup_printf(
+        "host: site.example\nx-request-id: %s\nx-deadline-ms: 4000\n"
+        "x-tenant: forged%s%s",
+        id, key == NULL ? "" : "\nx-credential: ", key == NULL ? "" : key);
+    text_response_t response = http_call(
+        site.machines[machine].address, PORT_CALLER, "GET", path, headers, "");
+    g_free(headers);
+    return response;
+}
+
 /// Sends a caller's request to a machine's node. It names another service than
 /// the node's as its caller; the node must replace this name.
 text_response_t
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -48,6 +48,10 @@
 void put_server_record(const machine_t *machine, const char *state);
 void remove_server_record(const machine_t *machine);
 void put_desired_state(int version, const char *extra);
+void put_desired_state_with_tenants(int version, const char *extra,
+                                    const char *tenants);
+text_response_t request_with_key(int machine, const char *path, const char *id,
+                                 const char *key);
 void wait_nodes_logged(const char *text);
 void publish_site(void);
 text_response_t request_via_node(int machine, const char *method,
--- a/test/functional/test_docs.c
+++ b/test/functional/test_docs.c
@@ -186,6 +186,14 @@
                                      "Fields of a contract", range_and_default,
                                      2),
                         "docs/contracts.md");
+    fields = workspace_field_list(&count);
+    code = name_table_new();
+    add_fields(code, fields, count);
+    assert_tables_equal(code,
+                        read_section("docs/contracts.md",
+                                     "Fields of a workspace",
+                                     range_and_default, 2),
+                        "docs/contracts.md");
     fields = kind_field_list(&count);
     code = name_table_new();
     add_fields(code, fields, count);
--- a/test/platform/test_decoders.c
+++ b/test/platform/test_decoders.c
@@ -23,14 +23,7 @@
 static void
 release(void)
 {
-    for (guint i = 0; state.contracts != NULL && i < state.contracts->len; i++)
-    {
-        contract_finish(state.contracts->pdata[i]);
-        g_free(state.contracts->pdata[i]);
-    }
-    if (state.contracts != NULL) {
-        g_ptr_array_free(state.contracts, TRUE);
-    }
+    desired_state_finish(&state);
     g_ptr_array_unref(problems);
 }
 
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -197,10 +197,17 @@
     if (upstream.instance != NULL) {
         slice_t caller = http_request_header(request, "x-caller-service");
         slice_t deadline = http_request_header(request, "x-deadline-ms");
+        slice_t workspace = http_request_header(request, "x-tenant");
+        bool has_key =
+            http_request_header(request, "x-credential").data != NULL;
         g_string_append_printf(
-            body, ", \"caller\": \"%.*s\", \"deadline_ms\": %.*s",
+            body,
+            ", \"caller\": \"%.*s\", \"deadline_ms\": %.*s, "
+            "\"workspace\": \"%.*s\", \"has_key\": %s",
             (int)caller.len, caller.data == NULL ? "" : caller.data,
-            (int)deadline.len, deadline.data == NULL ? "0" : deadline.data);
+            (int)deadline.len, deadline.data == NULL ? "0" : deadline.data,
+            (int)workspace.len, workspace.data == NULL ? "" : workspace.data,
+            has_key ? "true" : "false");
     }
     g_string_append(body, "}\n");
     for (int32_t i = (int32_t)body->len; i < upstream.response_bytes_min; i++)
