Accept access keys only while they are proven to be current

Cause: nothing bounded how old a node's knowledge of keys may be, so a node that was cut off from the store accepted a key for good after it was taken away.

Responses of the store give it; responses of guards and readers pass it on with its age, so nodes that the store turns away live on their neighbours.

No further calls to the store.

--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -20,6 +20,14 @@
 /// All metrics: X(identifier, name, type, help). Keep the groups sorted.
 /// docs/OPERATIONS.md lists the same names; a test compares the two.
 #define METRIC_LIST(X)                                                        \
+    X(ACCESS_KEYS_NOT_CURRENT_TOTAL,                                          \
+      "ibisfield_access_keys_not_current_total", "counter",                   \
+      "Requests refused since access keys couldn't be proven current.")       \
+    X(ACCESS_KEY_PROOFS_ASKED_TOTAL,                                          \
+      "ibisfield_access_key_proofs_asked_total", "counter",                   \
+      "Requests to other nodes for a proof about access keys.")               \
+    X(ACCESS_KEY_PROOF_AGE_MS, "ibisfield_access_key_proof_age_ms", "gauge",  \
+      "Age of the proof that no access key was taken away unnoticed.")        \
     X(CALLS_TOTAL, "ibisfield_calls_total", "counter",                        \
       "Caller and upstream requests accepted by the entry.")                  \
     X(CALLS_ANSWERED_TOTAL, "ibisfield_calls_answered_total", "counter",      \
--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -39,6 +39,7 @@
     X(LEAVING, "leaving", 503)                                                \
     X(NO_UPSTREAM, "no-upstream", 503)                                        \
     X(NOT_READY, "not-ready", 503)                                            \
+    X(ACCESS_KEYS_NOT_CURRENT, "access-keys-not-current", 503)                \
     X(KEY_OWNER_UNREACHABLE, "key-owner-unreachable", 503)                    \
     X(DEADLINE, "deadline", 504)                                              \
     X(PROTOCOL_VERSION, "protocol-version", 505)
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -513,6 +513,13 @@
     {
         return true;
     }
+    if (entry->options.key_proof != NULL &&
+        !key_proof_is_current(entry->options.key_proof))
+    {
+        metric_increment(METRIC_ACCESS_KEYS_NOT_CURRENT_TOTAL);
+        *reason = REASON_ACCESS_KEYS_NOT_CURRENT;
+        return false;
+    }
     incoming->workspace =
         workspaces_find_key(workspaces, customer, request->access_key);
     if (incoming->workspace != NULL) {
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -16,6 +16,7 @@
 #include "ibisfield/retry/service_retry_budget.h"
 #include "ibisfield/routing/call_depth.h"
 #include "ibisfield/routing/picker.h"
+#include "ibisfield/workspace/key_proof.h"
 #include "ibisfield/workspace/workspaces.h"
 
 /// A request from a caller, from this VM's own upstream (egress), or forwarded
@@ -144,6 +145,7 @@
     contract_lookup_t lookup;
     void *lookup_context;
     const workspaces_t *workspaces; ///< NULL: callers need no key
+    const key_proof_t *key_proof;   ///< NULL: keys need no proof
     picker_t *picker;
     key_table_t *keys;
     request_contexts_t *contexts;
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -34,6 +34,7 @@
     case REASON_LEAVING:
     case REASON_NO_UPSTREAM:
     case REASON_NOT_READY:
+    case REASON_ACCESS_KEYS_NOT_CURRENT:
     case REASON_KEY_OWNER_UNREACHABLE:
         break;
     case REASON_DEADLINE:
--- a/src/ibisfield/contract/settings_defs.h
+++ b/src/ibisfield/contract/settings_defs.h
@@ -50,6 +50,9 @@
     /// For how long the upstream serves after it is listed as draining or its
     /// record is removed; default 2.
     double upstream_drain_s;
+    /// After this time an access key that was taken away opens nothing, on any
+    /// node; default 0: not bounded.
+    double access_key_revoke_s;
     double retry_ratio;    ///< retries per request to a service
     double retry_window_s; ///< over which both are counted
     /// For the responses that are stored for request keys; default 16777216.
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -36,6 +36,7 @@
     bool at_most_once;
     bool remote; ///< the VM is in another data centre
     char vm[VM_NAME_MAX + 1];
+    int64_t sent_us;
     http_exchange_t *exchange;
     loop_timer_t not_listed_timer; ///< for report_not_listed()
 };
@@ -311,6 +312,11 @@
     attempt_result_t result;
     peer_client_read_result(&result, response);
     note_peer_revision(attempt, response);
+    key_proof_record_text(server->options.key_proof,
+                          http_header_find(response->headers,
+                                           response->header_count,
+                                           HEADER_PROOF),
+                          attempt->sent_us);
     log_failed_attempt(attempt, &result, response->error);
     GByteArray *stored = NULL;
     if (attempt->at_most_once && result.type == ATTEMPT_ANSWERED) {
@@ -509,6 +515,7 @@
     else if (attempt->at_most_once) {
         message_add_string(&message, HEADER_ONCE, "1");
     }
+    attempt->sent_us = clock_now_us(options->loop->clock);
     attempt->remote = strcmp(peer->data_centre, options->data_centre) != 0;
     if (attempt->remote) {
         count_remote_bytes(METRIC_REMOTE_REQUEST_BYTES_TOTAL, message.headers,
--- a/src/ibisfield/io/caller_server.h
+++ b/src/ibisfield/io/caller_server.h
@@ -26,6 +26,7 @@
     const char *service;                ///< of the upstream on this VM
     call_depths_t *depths;
     change_feed_t *feed;
+    key_proof_t *key_proof;
 } caller_server_options_t;
 
 /// Adapter between the entry and HTTP. It takes requests of callers, calls of
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -39,6 +39,8 @@
 /// exceeds the delay between two watches, by which nodes usually differ.
 #define CATCH_UP_DELAY_US (300 * US_PER_MS)
 #define CATCH_UP_TIMEOUT_US US_PER_S
+/// Least time between two requests for a proof.
+#define PROOF_INTERVAL_US (300 * US_PER_MS)
 /// A reader that can't read the source informs its followers for this long
 /// after another node has brought it up to date.
 #define CAUGHT_UP_TTL_US (2 * US_PER_S)
@@ -74,14 +76,20 @@
     GByteArray *bytes = g_byte_array_new();
     control_encode(message, bytes);
     control_count_sent(message->type, bytes->len);
-    const http_header_t header = {SLICE_LITERAL("content-type"),
-                                  SLICE_LITERAL(CONTENT_TYPE)};
+    char proof[KEY_PROOF_TEXT_MAX];
+    http_header_t headers[2] = {
+        {SLICE_LITERAL("content-type"), SLICE_LITERAL(CONTENT_TYPE)}};
+    size_t count = 1;
+    if (key_proof_format(feed->key_proof, request->received_us, proof)) {
+        headers[count++] = (http_header_t){SLICE_LITERAL(HEADER_PROOF),
+                                           slice_from_string(proof)};
+    }
     slice_t body = {(const char *)bytes->data, bytes->len};
     if (feed->draining) {
-        http_request_respond_and_close(request, 200, &header, 1, body);
+        http_request_respond_and_close(request, 200, headers, count, body);
     }
     else {
-        http_request_respond(request, 200, &header, 1, body);
+        http_request_respond(request, 200, headers, count, body);
     }
     g_byte_array_unref(bytes);
 }
@@ -301,6 +309,19 @@
     }
 }
 
+/// Records the proof in a response to a request that was sent at @p asked_us.
+/// The changes in the response have to be applied before.
+static void
+record_proof(change_feed_t *feed, const http_response_t *response,
+             int64_t asked_us)
+{
+    key_proof_record_text(feed->key_proof,
+                          http_header_find(response->headers,
+                                           response->header_count,
+                                           HEADER_PROOF),
+                          asked_us);
+}
+
 static void
 handle_poll_response(void *context, const http_response_t *response)
 {
@@ -319,6 +340,7 @@
             feed_now_us(feed) + (int64_t)message.removal_grace_ms * US_PER_MS;
         adopt_removal_grace(feed);
         apply_changes(feed, &message);
+        record_proof(feed, response, subscription->asked_us);
         if (!was_healthy) {
             log_info("feed_followed", "reader=%s revision=%" PRIu64,
                      subscription->reader.address, feed->items.revision);
@@ -373,6 +395,7 @@
 poll_reader(void *context)
 {
     feed_subscription_t *subscription = context;
+    subscription->asked_us = feed_now_us(subscription->feed);
     subscription->exchange =
         request_changes(subscription->feed, subscription->pool, CONTROL_FOLLOW,
                         POLL_TIMEOUT_US, handle_poll_response, subscription);
@@ -414,6 +437,7 @@
                 feed->context, (int64_t)message.removal_grace_ms * US_PER_MS);
         }
         apply_changes(feed, &message);
+        record_proof(feed, response, catch_up->asked_us);
         feed->caught_up_us = feed_now_us(feed);
     }
     log_info("feed_caught_up",
@@ -430,6 +454,18 @@
     }
 }
 
+static void
+ask_for_changes(change_feed_t *feed, const endpoint_t *node)
+{
+    feed_catch_up_t *catch_up = &feed->catch_up;
+    catch_up->asked_us = feed_now_us(feed);
+    catch_up->peer = *node;
+    catch_up->pool = new_peer_pool(feed, node);
+    catch_up->exchange =
+        request_changes(feed, catch_up->pool, CONTROL_CATCH_UP,
+                        CATCH_UP_TIMEOUT_US, handle_catch_up_response, feed);
+}
+
 /// Requests the missing changes from another node if this node has been behind
 /// it for too long.
 static void
@@ -439,10 +475,56 @@
     if (catch_up->revision > feed->items.revision &&
         catch_up->exchange == NULL && feed_now_us(feed) >= catch_up->due_us)
     {
-        catch_up->pool = new_peer_pool(feed, &catch_up->peer);
-        catch_up->exchange = request_changes(
-            feed, catch_up->pool, CONTROL_CATCH_UP, CATCH_UP_TIMEOUT_US,
-            handle_catch_up_response, feed);
+        ask_for_changes(feed, &catch_up->peer);
+    }
+}
+
+/// Returns the endpoint of a random node, preferably of the own data centre;
+/// port 0 if none is known.
+static endpoint_t
+choose_other_node(change_feed_t *feed)
+{
+    endpoint_t chosen = {.port = 0};
+    bool chosen_local = false;
+    gint32 count = 0;
+    GHashTableIter iter;
+    void *pointer = NULL;
+    g_hash_table_iter_init(&iter, feed->vms->vms);
+    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
+        const vm_info_t *info = pointer;
+        bool local =
+            strcmp(info->data_centre, feed->settings->data_centre) == 0;
+        if (info->is_own || info->draining || (chosen_local && !local)) {
+            continue;
+        }
+        count = local && !chosen_local ? 1 : count + 1;
+        if (g_rand_int_range(feed->random, 0, count) == 0) {
+            chosen.port = info->peer_port;
+            g_strlcpy(chosen.address, info->address, sizeof(chosen.address));
+        }
+        chosen_local |= local;
+    }
+    return chosen;
+}
+
+/// Asks another node for a proof that the access keys known here are current,
+/// if no response has brought one for too long. A node whose own way to the
+/// source is cut off lives on its neighbours' proofs.
+static void
+ask_for_proof_if_wanted(change_feed_t *feed)
+{
+    feed_catch_up_t *catch_up = &feed->catch_up;
+    int64_t now_us = feed_now_us(feed);
+    if (catch_up->exchange != NULL || now_us < catch_up->proof_due_us ||
+        !key_proof_is_wanted(feed->key_proof))
+    {
+        return;
+    }
+    endpoint_t node = choose_other_node(feed);
+    if (node.port != 0) {
+        catch_up->proof_due_us = now_us + PROOF_INTERVAL_US;
+        metric_increment(METRIC_ACCESS_KEY_PROOFS_ASKED_TOTAL);
+        ask_for_changes(feed, &node);
     }
 }
 
@@ -586,17 +668,22 @@
     update_followed(feed);
     complete_pending_polls(feed);
     catch_up_if_behind(feed);
+    ask_for_proof_if_wanted(feed);
     loop_timer_start(feed->loop, &feed->tick_timer, TICK_US, tick, feed);
 }
 
 /// Initialises a feed without a source. It does nothing until
 /// change_feed_start() is called.
 void
-change_feed_init(change_feed_t *feed, loop_t *loop, const settings_t *settings)
+change_feed_init(change_feed_t *feed, loop_t *loop, const settings_t *settings,
+                 const vm_view_t *vms, key_proof_t *key_proof)
 {
     *feed = (change_feed_t){
         .loop = loop,
         .settings = settings,
+        .vms = vms,
+        .key_proof = key_proof,
+        .random = g_rand_new_with_seed(g_str_hash(settings->vm)),
         .members =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
         .is_reader = true,
@@ -618,6 +705,7 @@
     stop_catch_up(feed);
     g_queue_clear_full(&feed->pending_polls, g_free);
     g_hash_table_destroy(feed->members);
+    g_rand_free(feed->random);
     item_feed_finish(&feed->items);
 }
 
--- a/src/ibisfield/io/change_feed.h
+++ b/src/ibisfield/io/change_feed.h
@@ -6,6 +6,7 @@
 #include "ibisfield/config/item_feed.h"
 #include "ibisfield/config/vm_view.h"
 #include "ibisfield/io/http_server.h"
+#include "ibisfield/workspace/key_proof.h"
 
 /// Readers that a node follows at the same time. With two, a change is delayed
 /// only if both have lost the source without noticing.
@@ -42,6 +43,7 @@
     endpoint_t reader; ///< port 0: none
     http_pool_t *pool;
     http_exchange_t *exchange;
+    int64_t asked_us;              ///< start of the poll in progress
     loop_timer_t poll_timer;       ///< starts the next poll
     bool healthy;                  ///< the last poll succeeded
     int64_t removal_grace_ends_us; ///< at the reader, as it reported last
@@ -57,6 +59,8 @@
     int64_t due_us;    ///< time of the next request, if still behind
     http_pool_t *pool;
     http_exchange_t *exchange; ///< NULL: none in progress
+    int64_t asked_us;          ///< its start
+    int64_t proof_due_us;      ///< earliest next request for a proof only
 } feed_catch_up_t;
 
 /// Distributes the changes of a source among the nodes of a data centre: a few
@@ -64,6 +68,8 @@
 struct change_feed {
     loop_t *loop;
     const settings_t *settings;
+    const vm_view_t *vms;
+    key_proof_t *key_proof;
     change_feed_callbacks_t callbacks;
     void *context; ///< NULL: the feed has no source
     item_feed_t items;
@@ -82,10 +88,12 @@
     int64_t caught_up_us;      ///< last time that another node had changes
     int64_t followed_until_us; ///< end of FOLLOWED_TTL_US
     loop_timer_t tick_timer;
+    GRand *random;
 };
 
 void change_feed_init(change_feed_t *feed, loop_t *loop,
-                      const settings_t *settings);
+                      const settings_t *settings, const vm_view_t *vms,
+                      key_proof_t *key_proof);
 void change_feed_finish(change_feed_t *feed);
 void change_feed_start(change_feed_t *feed,
                        const change_feed_callbacks_t *callbacks,
--- a/src/ibisfield/io/config_source.h
+++ b/src/ibisfield/io/config_source.h
@@ -19,6 +19,8 @@
                            GArray *workspaces, uint64_t version);
     void (*vm_listed)(void *context, const vm_info_t *info);
     void (*vm_removed)(void *context, const char *vm);
+    /// All changes before @p asked_us have been reported.
+    void (*proven)(void *context, int64_t asked_us);
 } config_source_callbacks_t;
 
 typedef struct config_source config_source_t;
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -41,6 +41,7 @@
 #define HEADER_RETRIES_LEFT "ibisfield-retries-left"
 #define HEADER_RETRY_AFTER_MS "ibisfield-retry-after-ms"
 /// Revision of the configuration that the responding node holds.
+#define HEADER_PROOF "ibisfield-proof"
 #define HEADER_REVISION "ibisfield-revision"
 #define HEADER_SERVICE "ibisfield-service"
 /// "1": the upstream shed the request.
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -43,10 +43,32 @@
 #define LIST_DELAY_MAX_US (500 * US_PER_MS)
 #define CONTRACT_PREFIX "contract/"
 
+/// Logs when requests with access keys begin to be refused for want of a
+/// proof, and when that ends.
+static void
+watch_key_proof(node_t *node)
+{
+    const key_proof_t *proof = &node->key_proof;
+    if (proof->max_age_us == 0 || proof->version == 0) {
+        return;
+    }
+    int64_t age_us = key_proof_age_us(proof);
+    int64_t age_ms = age_us == INT64_MAX ? -1 : age_us / US_PER_MS;
+    metric_set(METRIC_ACCESS_KEY_PROOF_AGE_MS, age_ms);
+    bool refused = !key_proof_is_current(proof);
+    if (refused != node->keys_refused) {
+        node->keys_refused = refused;
+        log_warning("access_keys_current",
+                    "current=%d proof_age_ms=%" PRId64 " version=%" PRIu64,
+                    !refused, age_ms, proof->version);
+    }
+}
+
 static void
 tick(void *context)
 {
     node_t *node = context;
+    watch_key_proof(node);
     entry_tick(&node->entry);
     guard_tick(&node->guard);
     key_table_tick(&node->keys);
@@ -250,6 +272,7 @@
                  "version=%" PRIu64 " in_force=%" PRIu64, version, previous);
         return;
     }
+    key_proof_set_version(&node->key_proof, version);
     metric_increment(METRIC_CONFIG_ADOPTIONS_TOTAL);
     log_info("contracts_in_force",
              "version=%" PRIu64 " before=%" PRIu64
@@ -290,6 +313,12 @@
     log_info("vm_removed", "upstream_vm=%s", vm);
 }
 
+static void
+handle_proven(void *context, int64_t asked_us)
+{
+    key_proof_record_read(&((node_t *)context)->key_proof, asked_us);
+}
+
 /* Configuration items of the project's own platform, from the agent. */
 
 static void
@@ -403,6 +432,8 @@
 {
     const settings_t *settings = node->settings;
     customers_init(&node->customers);
+    key_proof_init(&node->key_proof, &node->clock,
+                   (int64_t)(settings->access_key_revoke_s * US_PER_S));
     vm_view_init(&node->vms);
     picker_init(&node->picker, &node->clock,
                 &(picker_options_t){
@@ -431,6 +462,7 @@
                    .lookup = look_up_contract,
                    .lookup_context = &node->customers,
                    .workspaces = &node->customers.workspaces,
+                   .key_proof = &node->key_proof,
                    .picker = &node->picker,
                    .keys = &node->keys,
                    .contexts = &node->contexts,
@@ -480,6 +512,7 @@
                            .service = settings->service,
                            .depths = &node->depths,
                            .feed = &node->feed,
+                           .key_proof = &node->key_proof,
                        });
     peer_server_init(&node->peer_server,
                      &(peer_server_options_t){
@@ -490,8 +523,10 @@
                          .depths = &node->depths,
                          .header_names = header_names,
                          .feed = &node->feed,
+                         .key_proof = &node->key_proof,
                      });
-    change_feed_init(&node->feed, &node->loop, settings);
+    change_feed_init(&node->feed, &node->loop, settings, &node->vms,
+                     &node->key_proof);
 }
 
 static bool
@@ -586,6 +621,7 @@
         .contracts_read = handle_contracts,
         .vm_listed = handle_vm_listed,
         .vm_removed = handle_vm_removed,
+        .proven = handle_proven,
     };
     if (node->adapter == NULL) {
         node->agent = config_agent_new(&node->loop, node->settings,
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -31,6 +31,8 @@
     clock_source_t clock;
     loop_t loop;
     customers_t customers;
+    key_proof_t key_proof;
+    bool keys_refused; ///< for want of a proof, as last logged
     vm_view_t vms;
     picker_t picker;
     key_table_t keys;
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -47,7 +47,7 @@
 
 static void
 add_guard_headers(message_t *message, const peer_server_t *server,
-                  const guard_response_t *response)
+                  const guard_response_t *response, int64_t received_us)
 {
     char load[128];
     guard_load_format(&response->load, load, sizeof(load));
@@ -59,6 +59,10 @@
     if (revision > 0) {
         message_add_number(message, HEADER_REVISION, (int64_t)revision);
     }
+    char proof[KEY_PROOF_TEXT_MAX];
+    if (key_proof_format(server->options.key_proof, received_us, proof)) {
+        message_add_string(message, HEADER_PROOF, proof);
+    }
 }
 
 static bool
@@ -131,7 +135,7 @@
         metric_increment(METRIC_GUARD_REFUSALS_TOTAL);
         log_refusal(call, response);
     }
-    add_guard_headers(&message, server, response);
+    add_guard_headers(&message, server, response, call->request->received_us);
     http_request_respond(detach_request(call, outcome), message.status,
                          message.headers, message.header_count, body);
     message_finish(&message);
--- a/src/ibisfield/io/peer_server.h
+++ b/src/ibisfield/io/peer_server.h
@@ -21,7 +21,9 @@
     span_source_t *spans;
     const header_names_t *header_names; ///< NULL: the ibisfield- headers
     call_depths_t *depths; ///< of the call graph below each service
-    change_feed_t *feed;   ///< handles the polls of nodes that follow it
+    change_feed_t *feed;
+    const key_proof_t
+        *key_proof; ///< handles the polls of nodes that follow it
 } peer_server_options_t;
 
 /// Adapter between the guard and HTTP. It takes requests that other nodes send
--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -17,6 +17,7 @@
 #define HOSTS_MAX 255
 
 store_site_t site;
+const char *site_extra_settings = "";
 static const char standin_upstream[] =
     IBISFIELD_BUILD_DIR "/test/standin_upstream";
 
@@ -158,11 +159,12 @@
         "\"caller_listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
         "\"readiness_listen\":\"%s:%d\",\"operator_listen\":\"%s:%d\","
         "\"upstream\":\"%s:%d\",\"store\":\"%s:%d\",\"stop_limit_s\":6,"
-        "\"upstream_drain_s\":2}",
+        "\"upstream_drain_s\":2%s}",
         number, machine->service, machine->address, PORT_CALLER,
         machine->address, PORT_PEER, machine->address, PORT_READINESS,
         machine->address, PORT_OPERATOR, machine->published_address,
-        PORT_UPSTREAM, machine->store_address, PORT_STORE);
+        PORT_UPSTREAM, machine->store_address, PORT_STORE,
+        site_extra_settings);
     char *file = g_strdup_printf("%s/node%d.json", site.directory, number);
     char *log = g_strdup_printf("%s/node%d.log", site.directory, number);
     CU_ASSERT_TRUE_FATAL(g_file_set_contents(file, settings, -1, NULL));
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -35,6 +35,8 @@
 } store_site_t;
 
 extern store_site_t site;
+/// Appended to the settings of nodes that are started from now on.
+extern const char *site_extra_settings;
 
 void start_site(int machines);
 void start_site_with_addresses(int machines,
--- a/test/functional/test_workspaces.c
+++ b/test/functional/test_workspaces.c
@@ -91,6 +91,118 @@
     stop_site();
 }
 
+#define ONE_TENANT "[" TENANT("ws-b", "\"" KEY_B "\"") "]"
+/// Of the nodes in the tests of revocation.
+#define REVOKE_SETTING ",\"access_key_revoke_s\":\"5\""
+
+/// Between the store and the node of the first machine.
+static process_t store_relay;
+
+static void
+read_store_through_relay(machine_t *machine)
+{
+    if (machine == &site.machines[0]) {
+        start_store_relay(machine, &store_relay);
+    }
+}
+
+static void
+start_site_with_revocation(void)
+{
+    site_extra_settings = REVOKE_SETTING;
+    start_site_with_addresses(MACHINES_DEFAULT, read_store_through_relay);
+    publish_site();
+    publish_tenants(5, TWO_TENANTS);
+    CU_ASSERT_EQUAL(status_with_key(0, "id-first", KEY_A), 200);
+}
+
+static void
+stop_site_with_revocation(void)
+{
+    process_finish(&store_relay);
+    stop_site();
+    site_extra_settings = "";
+}
+
+/// Returns whether every request that the first node gets in @p for_us has
+/// @p status.
+static bool
+all_have_status(const char *key, gint64 for_us, int status)
+{
+    gint64 end_us = g_get_monotonic_time() + for_us;
+    for (int i = 0; g_get_monotonic_time() < end_us; i++) {
+        char id[24];
+        g_snprintf(id, sizeof(id), "id-%s-%d", key, i);
+        if (status_with_key(0, id, key) != status) {
+            return false;
+        }
+        g_usleep(100000);
+    }
+    return true;
+}
+
+/// Guards against a node that accepts keys that were taken away while the
+/// store doesn't answer it, and against one that refuses all keys although
+/// other nodes can prove what it knows.
+static void
+test_node_cut_off_from_the_store_lives_on_others(void)
+{
+    start_site_with_revocation();
+    kill(store_relay.pid, SIGSTOP);
+    CU_ASSERT_TRUE(all_have_status(KEY_B, (gint64)7 * G_USEC_PER_SEC, 200));
+    put_desired_state_with_tenants(7, NULL, ONE_TENANT);
+    g_usleep((gulong)5 * G_USEC_PER_SEC);
+    CU_ASSERT_EQUAL(status_with_key(0, "id-a", KEY_A), 401);
+    CU_ASSERT_EQUAL(status_with_key(0, "id-b", KEY_B), 200);
+    stop_site_with_revocation();
+}
+
+/// The same for a node that is cut off from the other nodes, too: it refuses
+/// all keys before the time is over, and also after it has been suspended.
+static void
+test_node_without_proof_refuses_keys(void)
+{
+    start_site_with_revocation();
+    process_t *node = &site.machines[0].node;
+    kill(store_relay.pid, SIGSTOP);
+    for (int i = 1; i < MACHINES_DEFAULT; i++) {
+        kill(site.machines[i].node.pid, SIGSTOP);
+    }
+    CU_ASSERT_TRUE(
+        process_wait_log(node, "event=access_keys_current current=0"));
+    text_response_t response = request_with_key(0, "/read/a", "id-1", KEY_A);
+    CU_ASSERT_EQUAL(response.status, 503);
+    CU_ASSERT_PTR_NOT_NULL(strstr(response.body, "access-keys-not-current"));
+    text_response_free(&response);
+    for (int i = 1; i < MACHINES_DEFAULT; i++) {
+        kill(site.machines[i].node.pid, SIGCONT);
+    }
+    CU_ASSERT_TRUE(
+        process_wait_log(node, "event=access_keys_current current=1"));
+    kill(node->pid, SIGSTOP);
+    put_desired_state_with_tenants(7, NULL, ONE_TENANT);
+    g_usleep((gulong)5 * G_USEC_PER_SEC);
+    kill(node->pid, SIGCONT);
+    CU_ASSERT_NOT_EQUAL(status_with_key(0, "id-2", KEY_A), 200);
+    stop_site_with_revocation();
+}
+
+/// Guards against a restarted node that accepts a key which was taken away.
+static void
+test_restarted_node_knows_no_old_keys(void)
+{
+    start_site_with_revocation();
+    put_desired_state_with_tenants(7, NULL, ONE_TENANT);
+    wait_nodes_logged("event=contracts_in_force version=7 ");
+    process_finish(&site.machines[0].node);
+    start_node(&site.machines[0]);
+    CU_ASSERT_TRUE(process_wait_log(&site.machines[0].node,
+                                    "event=contracts_in_force version=7 "));
+    CU_ASSERT_EQUAL(status_with_key(0, "id-a", KEY_A), 401);
+    CU_ASSERT_EQUAL(status_with_key(0, "id-b", KEY_B), 200);
+    stop_site_with_revocation();
+}
+
 int
 main(void)
 {
@@ -98,6 +210,10 @@
     CU_TestInfo tests[] = {
         {"keys", test_keys_decide_the_workspace},
         {"contradictory keys", test_contradictory_keys_are_refused},
+        {"cut off from the store",
+         test_node_cut_off_from_the_store_lives_on_others},
+        {"cut off from all", test_node_without_proof_refuses_keys},
+        {"restarted node", test_restarted_node_knows_no_old_keys},
         CU_TEST_INFO_NULL,
     };
     return run_suite("workspaces", tests);
