Keep usage caps of workspaces over all nodes

Cause: nothing counted the requests of a workspace.

Change: nodes report what is offered and admitted to a keeper of their data centre, and these to one of the fleet, all chosen over the published list; the replies say which part of each workspace's requests may be admitted. A keeper gives out the part of a cap that the nodes reporting to it are of the fleet, so two sides of a cut share it. Without a keeper a node has its equal part. Over the cap: 429 usage-cap with Retry-After, before anything else is spent on the request. A request that doesn't run gives its place back. A fifth of the tolerated ratio and half of the tolerated requests are given out.

--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -28,6 +28,8 @@
       "Requests to other nodes for a proof about access keys.")               \
     X(ACCESS_KEY_PROOF_AGE_MS, "ibisfield_access_key_proof_age_ms", "gauge",  \
       "Age of the proof that no access key was taken away unnoticed.")        \
+    X(CALLS_BEYOND_CAP_TOTAL, "ibisfield_calls_beyond_cap_total", "counter",  \
+      "Requests refused because their workspace is beyond its usage cap.")    \
     X(CALLS_TOTAL, "ibisfield_calls_total", "counter",                        \
       "Caller and upstream requests accepted by the entry.")                  \
     X(CALLS_ANSWERED_TOTAL, "ibisfield_calls_answered_total", "counter",      \
@@ -115,6 +117,7 @@
     CONTROL_METRIC_LIST(X, COMPARE, "compare")                                \
     CONTROL_METRIC_LIST(X, FETCH, "fetch")                                    \
     CONTROL_METRIC_LIST(X, FOLLOW, "follow")                                  \
+    CONTROL_METRIC_LIST(X, USAGE, "usage")                                    \
     CONTROL_METRIC_LIST(X, HEARTBEAT, "heartbeat")                            \
     CONTROL_METRIC_LIST(X, LIST, "list")                                      \
     CONTROL_METRIC_LIST(X, OTHER, "other")                                    \
--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -31,6 +31,7 @@
     X(KEY_REUSED, "key-reused", 422)                                          \
     X(KEY_REQUIRED, "key-required", 428)                                      \
     X(CUSTOMER_RETRY_BUDGET, "customer-retry-budget", 429)                    \
+    X(USAGE_CAP, "usage-cap", 429)                                            \
     X(UPSTREAM_FAILED, "upstream-failed", 502)                                \
     X(ANSWER_TOO_LARGE, "answer-too-large", 502)                              \
     X(OVERLOADED, "overloaded", 503)                                          \
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -42,7 +42,8 @@
                                      ///< upstream makes this call; NULL if
                                      ///< none
     const workspace_entry_t *workspace; ///< NULL: none needed
-    int64_t key_ttl_us;                 ///< 0 if the kind needs no key
+    uint64_t counted_workspace; ///< id, if counted against its cap; else 0
+    int64_t key_ttl_us;         ///< 0 if the kind needs no key
 } incoming_request_t;
 
 static uint64_t
@@ -65,6 +66,14 @@
         .retry_after_ms = entry_retry_after_ms(entry, reason, outcome),
     };
     response.kind = incoming->kind == NULL ? NULL : incoming->kind->name;
+    if (incoming->workspace != NULL) {
+        response.workspace = incoming->workspace->workspace.name;
+    }
+    entry_return_usage(entry, incoming->counted_workspace);
+    if (reason == REASON_USAGE_CAP) {
+        response.retry_after_ms = usage_gate_retry_after_ms(
+            entry->options.usage_gate, incoming->workspace->id);
+    }
     if (reason == REASON_OVERLOADED && entry->options.throttle != NULL &&
         incoming->kind != NULL)
     {
@@ -228,6 +237,7 @@
     if (incoming->workspace != NULL) {
         g_strlcpy(call->workspace, incoming->workspace->workspace.name,
                   sizeof(call->workspace));
+        call->workspace_id = incoming->counted_workspace;
     }
     if (incoming->parent != NULL && entry->options.depths != NULL) {
         call_depths_record_call(entry->options.depths, call->service);
@@ -413,6 +423,7 @@
         .outcome = OUTCOME_ANSWERED,
         .stored_response = stored,
     };
+    entry_return_usage(entry, incoming->counted_workspace);
     entry_count_outcome(OUTCOME_ANSWERED);
     entry->options.io->vtable->respond(entry->options.io, 0,
                                        incoming->request->user, &response);
@@ -533,6 +544,22 @@
     return false;
 }
 
+/// Counts a request against the cap of its workspace. Returns false if it is
+/// beyond the cap.
+static bool
+admit_usage(entry_t *entry, incoming_request_t *incoming)
+{
+    if (entry->options.usage_gate == NULL || incoming->workspace == NULL) {
+        return true;
+    }
+    if (!usage_gate_admit(entry->options.usage_gate, incoming->workspace)) {
+        metric_increment(METRIC_CALLS_BEYOND_CAP_TOTAL);
+        return false;
+    }
+    incoming->counted_workspace = incoming->workspace->id;
+    return true;
+}
+
 /// Accepts a request. The adapter's respond() is called for it, at once or
 /// later. Returns the handle of its call, or 0 if the call has already ended.
 call_handle_t
@@ -563,6 +590,10 @@
         refuse_early(entry, &incoming, reason);
         return 0;
     }
+    if (!admit_usage(entry, &incoming)) {
+        refuse_early(entry, &incoming, REASON_USAGE_CAP);
+        return 0;
+    }
     incoming.key_ttl_us =
         kind_limits(incoming.contract, incoming.kind).key_ttl_ms * US_PER_MS;
     return request->key.len > 0 ? handle_keyed_request(entry, &incoming)
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -17,6 +17,7 @@
 #include "ibisfield/routing/call_depth.h"
 #include "ibisfield/routing/picker.h"
 #include "ibisfield/workspace/key_proof.h"
+#include "ibisfield/workspace/usage_gate.h"
 #include "ibisfield/workspace/workspaces.h"
 
 /// A request from a caller, from this VM's own upstream (egress), or forwarded
@@ -96,6 +97,7 @@
     uint32_t attempt_count;    ///< total number of attempts sent
     uint32_t pressure;         ///< that caused the refusal, in thousandths
     const char *kind;          ///< NULL if no kind matches the request
+    const char *workspace;     ///< NULL if the request belongs to none
     slice_t stored_response;   ///< response stored for the key; valid only
                                ///< during respond()
     int32_t retry_after_ms;    ///< 0: no hint
@@ -146,6 +148,7 @@
     void *lookup_context;
     const workspaces_t *workspaces; ///< NULL: callers need no key
     const key_proof_t *key_proof;   ///< NULL: keys need no proof
+    usage_gate_t *usage_gate;       ///< NULL: workspaces have no usage caps
     picker_t *picker;
     key_table_t *keys;
     request_contexts_t *contexts;
@@ -209,6 +212,7 @@
     char kind[CONTRACT_NAME_MAX + 1];
     char service[CONTRACT_NAME_MAX + 1];
     char workspace[CONTRACT_NAME_MAX + 1]; ///< "": none
+    uint64_t workspace_id; ///< counted against its cap; 0: not counted
     uint32_t attempt_count;
     entry_attempt_t attempts[1 + CONTRACT_RETRIES_MAX];
 } entry_call_t;
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -82,6 +82,16 @@
                              picker_latency_bound_us(picker, kind_hash));
 }
 
+/// Takes back a request that was counted against the cap of a workspace (0:
+/// none) and hasn't run.
+void
+entry_return_usage(entry_t *entry, uint64_t workspace_id)
+{
+    if (workspace_id != 0 && entry->options.usage_gate != NULL) {
+        usage_gate_return(entry->options.usage_gate, workspace_id);
+    }
+}
+
 /// Increments the metric of calls with this outcome.
 void
 entry_count_outcome(outcome_t outcome)
@@ -358,11 +368,16 @@
         .reason = reason,
         .outcome = outcome,
         .kind = call->kind,
+        .workspace = call->workspace,
     };
     if (reason == REASON_OVERLOADED) {
         response.pressure =
             picker_pressure(entry->options.picker, call->service);
     }
+    if (outcome == OUTCOME_NOT_RUN) {
+        entry_return_usage(entry, call->workspace_id);
+        call->workspace_id = 0;
+    }
     record_key_outcome(entry, call, reason, outcome, response.new_key);
     response.retry_after_ms =
         call->retry_after_ms > 0 && outcome == OUTCOME_NOT_RUN
--- a/src/ibisfield/call/entry_attempts.h
+++ b/src/ibisfield/call/entry_attempts.h
@@ -11,6 +11,7 @@
                             ///< succeed
 } entry_refusal_t;
 
+void entry_return_usage(entry_t *entry, uint64_t workspace_id);
 serving_end_verdict_t entry_check_end(const entry_t *entry, uint64_t kind_hash,
                                       int64_t deadline_us);
 entry_call_t *entry_find_call(entry_t *entry, call_handle_t handle);
--- a/src/ibisfield/config/control_codec.c
+++ b/src/ibisfield/config/control_codec.c
@@ -72,6 +72,12 @@
     if (fields & FIELD_ITEMS) {
         message->items = g_array_new(FALSE, FALSE, sizeof(config_item_t));
     }
+    if (fields & FIELD_COUNTS) {
+        message->counts = g_array_new(FALSE, FALSE, sizeof(usage_count_t));
+    }
+    if (fields & FIELD_SHARES) {
+        message->shares = g_array_new(FALSE, FALSE, sizeof(usage_share_t));
+    }
 }
 
 static void
@@ -88,6 +94,8 @@
     free_array(message->digests);
     free_array(message->versions);
     free_array(message->items);
+    free_array(message->counts);
+    free_array(message->shares);
     if (message->arena != NULL) {
         g_string_chunk_free(message->arena);
     }
@@ -191,6 +199,43 @@
     }
 }
 
+/// Maps integers to unsigned ones so that small ones stay small.
+static uint64_t
+zigzag_encode(int32_t value)
+{
+    return value >= 0 ? 2 * (uint64_t)value
+                      : 2 * (uint64_t)(-(int64_t)value) - 1;
+}
+
+static int64_t
+zigzag_decode(uint64_t value)
+{
+    return value % 2 == 0 ? (int64_t)(value / 2) : -(int64_t)(value / 2) - 1;
+}
+
+static void
+put_counts(GByteArray *out, const GArray *counts)
+{
+    put_array(out, (size_t)counts->len * 3);
+    for (guint i = 0; i < counts->len; i++) {
+        const usage_count_t *count = &g_array_index(counts, usage_count_t, i);
+        put_uint(out, count->workspace);
+        put_uint(out, count->offered);
+        put_uint(out, zigzag_encode(count->spent));
+    }
+}
+
+static void
+put_shares(GByteArray *out, const GArray *shares)
+{
+    put_array(out, (size_t)shares->len * 2);
+    for (guint i = 0; i < shares->len; i++) {
+        const usage_share_t *share = &g_array_index(shares, usage_share_t, i);
+        put_uint(out, share->workspace);
+        put_uint(out, share->permille);
+    }
+}
+
 /// Appends the encoded message to @p out.
 void
 control_encode(const control_message_t *message, GByteArray *out)
@@ -233,6 +278,15 @@
     if (fields & FIELD_REMOVAL_GRACE) {
         put_uint(out, message->removal_grace_ms);
     }
+    if (fields & FIELD_WEIGHT) {
+        put_uint(out, message->weight);
+    }
+    if (fields & FIELD_COUNTS) {
+        put_counts(out, message->counts);
+    }
+    if (fields & FIELD_SHARES) {
+        put_shares(out, message->shares);
+    }
     if (fields & FIELD_ITEMS) {
         put_items(out, message->items);
     }
@@ -478,6 +532,57 @@
     return true;
 }
 
+static bool
+read_uint32(cbor_reader_t *reader, uint32_t *value)
+{
+    uint64_t number = 0;
+    bool ok = read_uint(reader, &number) && number <= G_MAXINT32;
+    *value = (uint32_t)number;
+    return ok;
+}
+
+static bool
+read_counts(cbor_reader_t *reader, control_message_t *message)
+{
+    size_t count = 0;
+    if (!read_array(reader, 3, CONTROL_WORKSPACES_MAX, &count)) {
+        return false;
+    }
+    for (size_t i = 0; i < count; i++) {
+        usage_count_t usage;
+        uint64_t spent = 0;
+        if (!read_uint(reader, &usage.workspace) ||
+            !read_uint32(reader, &usage.offered) ||
+            !read_uint(reader, &spent) || spent > G_MAXINT32)
+        {
+            return false;
+        }
+        usage.spent = (int32_t)zigzag_decode(spent);
+        g_array_append_val(message->counts, usage);
+    }
+    return true;
+}
+
+static bool
+read_shares(cbor_reader_t *reader, control_message_t *message)
+{
+    size_t count = 0;
+    if (!read_array(reader, 2, CONTROL_WORKSPACES_MAX, &count)) {
+        return false;
+    }
+    for (size_t i = 0; i < count; i++) {
+        usage_share_t share;
+        if (!read_uint(reader, &share.workspace) ||
+            !read_uint32(reader, &share.permille) ||
+            share.permille > USAGE_ADMIT_ALL)
+        {
+            return false;
+        }
+        g_array_append_val(message->shares, share);
+    }
+    return true;
+}
+
 static bool
 read_fields(cbor_reader_t *reader, control_message_t *message,
             unsigned int fields)
@@ -497,6 +602,10 @@
             read_bool(reader, &message->is_snapshot)) &&
            (!(fields & FIELD_REMOVAL_GRACE) ||
             read_uint(reader, &message->removal_grace_ms)) &&
+           (!(fields & FIELD_WEIGHT) ||
+            read_uint32(reader, &message->weight)) &&
+           (!(fields & FIELD_COUNTS) || read_counts(reader, message)) &&
+           (!(fields & FIELD_SHARES) || read_shares(reader, message)) &&
            (!(fields & FIELD_ITEMS) || read_items(reader, message));
 }
 
--- a/src/ibisfield/config/control_defs.h
+++ b/src/ibisfield/config/control_defs.h
@@ -8,12 +8,14 @@
 #include "ibisfield/call/call_defs.h"
 #include "ibisfield/config/item_store.h"
 #include "ibisfield/contract/settings_defs.h"
+#include "ibisfield/workspace/usage_defs.h"
 
 #define CONTROL_PROTOCOL_VERSION 1
 /// Upper limits for the arrays in one message.
 #define CONTROL_DIGESTS_MAX 1024
 #define CONTROL_VERSIONS_MAX 65536
 #define CONTROL_ITEMS_MAX 4096
+#define CONTROL_WORKSPACES_MAX 65536
 /// Upper limit of an encoded message; one value may take ITEM_VALUE_MAX_BYTES.
 #define CONTROL_MESSAGE_MAX_BYTES (4 << 20)
 
@@ -30,6 +32,8 @@
 ///   the steps of anti-entropy. LIST requests the versions in one group of
 ///   items; it has nothing to do with config_list_t.
 /// - FOLLOW with its reply CHANGES: long poll of another node's change feed.
+/// - USAGE and USAGE_SUM with their reply SHARES: report of a node, or of the
+///   keeper of a data centre, about workspaces with a usage cap.
 /// - CATCH_UP with its reply CHANGES: request to a node that holds a later
 ///   revision; never waits.
 #define CONTROL_TYPE_LIST(X)                                                  \
@@ -46,7 +50,10 @@
     X(FOLLOW, "follow", FOLLOW, FIELD_REVISION)                               \
     X(CHANGES, "changes", FOLLOW,                                             \
       FIELD_REVISION | FIELD_IS_SNAPSHOT | FIELD_REMOVAL_GRACE | FIELD_ITEMS) \
-    X(CATCH_UP, "catch-up", FOLLOW, FIELD_REVISION)
+    X(CATCH_UP, "catch-up", FOLLOW, FIELD_REVISION)                           \
+    X(USAGE, "usage", USAGE, FIELD_WEIGHT | FIELD_COUNTS)                     \
+    X(USAGE_SUM, "usage-sum", USAGE, FIELD_WEIGHT | FIELD_COUNTS)             \
+    X(SHARES, "shares", USAGE, FIELD_SHARES)
 
 typedef enum {
 #define CONTROL_ENUM(id, name, group, fields) CONTROL_##id,
@@ -70,6 +77,9 @@
     FIELD_REVISION = 1 << 9,
     FIELD_IS_SNAPSHOT = 1 << 10,
     FIELD_REMOVAL_GRACE = 1 << 11,
+    FIELD_WEIGHT = 1 << 12,
+    FIELD_COUNTS = 1 << 13,
+    FIELD_SHARES = 1 << 14,
 } control_field_t;
 
 typedef struct {
@@ -112,6 +122,9 @@
     GArray *digests;  ///< group_digest_t
     GArray *versions; ///< item_version_t
     GArray *items;    ///< config_item_t
+    uint32_t weight;  ///< number of nodes that the report stands for
+    GArray *counts;   ///< usage_count_t
+    GArray *shares;   ///< usage_share_t
     GStringChunk *arena;
 } control_message_t;
 
--- a/src/ibisfield/contract/settings_defs.h
+++ b/src/ibisfield/contract/settings_defs.h
@@ -53,6 +53,11 @@
     /// After this time an access key that was taken away opens nothing, on any
     /// node; default 0: not bounded.
     double access_key_revoke_s;
+    /// Requests that operators tolerate beyond a usage cap in any window of
+    /// usage_window_s: a fraction of the cap, and a number; default 0.
+    double usage_window_s;
+    double usage_overage_ratio;
+    double usage_overage_requests;
     double retry_ratio;    ///< retries per request to a service
     double retry_window_s; ///< over which both are counted
     /// For the responses that are stored for request keys; default 16777216.
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -175,14 +175,15 @@
     log_info("call_refused",
              "id=%.*s kind=\"%s\" path=\"%.*s\" reason=%s outcome=%s "
              "status=%d age_ms=%" PRId64 " attempts=%u pressure=%u "
-             "retry_after_ms=%d contracts=%" PRIu64,
+             "retry_after_ms=%d contracts=%" PRIu64 " workspace=%s",
              (int)id.len, id.data == NULL ? "" : id.data,
              response->kind == NULL ? call->kind : response->kind,
              (int)MIN(call->request->path.len, LOGGED_PATH_MAX),
              call->request->path.data, reason_token(response->reason),
              outcome_token(response->outcome), status, request_age_ms(call),
              response->attempt_count, response->pressure,
-             response->retry_after_ms, server->options.customers->version);
+             response->retry_after_ms, server->options.customers->version,
+             response->workspace == NULL ? "" : response->workspace);
 }
 
 /// Logs an error response that comes from the upstream itself.
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -273,6 +273,7 @@
         return;
     }
     key_proof_set_version(&node->key_proof, version);
+    usage_link_workspaces_changed(&node->usage_link);
     metric_increment(METRIC_CONFIG_ADOPTIONS_TOTAL);
     log_info("contracts_in_force",
              "version=%" PRIu64 " before=%" PRIu64
@@ -294,6 +295,7 @@
     vm_view_put(&node->vms, info);
     set_picker_vm(node, info);
     change_feed_vm_listed(&node->feed, info);
+    usage_link_vms_changed(&node->usage_link);
     apply_own_upstream(node);
     log_info("vm_listed",
              "upstream_vm=%s service=%s data_centre=%s address=%s slots=%u "
@@ -309,6 +311,7 @@
     vm_view_remove(&node->vms, vm);
     stop_using_vm(node, vm);
     change_feed_vm_removed(&node->feed, vm);
+    usage_link_vms_changed(&node->usage_link);
     apply_own_upstream(node);
     log_info("vm_removed", "upstream_vm=%s", vm);
 }
@@ -333,6 +336,7 @@
     else {
         set_picker_vm(node, info);
     }
+    usage_link_vms_changed(&node->usage_link);
     if (strcmp(vm, node->settings->vm) == 0) {
         node_set_drain_cause(node, DRAIN_LISTED,
                              vm_view_is_draining(&node->vms, vm));
@@ -357,6 +361,7 @@
     else if (!customers_set(&node->customers, item->name, item->value)) {
         log_warning("contract_not_taken", "name=%s", item->name);
     }
+    usage_link_workspaces_changed(&node->usage_link);
 }
 
 static bool
@@ -434,6 +439,7 @@
     customers_init(&node->customers);
     key_proof_init(&node->key_proof, &node->clock,
                    (int64_t)(settings->access_key_revoke_s * US_PER_S));
+    usage_gate_init(&node->usage_gate, &node->clock, seeds[1]);
     vm_view_init(&node->vms);
     picker_init(&node->picker, &node->clock,
                 &(picker_options_t){
@@ -463,6 +469,7 @@
                    .lookup_context = &node->customers,
                    .workspaces = &node->customers.workspaces,
                    .key_proof = &node->key_proof,
+                   .usage_gate = &node->usage_gate,
                    .picker = &node->picker,
                    .keys = &node->keys,
                    .contexts = &node->contexts,
@@ -524,9 +531,12 @@
                          .header_names = header_names,
                          .feed = &node->feed,
                          .key_proof = &node->key_proof,
+                         .usage_link = &node->usage_link,
                      });
     change_feed_init(&node->feed, &node->loop, settings, &node->vms,
                      &node->key_proof);
+    usage_link_init(&node->usage_link, &node->loop, settings, &node->vms,
+                    &node->customers.workspaces, &node->usage_gate);
 }
 
 static bool
@@ -590,6 +600,8 @@
     else {
         config_agent_free(node->agent);
     }
+    usage_link_finish(&node->usage_link);
+    usage_gate_finish(&node->usage_gate);
     change_feed_finish(&node->feed);
     http_server_free(node->server);
     upstream_client_finish(&node->upstream);
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -14,6 +14,7 @@
 #include "ibisfield/io/peer_server.h"
 #include "ibisfield/io/span.h"
 #include "ibisfield/io/upstream_client.h"
+#include "ibisfield/io/usage_link.h"
 
 /// Causes for a node to drain, i.e. to get no new work.
 typedef enum {
@@ -32,6 +33,8 @@
     loop_t loop;
     customers_t customers;
     key_proof_t key_proof;
+    usage_gate_t usage_gate;
+    usage_link_t usage_link;
     bool keys_refused; ///< for want of a proof, as last logged
     vm_view_t vms;
     picker_t picker;
--- a/src/ibisfield/io/operator_server.c
+++ b/src/ibisfield/io/operator_server.c
@@ -103,6 +103,10 @@
                    (int64_t)node->customers.version);
         node->source->vtable->write_status(node->source, status);
         change_feed_write_status(&node->feed, status);
+        usage_link_write_status(&node->usage_link, status);
+        int64_t proof_age_us = key_proof_age_us(&node->key_proof);
+        add_number(status, "access_key_proof_age_ms",
+                   proof_age_us == INT64_MAX ? -1 : proof_age_us / US_PER_MS);
     }
     respond_json(request, 200, status);
 }
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -330,7 +330,12 @@
         refuse_protocol_version(server, request, protocol);
         return;
     }
-    if (http_request_header(request, HEADER_CONTROL).data != NULL) {
+    slice_t control = http_request_header(request, HEADER_CONTROL);
+    if (slice_equal_string(control, USAGE_CONTROL)) {
+        usage_link_handle(server->options.usage_link, request);
+        return;
+    }
+    if (control.data != NULL) {
         change_feed_handle(server->options.feed, request);
         return;
     }
--- a/src/ibisfield/io/peer_server.h
+++ b/src/ibisfield/io/peer_server.h
@@ -9,6 +9,7 @@
 #include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/span.h"
 #include "ibisfield/io/upstream_client.h"
+#include "ibisfield/io/usage_link.h"
 #include "ibisfield/routing/call_depth.h"
 
 /// Objects that the adapter uses; the node owns them.
@@ -21,9 +22,9 @@
     span_source_t *spans;
     const header_names_t *header_names; ///< NULL: the ibisfield- headers
     call_depths_t *depths; ///< of the call graph below each service
-    change_feed_t *feed;
-    const key_proof_t
-        *key_proof; ///< handles the polls of nodes that follow it
+    change_feed_t *feed;   ///< handles the polls of nodes that follow it
+    const key_proof_t *key_proof;
+    usage_link_t *usage_link; ///< handles reports to this node as a keeper
 } peer_server_options_t;
 
 /// Adapter between the guard and HTTP. It takes requests that other nodes send
--- a/test/functional/test_workspaces.c
+++ b/test/functional/test_workspaces.c
@@ -203,6 +203,48 @@
     stop_site_with_revocation();
 }
 
+#define CAP_PER_S 10
+#define CAPPED_TENANT                                                         \
+    "[{\"name\":\"ws-a\",\"api_keys\":[\"" KEY_A                              \
+    "\"],\"priority\":1,\"rate_per_s\":10,\"burst\":10}," TENANT(             \
+        "ws-b", "\"" KEY_B "\"") "]"
+
+/// Guards against a cap that each node gives out whole, refusals that don't
+/// say when to come back, and a workspace without a cap that is refused.
+static void
+test_usage_cap_holds_over_all_nodes(void)
+{
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    publish_tenants(5, CAPPED_TENANT);
+    gint64 start_us = g_get_monotonic_time();
+    int answered = 0;
+    int refused = 0;
+    for (int i = 0; g_get_monotonic_time() - start_us < 4 * G_USEC_PER_SEC;
+         i++) {
+        char id[24];
+        g_snprintf(id, sizeof(id), "id-a-%d", i);
+        text_response_t response =
+            request_with_key(i % MACHINES_DEFAULT, "/read/a", id, KEY_A);
+        answered += response.status == 200;
+        if (response.status == 429) {
+            refused++;
+            char *retry_after = response_header(&response, "retry-after");
+            CU_ASSERT_PTR_NOT_NULL(retry_after);
+            g_free(retry_after);
+        }
+        text_response_free(&response);
+        g_snprintf(id, sizeof(id), "id-b-%d", i);
+        CU_ASSERT_EQUAL(status_with_key(i % MACHINES_DEFAULT, id, KEY_B), 200);
+    }
+    double elapsed_s =
+        (double)(g_get_monotonic_time() - start_us) / G_USEC_PER_SEC;
+    CU_ASSERT_TRUE(answered <= 1.25 * CAP_PER_S * (elapsed_s + 1) + 20);
+    CU_ASSERT_TRUE(answered > 0);
+    CU_ASSERT_TRUE(refused > 0);
+    stop_site();
+}
+
 int
 main(void)
 {
@@ -213,6 +255,7 @@
         {"cut off from the store",
          test_node_cut_off_from_the_store_lives_on_others},
         {"cut off from all", test_node_without_proof_refuses_keys},
+        {"usage cap", test_usage_cap_holds_over_all_nodes},
         {"restarted node", test_restarted_node_knows_no_old_keys},
         CU_TEST_INFO_NULL,
     };
