--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -15,6 +15,7 @@
 ///                           requests run or wait, nor to any behind it on its
 ///                           connection; 0: always responds
 ///     POST /test/hold/N     1: no run ends until 0 is posted
+///     POST /test/response/N makes bodies at least N bytes long
 ///     POST /test/late/N     lets every Nth run take EXTRA_DELAY_US longer;
 ///                           0: none
 ///
@@ -397,6 +398,10 @@
     else if (slice_starts_with(path, SLICE_LITERAL("/test/hold/"))) {
         upstream.hold_runs = parse_number_after(path, "/test/hold/") != 0;
     }
+    else if (slice_starts_with(path, SLICE_LITERAL("/test/response/"))) {
+        upstream.response_bytes_min =
+            parse_number_after(path, "/test/response/");
+    }
     else if (slice_starts_with(path, SLICE_LITERAL("/test/late/"))) {
         upstream.delay_every = parse_number_after(path, "/test/late/");
     }
