Bound the memory and connections that callers can take

Cause: nothing counted the bytes that a node holds. Bodies were held whole and copied for each attempt, one read took all that the kernel had received, unread responses and half-sent bodies stayed until a time-out, and a caller that read slowly was cut off after 1 s with a closed window.

Change: one account of what is held for others, half of memory_limit_mb by default from the platform's figure. Past it, connections that hold much and progress least give way: an incomplete request is refused as not run, a sender that doesn't read is closed. Large requests don't start while memory is scarce. Bodies are shared, not copied; receive buffers are bounded; a body has to grow by 4 KB each 10 s. Slow readers are served, dead ones found by TCP_INFO. A new connection takes the place of the longest idle one.

--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -44,6 +44,8 @@
       "Calls that wait for their answer.")                                    \
     X(CONNECTIONS, "ibisfield_connections", "gauge",                          \
       "Accepted connections that are open.")                                  \
+    X(CONNECTIONS_EVICTED_TOTAL, "ibisfield_connections_evicted_total",       \
+      "counter", "Connections closed for want of memory or of connections.")  \
     X(CONNECTIONS_HALF_OPEN_TOTAL, "ibisfield_connections_half_open_total",   \
       "counter",                                                              \
       "Connections closed because no whole request arrived in time.")         \
@@ -61,6 +63,11 @@
       "Requests that the guard answered without an upstream answer.")         \
     X(GUARD_REQUESTS_TOTAL, "ibisfield_guard_requests_total", "counter",      \
       "Requests of nodes for the upstream on this VM.")                       \
+    X(HELD_BYTES, "ibisfield_held_bytes", "gauge",                            \
+      "Bytes held for callers, upstreams and other nodes.")                   \
+    X(REQUESTS_REFUSED_MEMORY_TOTAL,                                          \
+      "ibisfield_requests_refused_memory_total", "counter",                   \
+      "Requests with a body refused for want of memory.")                     \
     X(KEYS_FORWARDED_TOTAL, "ibisfield_keys_forwarded_total", "counter",      \
       "Requests forwarded to the owner of their key.")                        \
     X(LOG_LINES_DROPPED_TOTAL, "ibisfield_log_lines_dropped_total",           \
--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -100,6 +100,12 @@
      .expected = "an array of at most 16 control addresses"},
     INT_FIELD(max_request_bytes, 1, 67108864, 1048576),
     INT_FIELD(max_answer_bytes, 1, 67108864, 4194304),
+    {.name = "memory_limit_mb",
+     .read = read_optional_number,
+     .offset = offsetof(settings_t, memory_limit_mb),
+     .min = 16,
+     .max = 1048576,
+     .expected = "megabytes from 16 to 1048576, or empty text"},
     INT_FIELD(max_calls, 1, 1000000, 4096),
     INT_FIELD(max_connections, 1, 1000000, 4096),
     INT_FIELD(remote_cost_us, 0, 10000000, 3000),
@@ -441,3 +447,25 @@
 {
     *settings = (settings_t){0};
 }
+
+/// Least default for the bytes that a node holds for others. It has room for
+/// one request of the largest size.
+#define HELD_BYTES_MIN ((size_t)64 << 20)
+#define HELD_REQUESTS_MIN 1.25
+/// Part of memory_limit_mb that may be held for others. The rest is the node's
+/// own, and what the allocator and the kernel add.
+#define HELD_DIVISOR 2
+#define BYTES_PER_MB 1048576
+
+/// Returns how many bytes the node may hold for callers, upstreams and other
+/// nodes.
+size_t
+settings_held_bytes_max(const settings_t *settings)
+{
+    if (settings->memory_limit_mb > 0) {
+        return (size_t)(settings->memory_limit_mb * BYTES_PER_MB) /
+               HELD_DIVISOR;
+    }
+    return MAX(HELD_BYTES_MIN,
+               (size_t)(HELD_REQUESTS_MIN * settings->max_request_bytes));
+}
--- a/src/ibisfield/contract/settings.h
+++ b/src/ibisfield/contract/settings.h
@@ -14,4 +14,6 @@
 const struct json_field *settings_field_list(size_t *count);
 bool endpoint_parse(endpoint_t *endpoint, const char *text);
 
+size_t settings_held_bytes_max(const settings_t *settings);
+
 #endif
--- a/src/ibisfield/contract/settings_defs.h
+++ b/src/ibisfield/contract/settings_defs.h
@@ -36,6 +36,7 @@
     uint32_t seed_count;
     int32_t max_request_bytes; ///< of the body; default 1048576
     int32_t max_answer_bytes;  ///< of the body; default 4194304
+    double memory_limit_mb;    ///< of the process; default 0: not stated
     int32_t max_calls;         ///< in flight at the entry; default 4096
     int32_t max_connections;   ///< accepted connections; default 4096
     /// Added to the expected time of VMs in other data centres; default 3000.
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -522,10 +522,11 @@
         count_remote_bytes(METRIC_REMOTE_REQUEST_BYTES_TOTAL, message.headers,
                            message.header_count, call->request->body);
     }
-    attempt->exchange = http_exchange_start(
+    attempt->exchange = http_exchange_start_shared(
         peer_client_pool(options->peers, peer), call->request->method,
         call->request->path, message.headers, message.header_count,
-        call->request->body, info->response_timeout_us, attempt_done, attempt);
+        call->request->body_bytes, info->response_timeout_us, attempt_done,
+        attempt);
     message_finish(&message);
 }
 
--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -41,7 +41,8 @@
     h2o_socket_t *socket;
     http_exchange_t *exchange; ///< NULL: idle, or delivering the result
     response_reader_t reader;
-    GString *request; ///< being written
+    GString *request; ///< head that is being written
+    GByteArray *body; ///< that is being written; NULL: none
     bool writing;
     bool delivering;          ///< the callback of its last exchange is running
     bool broken;              ///< must not be reused
@@ -53,7 +54,8 @@
 
 struct http_exchange {
     http_pool_t *pool;
-    GString *request; ///< moved to the connection when sent
+    GString *request; ///< head; moved to the connection when sent
+    GByteArray *body; ///< the same; NULL: none
     connection_t *connection;
     GList *waiting_link; ///< NULL: not waiting
     loop_timer_t timer;  ///< timeout; if no socket could be created, the
@@ -92,6 +94,7 @@
     if (connection->request != NULL) {
         g_string_free(connection->request, TRUE);
     }
+    g_clear_pointer(&connection->body, g_byte_array_unref);
     g_free(connection);
 }
 
@@ -164,6 +167,8 @@
 {
     http_pool_t *pool = connection->pool;
     pool->buffered_bytes += bytes - connection->buffered_bytes;
+    byte_account_change(pool->options.account, connection->buffered_bytes,
+                        bytes);
     connection->buffered_bytes = bytes;
 }
 
@@ -195,6 +200,7 @@
     if (exchange->request != NULL) {
         g_string_free(exchange->request, TRUE);
     }
+    g_clear_pointer(&exchange->body, g_byte_array_unref);
     g_free(exchange->echoed_value);
     g_free(exchange);
 }
@@ -390,6 +396,7 @@
         return;
     }
     connection->writing = false;
+    g_clear_pointer(&connection->body, g_byte_array_unref);
     // A response that the server sent before it closed is still read.
     connection->broken |= error != NULL;
 }
@@ -401,14 +408,21 @@
     if (connection->request != NULL) {
         g_string_free(connection->request, TRUE);
     }
+    g_clear_pointer(&connection->body, g_byte_array_unref);
     connection->request = g_steal_pointer(&exchange->request);
+    connection->body = g_steal_pointer(&exchange->body);
     connection->stale_responses = 0;
     connection->writing = true;
     exchange->sent = true;
     response_reader_start(&connection->reader, exchange->is_head);
-    h2o_iovec_t bytes =
-        h2o_iovec_init(connection->request->str, connection->request->len);
-    h2o_socket_write(connection->socket, &bytes, 1, on_written);
+    h2o_iovec_t bytes[2] = {
+        h2o_iovec_init(connection->request->str, connection->request->len)};
+    if (connection->body != NULL) {
+        bytes[1] =
+            h2o_iovec_init(connection->body->data, connection->body->len);
+    }
+    h2o_socket_write(connection->socket, bytes,
+                     connection->body == NULL ? 1 : 2, on_written);
     h2o_socket_read_start(connection->socket, on_readable);
 }
 
@@ -502,10 +516,10 @@
 }
 
 static GString *
-build_request(const http_pool_t *pool, slice_t method, slice_t path,
-              const http_header_t *headers, size_t header_count, slice_t body)
+build_head(const http_pool_t *pool, slice_t method, slice_t path,
+           const http_header_t *headers, size_t header_count, size_t body_len)
 {
-    GString *text = g_string_sized_new(512 + body.len);
+    GString *text = g_string_sized_new(512);
     append_slice(text, method);
     g_string_append_c(text, ' ');
     append_slice(text, path);
@@ -521,13 +535,12 @@
         append_slice(text, headers[i].value);
         g_string_append(text, "\r\n");
     }
-    if (body.len > 0 || (!slice_equal_string(method, "GET") &&
+    if (body_len > 0 || (!slice_equal_string(method, "GET") &&
                          !slice_equal_string(method, "HEAD")))
     {
-        g_string_append_printf(text, "content-length: %zu\r\n", body.len);
+        g_string_append_printf(text, "content-length: %zu\r\n", body_len);
     }
     g_string_append(text, "\r\n");
-    append_slice(text, body);
     return text;
 }
 
@@ -568,16 +581,17 @@
     free_pool_if_unused(pool);
 }
 
-/// Starts an exchange. All slices are copied. @p done is called exactly once,
-/// after this function has returned, unless the exchange is cancelled.
+/// Starts an exchange. All slices are copied; of @p body (NULL: none) a
+/// reference is held, so its bytes must not change. @p done is called exactly
+/// once, after this function has returned, unless the exchange is cancelled.
 /// @p timeout_us covers the entire exchange, including the wait for a
 /// connection. An exchange that never gets a connection, or whose connection
 /// attempt times out, ends with HTTP_CONNECT_FAILED.
 http_exchange_t *
-http_exchange_start(http_pool_t *pool, slice_t method, slice_t path,
-                    const http_header_t *headers, size_t header_count,
-                    slice_t body, int64_t timeout_us, http_done_t done,
-                    void *context)
+http_exchange_start_shared(http_pool_t *pool, slice_t method, slice_t path,
+                           const http_header_t *headers, size_t header_count,
+                           GByteArray *body, int64_t timeout_us,
+                           http_done_t done, void *context)
 {
     http_exchange_t *exchange = g_new0(http_exchange_t, 1);
     exchange->pool = pool;
@@ -592,8 +606,10 @@
                 ? NULL
                 : g_strndup(echoed_value.data, echoed_value.len);
     }
+    size_t body_len = body == NULL ? 0 : body->len;
     exchange->request =
-        build_request(pool, method, path, headers, header_count, body);
+        build_head(pool, method, path, headers, header_count, body_len);
+    exchange->body = body_len == 0 ? NULL : g_byte_array_ref(body);
     pool->exchanges++;
     loop_timer_start(pool->loop, &exchange->timer, timeout_us, on_timeout,
                      exchange);
@@ -603,6 +619,24 @@
     return exchange;
 }
 
+/// The same with a body that is copied.
+http_exchange_t *
+http_exchange_start(http_pool_t *pool, slice_t method, slice_t path,
+                    const http_header_t *headers, size_t header_count,
+                    slice_t body, int64_t timeout_us, http_done_t done,
+                    void *context)
+{
+    GByteArray *copy = g_byte_array_new();
+    if (body.len > 0) {
+        g_byte_array_append(copy, (const guint8 *)body.data, (guint)body.len);
+    }
+    http_exchange_t *exchange =
+        http_exchange_start_shared(pool, method, path, headers, header_count,
+                                   copy, timeout_us, done, context);
+    g_byte_array_unref(copy);
+    return exchange;
+}
+
 /// Frees the exchange and closes its connection, without calling its callback.
 void
 http_exchange_cancel(http_exchange_t *exchange)
--- a/src/ibisfield/io/http_client.h
+++ b/src/ibisfield/io/http_client.h
@@ -1,6 +1,9 @@
 #ifndef IBISFIELD_IO_HTTP_CLIENT_H
 #define IBISFIELD_IO_HTTP_CLIENT_H
 
+#include <glib.h>
+
+#include "ibisfield/base/byte_account.h"
 #include "ibisfield/base/slice.h"
 #include "ibisfield/contract/settings_defs.h"
 #include "ibisfield/io/loop.h"
@@ -39,6 +42,7 @@
     size_t max_response_bytes;
     size_t max_buffered_bytes;  ///< of the responses that are being read on
                                 ///< all connections together; 0: no limit
+    byte_account_t *account;    ///< of these responses; NULL: none
     int receive_buffer_bytes;   ///< of the kernel, for each connection; 0: the
                                 ///< system's default
     int64_t connect_timeout_us; ///< 0: only the exchange's timeout applies
@@ -67,6 +71,11 @@
                                      size_t header_count, slice_t body,
                                      int64_t timeout_us, http_done_t done,
                                      void *context);
+http_exchange_t *
+http_exchange_start_shared(http_pool_t *pool, slice_t method, slice_t path,
+                           const http_header_t *headers, size_t header_count,
+                           GByteArray *body, int64_t timeout_us,
+                           http_done_t done, void *context);
 void http_exchange_cancel(http_exchange_t *exchange);
 slice_t http_header_find(const http_header_t *headers, size_t header_count,
                          const char *name);
--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -28,9 +28,12 @@
 /// The server closes idle connections after this time. It is above the idle
 /// timeout of the HTTP client, so that the client closes first.
 #define IDLE_TIMEOUT_US (60 * US_PER_S)
-/// Longest time from the first byte of a request to its last, and from the
-/// accept of a connection to the end of its first request.
+/// Longest time from the first byte of a request to the end of its head, and
+/// from the accept of a connection to the end of its first head.
 #define REQUEST_READ_TIMEOUT_US (10 * US_PER_S)
+/// A body has to grow by this many bytes in that time, or end. So slow senders
+/// are read to their end, and a byte now and then doesn't keep a body alive.
+#define BODY_PROGRESS_BYTES 4096
 /// A connection whose sender doesn't read responses is closed after this time.
 #define WRITE_TIMEOUT_US (60 * US_PER_S)
 /// How long a connection that this side has closed is read before it is given
@@ -38,15 +41,29 @@
 /// last response.
 #define LINGER_US US_PER_S
 /// Interval of the check for connections that exceed one of these times.
-#define TIMEOUT_CHECK_INTERVAL_US US_PER_S
+#define TIMEOUT_CHECK_INTERVAL_US (250 * US_PER_MS)
+/// A sender that acknowledges nothing for this time is unresponsive.
+#define UNRESPONSIVE_US US_PER_S
 /// A connection isn't read while it holds this many unparsed bytes.
-#define INPUT_BYTES_MAX ((size_t)128 << 10)
+#define INPUT_BYTES_MAX ((size_t)32 << 10)
 /// Time for which a stopping server waits for the first request of an accepted
 /// connection.
 #define FIRST_REQUEST_GRACE_US US_PER_S
 /// Connections above connections_max that are accepted only to respond to
 /// their requests with a refusal; further ones are closed at once.
 #define REFUSED_CONNECTIONS_MAX 64
+/// Retry-After of refusals for want of connections or memory.
+#define RETRY_AFTER_MS 1000
+/// Memory of a connection beside what is counted: its buffers for heads, and
+/// what the allocator adds.
+#define CONNECTION_OVERHEAD_BYTES 2048
+/// Connections that hold less give nothing back worth closing them.
+#define EVICTED_BYTES_MIN 4096
+/// Requests with a body above this size don't start while memory is scarce.
+#define SCARCE_BODY_BYTES_MAX 4096
+/// A connection without requests may be closed for a new one if it has been
+/// idle for this time, when all are in use.
+#define REPLACED_IDLE_US US_PER_S
 
 struct http_server {
     loop_t *loop;
@@ -55,6 +72,9 @@
     size_t max_request_bytes;
     GQueue connections;
     uint32_t in_flight; ///< requests without a response, long polls excluded
+    byte_account_t *account; ///< NULL: memory isn't limited
+    bool memory_scarce;      ///< as last logged
+    uint32_t evicted;        ///< connections since then
     log_limit_t refusal_log_limit;
     loop_timer_t timeout_timer;
     bool draining;
@@ -91,6 +111,8 @@
     GQueue exchanges;
     GString *writing;     ///< NULL: nothing is being written
     size_t held_bytes;    ///< of responses that wait for their turn
+    size_t accounted;     ///< part of the server's account
+    size_t body_mark;     ///< size of the body at partial_since_us
     uint32_t source_hash; ///< of its requests
     int64_t accepted_us;
     int64_t idle_since_us;    ///< end of the last response
@@ -105,8 +127,10 @@
     bool ended;         ///< the last response has been handed to the socket
     bool peer_closed;
     bool reading_paused;
-    bool continue_sent; ///< for the request that is being read
-    bool over_limit;    ///< above connections_max; to be refused
+    bool continue_sent;   ///< for the request that is being read
+    bool over_limit;      ///< above connections_max; to be refused
+    bool may_read_slowly; ///< the kernel doesn't detect that the sender is
+                          ///< unresponsive
 };
 
 static exchange_t *
@@ -118,6 +142,40 @@
 static void on_readable(h2o_socket_t *socket, const char *error);
 static void advance(connection_t *connection);
 
+/// Returns the bytes of memory that a connection takes.
+static size_t
+held_by(const connection_t *connection)
+{
+    const h2o_buffer_t *input = connection->socket->input;
+    size_t bytes = sizeof(*connection) + CONNECTION_OVERHEAD_BYTES +
+                   request_reader_held_bytes(&connection->reader) +
+                   (input->size == 0 ? 0 : input->capacity) +
+                   connection->held_bytes;
+    if (connection->writing != NULL) {
+        bytes += connection->writing->allocated_len;
+    }
+    for (const GList *link = connection->exchanges.head; link != NULL;
+         link = link->next)
+    {
+        const exchange_t *exchange = link->data;
+        bytes +=
+            sizeof(*exchange) + request_message_held_bytes(&exchange->message);
+    }
+    return bytes;
+}
+
+/// Brings the account up to date with what the connection takes.
+static void
+update_account(connection_t *connection)
+{
+    byte_account_t *account = connection->listener->server->account;
+    if (account != NULL) {
+        size_t held = held_by(connection);
+        byte_account_change(account, connection->accounted, held);
+        connection->accounted = held;
+    }
+}
+
 static void
 free_exchange(exchange_t *exchange)
 {
@@ -178,6 +236,7 @@
 {
     http_server_t *server = connection->listener->server;
     drop_exchanges(connection);
+    byte_account_change(server->account, connection->accounted, 0);
     connection->socket->data = NULL;
     h2o_socket_close(connection->socket);
     request_reader_finish(&connection->reader);
@@ -272,6 +331,9 @@
                             (guint)body.len);
     }
     exchange->responded = true;
+    if (exchange->message.text != NULL) {
+        request_message_drop_body(&exchange->message);
+    }
     exchange->connection->held_bytes += head->len + exchange->body->len;
 }
 
@@ -438,6 +500,7 @@
         .outcome = request_reader_has_header(&connection->reader, HEADER_KEY)
                        ? OUTCOME_UNKNOWN
                        : OUTCOME_NOT_RUN,
+        .retry_after_ms = reason == REASON_OVERLOADED ? RETRY_AFTER_MS : 0,
     };
     message_t response;
     message_init_refusal(&response, &refusal);
@@ -452,22 +515,15 @@
     message_finish(&response);
 }
 
-/// Refuses a request on a connection above connections_max.
+/// Refuses a request before it reaches a handler, and closes its connection.
 static void
-refuse_over_limit(http_request_t *request)
+refuse_and_close(http_request_t *request)
 {
-    metric_increment(METRIC_CONNECTIONS_REFUSED_TOTAL);
-    http_listener_t *listener = exchange_of(request)->connection->listener;
-    http_server_t *server = listener->server;
-    if (log_limit_allows(&server->refusal_log_limit, server->loop->clock)) {
-        log_warning("connection_refused", "listener=%s max=%u",
-                    listener->options.name, server->connections_max);
-    }
     slice_t key = http_request_header(request, HEADER_KEY);
     refusal_t refusal = {
         .reason = REASON_OVERLOADED,
         .outcome = key.len > 0 ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-        .retry_after_ms = 1000,
+        .retry_after_ms = RETRY_AFTER_MS,
     };
     message_t response;
     message_init_refusal(&response, &refusal);
@@ -477,6 +533,20 @@
     message_finish(&response);
 }
 
+/// Refuses a request on a connection above connections_max.
+static void
+refuse_over_limit(http_request_t *request)
+{
+    metric_increment(METRIC_CONNECTIONS_REFUSED_TOTAL);
+    http_listener_t *listener = exchange_of(request)->connection->listener;
+    http_server_t *server = listener->server;
+    if (log_limit_allows(&server->refusal_log_limit, server->loop->clock)) {
+        log_warning("connection_refused", "listener=%s max=%u",
+                    listener->options.name, server->connections_max);
+    }
+    refuse_and_close(request);
+}
+
 /* Requests. */
 
 /// Returns whether the last request, which has not been started, may be served
@@ -517,6 +587,14 @@
         refuse_over_limit(&exchange->request);
         return;
     }
+    if (exchange->request.body.len > SCARCE_BODY_BYTES_MAX &&
+        !options->exempt_from_limit &&
+        byte_account_is_scarce(connection->listener->server->account))
+    {
+        metric_increment(METRIC_REQUESTS_REFUSED_MEMORY_TOTAL);
+        refuse_and_close(&exchange->request);
+        return;
+    }
     options->handle(options->context, &exchange->request);
 }
 
@@ -529,6 +607,7 @@
     connection->continue_sent = false;
     connection->had_request = true;
     connection->partial_since_us = 0;
+    connection->body_mark = 0;
     if (!request_reader_take(&connection->reader, &exchange->message)) {
         g_free(exchange);
         refuse_unreadable(connection, REASON_MALFORMED);
@@ -540,6 +619,7 @@
         .path = message->path,
         .host = message->host,
         .body = message->body,
+        .body_bytes = message->body_bytes,
         .headers = message->headers,
         .header_count = message->header_count,
         .source_hash = connection->source_hash,
@@ -651,6 +731,135 @@
     send_continue(connection);
     connection->advancing = false;
     update_reading(connection);
+    update_account(connection);
+}
+
+/* Memory. */
+
+/// Returns whether the connection holds bytes of a request that isn't
+/// complete, or responses that its sender doesn't read.
+static bool
+is_evictable(const connection_t *connection)
+{
+    bool reads_request =
+        connection->reader.started && !connection->reads_no_more;
+    return !connection->listener->options.exempt_from_limit &&
+           connection->linger_since_us == 0 && !connection->advancing &&
+           connection->accounted >= EVICTED_BYTES_MIN &&
+           (reads_request || connection->writing != NULL);
+}
+
+/// Returns how much a connection should give way: the bytes that it holds,
+/// times the time in which it hasn't progressed.
+static double
+eviction_score(const connection_t *connection, int64_t at_us)
+{
+    int64_t since_us = connection->writing != NULL
+                           ? connection->write_since_us
+                           : connection->partial_since_us;
+    int64_t age_us = since_us == 0 ? 0 : at_us - since_us;
+    return (double)connection->accounted * (double)(age_us + US_PER_MS);
+}
+
+/// Gives the memory of a connection back. An incomplete request is refused as
+/// not run; a sender that doesn't read is cut off.
+static void
+evict(connection_t *connection)
+{
+    metric_increment(METRIC_CONNECTIONS_EVICTED_TOTAL);
+    http_server_t *server = connection->listener->server;
+    server->evicted++;
+    if (connection->writing != NULL) {
+        free_connection(connection);
+        return;
+    }
+    refuse_unreadable(connection, REASON_OVERLOADED);
+    request_reader_finish(&connection->reader);
+    request_reader_init(&connection->reader, server->max_request_bytes);
+    advance(connection);
+}
+
+static void
+log_memory_state(http_server_t *server)
+{
+    bool scarce = byte_account_is_scarce(server->account);
+    if (scarce != server->memory_scarce) {
+        server->memory_scarce = scarce;
+        log_warning("memory_scarce",
+                    "scarce=%d held=%zu limit=%zu peak=%zu connections=%u "
+                    "evicted=%u",
+                    scarce, server->account->held, server->account->limit,
+                    server->account->peak, server->connections.length,
+                    server->evicted);
+        server->evicted = 0;
+    }
+}
+
+/// Evicts connections while more than the limit is held: those that hold much
+/// and progress least first. Only called between events, since requests of
+/// evicted connections may be in flight.
+static void
+relieve_memory(http_server_t *server)
+{
+    if (server->account == NULL) {
+        return;
+    }
+    metric_set(METRIC_HELD_BYTES, (int64_t)server->account->held);
+    log_memory_state(server);
+    if (!byte_account_is_exceeded(server->account)) {
+        return;
+    }
+    int64_t at_us = clock_now_us(server->loop->clock);
+    while (byte_account_is_scarce(server->account)) {
+        connection_t *worst = NULL;
+        double worst_score = 0;
+        for (GList *link = server->connections.head; link != NULL;
+             link = link->next) {
+            connection_t *connection = link->data;
+            double score = is_evictable(connection)
+                               ? eviction_score(connection, at_us)
+                               : 0;
+            if (score > worst_score) {
+                worst = connection;
+                worst_score = score;
+            }
+        }
+        if (worst == NULL) {
+            return;
+        }
+        evict(worst);
+    }
+}
+
+/// Closes a connection that has sent no request, or is idle, in favour of a
+/// new one. Returns false if there is none.
+static bool
+replace_connection(http_server_t *server)
+{
+    int64_t at_us = clock_now_us(server->loop->clock);
+    connection_t *oldest = NULL;
+    for (GList *link = server->connections.head; link != NULL;
+         link = link->next) {
+        connection_t *connection = link->data;
+        // free_connection() takes the connection out of the queue, which the
+        // analyzer doesn't see. NOLINTNEXTLINE(clang-analyzer-unix.Malloc)
+        if (connection->listener->options.exempt_from_limit ||
+            connection->exchanges.length > 0 || connection->writing != NULL ||
+            at_us - connection->idle_since_us < REPLACED_IDLE_US)
+        {
+            continue;
+        }
+        if (oldest == NULL ||
+            connection->idle_since_us < oldest->idle_since_us) {
+            oldest = connection;
+        }
+    }
+    if (oldest == NULL) {
+        return false;
+    }
+    metric_increment(METRIC_CONNECTIONS_EVICTED_TOTAL);
+    free_connection(oldest);
+    return true;
 }
 
 /* Connections. */
@@ -678,6 +887,10 @@
     if (connection == NULL) {
         return;
     }
+    relieve_memory(connection->listener->server);
+    if (socket->data == NULL) { // evicted
+        return;
+    }
     if (error != NULL) {
         handle_peer_close(connection, error == h2o_socket_error_closed);
     }
@@ -703,10 +916,13 @@
     connection->over_limit = count >= server->connections_max &&
                              !listener->options.exempt_from_limit;
     request_reader_init(&connection->reader, server->max_request_bytes);
+    update_account(connection);
     g_queue_push_tail(&server->connections, connection);
     connection->link = g_queue_peek_tail_link(&server->connections);
     metric_set(METRIC_CONNECTIONS, server->connections.length);
     socket_set_options(h2o_socket_get_fd(socket));
+    connection->may_read_slowly =
+        socket_allow_slow_peer(h2o_socket_get_fd(socket));
     socket->data = connection;
     h2o_socket_read_start(socket, on_readable);
 }
@@ -721,6 +937,11 @@
     http_server_t *server = listener->server;
     h2o_socket_t *socket;
     while ((socket = h2o_evloop_socket_accept(listening)) != NULL) {
+        if (server->connections.length >= server->connections_max &&
+            !listener->options.exempt_from_limit)
+        {
+            replace_connection(server);
+        }
         if (server->connections.length >=
             server->connections_max + REFUSED_CONNECTIONS_MAX)
         {
@@ -761,6 +982,15 @@
     free_connection(connection);
 }
 
+/// Returns whether the body that is being read has grown enough since
+/// partial_since_us.
+static bool
+has_progressed(const connection_t *connection)
+{
+    return connection->reader.body->len >=
+           connection->body_mark + BODY_PROGRESS_BYTES;
+}
+
 /// Closes the connection if it has exceeded one of its times.
 static void
 check_timeouts(connection_t *connection, int64_t at_us)
@@ -768,8 +998,9 @@
     if (!is_reading_request(connection)) {
         connection->partial_since_us = 0;
     }
-    else if (connection->partial_since_us == 0) {
+    else if (connection->partial_since_us == 0 || has_progressed(connection)) {
         connection->partial_since_us = at_us;
+        connection->body_mark = connection->reader.body->len;
     }
     if (has_timed_out(connection->partial_since_us, REQUEST_READ_TIMEOUT_US,
                       at_us))
@@ -777,7 +1008,13 @@
         close_half_open(connection);
     }
     else if (connection->writing != NULL) {
-        if (has_timed_out(connection->write_since_us, WRITE_TIMEOUT_US, at_us))
+        bool unresponsive =
+            connection->may_read_slowly &&
+            has_timed_out(connection->write_since_us, UNRESPONSIVE_US,
+                          at_us) &&
+            socket_peer_is_unresponsive(h2o_socket_get_fd(connection->socket));
+        if (unresponsive ||
+            has_timed_out(connection->write_since_us, WRITE_TIMEOUT_US, at_us))
         {
             free_connection(connection);
         }
@@ -805,6 +1042,7 @@
         link = link->next;
         check_timeouts(connection, at_us);
     }
+    relieve_memory(server);
     loop_timer_start(server->loop, &server->timeout_timer,
                      TIMEOUT_CHECK_INTERVAL_US, check_all_timeouts, server);
 }
@@ -826,6 +1064,14 @@
     return server;
 }
 
+/// Makes the server keep within the limit of an account, which others may use
+/// too.
+void
+http_server_set_account(http_server_t *server, byte_account_t *account)
+{
+    server->account = account;
+}
+
 /// Opens a listener. All listeners must be opened before http_server_start().
 bool
 http_server_listen(http_server_t *server,
--- a/src/ibisfield/io/http_server.h
+++ b/src/ibisfield/io/http_server.h
@@ -23,6 +23,7 @@
     slice_t path; ///< with query
     slice_t host;
     slice_t body;
+    GByteArray *body_bytes; ///< holds the body; NULL: none
     http_header_t *headers; ///< without Host
     size_t header_count;
     uint32_t source_hash; ///< hash of the sender's address; never 0
@@ -53,6 +54,7 @@
 
 http_server_t *http_server_new(loop_t *loop, uint32_t connections_max,
                                size_t max_request_bytes);
+void http_server_set_account(http_server_t *server, byte_account_t *account);
 void http_server_free(http_server_t *server);
 bool http_server_listen(http_server_t *server,
                         const http_listener_options_t *options,
--- a/src/ibisfield/io/listen.c
+++ b/src/ibisfield/io/listen.c
@@ -10,6 +10,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/// Of the kernel for each accepted connection. All that has arrived on a
+/// connection is read at once, so this bounds what one connection adds to the
+/// memory of the process at a time.
+#define RECEIVE_BUFFER_BYTES 65536
+
 /// Returns a non-blocking listening socket, or -1 with errno set if the
 /// address can't be used.
 int
@@ -20,8 +25,11 @@
                                   .sin_port = htons(endpoint->port)};
     inet_pton(AF_INET, endpoint->address, &address.sin_addr);
     const int on = 1;
+    const int buffer_bytes = RECEIVE_BUFFER_BYTES;
     if (fd >= 0 &&
         setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) == 0 &&
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                   sizeof(buffer_bytes)) == 0 &&
         bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
         listen(fd, SOMAXCONN) == 0)
     {
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -12,6 +12,7 @@
 #include "ibisfield/base/error.h"
 #include "ibisfield/base/log.h"
 #include "ibisfield/base/metrics.h"
+#include "ibisfield/contract/settings.h"
 #include "ibisfield/io/operator_server.h"
 
 /// Intervals of tick() with and without calls in flight.
@@ -500,11 +501,11 @@
     const settings_t *settings = node->settings;
     span_source_init(&node->spans, &node->clock, settings->vm, seed);
     peer_client_init(&node->peers, &node->loop,
-                     (size_t)settings->max_answer_bytes);
+                     (size_t)settings->max_answer_bytes, &node->account);
     const header_names_t *header_names =
         node->adapter == NULL ? NULL : node->adapter->header_names;
     upstream_client_init(&node->upstream, &node->loop, settings, header_names,
-                         handle_upstream_draining, node);
+                         &node->account, handle_upstream_draining, node);
     caller_server_init(&node->caller_server,
                        &(caller_server_options_t){
                            .loop = &node->loop,
@@ -559,6 +560,7 @@
     node->server =
         http_server_new(&node->loop, (uint32_t)settings->max_connections,
                         (size_t)settings->max_request_bytes);
+    http_server_set_account(node->server, &node->account);
     for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
         if (listeners[i].endpoint.port != 0 &&
             !http_server_listen(node->server, &listeners[i], error))
@@ -584,6 +586,7 @@
     if (!fill_random(seeds, sizeof(seeds), error) || !init_keys(node, error)) {
         return false;
     }
+    byte_account_init(&node->account, settings_held_bytes_max(settings));
     init_servers_and_clients(node, seeds[4]);
     init_core(node, seeds);
     return open_listeners(node, error);
--- a/src/ibisfield/io/node.h
+++ b/src/ibisfield/io/node.h
@@ -34,6 +34,7 @@
     customers_t customers;
     key_proof_t key_proof;
     usage_gate_t usage_gate;
+    byte_account_t account;
     usage_link_t usage_link;
     bool keys_refused; ///< for want of a proof, as last logged
     vm_view_t vms;
--- a/src/ibisfield/io/operator_server.c
+++ b/src/ibisfield/io/operator_server.c
@@ -93,6 +93,9 @@
                (clock_now_us(&node->clock) - node->start_us) / US_PER_S);
     add_number(status, "calls_in_flight", entry_in_flight(&node->entry));
     add_number(status, "keys", key_table_count(&node->keys));
+    add_number(status, "held_bytes", (int64_t)node->account.held);
+    add_number(status, "held_bytes_peak", (int64_t)node->account.peak);
+    add_number(status, "held_bytes_max", (int64_t)node->account.limit);
     add_number(status, "vms_listed", g_hash_table_size(node->vms.vms));
     json_object_object_add(status, "guard", guard_status(node));
     if (node->source == NULL) { // on the project's own platform
--- a/src/ibisfield/io/peer_client.c
+++ b/src/ibisfield/io/peer_client.c
@@ -31,11 +31,12 @@
 
 void
 peer_client_init(peer_client_t *client, loop_t *loop,
-                 size_t max_response_bytes)
+                 size_t max_response_bytes, byte_account_t *account)
 {
     *client = (peer_client_t){
         .loop = loop,
         .max_response_bytes = max_response_bytes,
+        .account = account,
         .pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                        free_peer_pool),
     };
@@ -73,6 +74,7 @@
                           .endpoint = peer->endpoint,
                           .connections_max = CONNECTIONS_PER_VM_MAX,
                           .max_response_bytes = client->max_response_bytes,
+                          .account = client->account,
                           .connect_timeout_us = CONNECT_TIMEOUT_US,
                       });
     g_hash_table_replace(client->pools, peer->vm, peer);
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -206,9 +206,9 @@
     char text[TRACEPARENT_LEN + 1];
     span_traceparent(&call->span, text);
     message_add_string(&message, HEADER_TRACEPARENT, text);
-    call->exchange = http_exchange_start(
+    call->exchange = http_exchange_start_shared(
         server->options.upstream->pool, request->method, request->path,
-        message.headers, message.header_count, request->body, wait_us,
+        message.headers, message.header_count, request->body_bytes, wait_us,
         upstream_done, call);
     message_finish(&message);
 }
--- a/src/ibisfield/io/request_reader.c
+++ b/src/ibisfield/io/request_reader.c
@@ -13,6 +13,17 @@
     size_t value_len;
 } header_offsets_t;
 
+/// Returns the bytes that an array takes: it grows by powers of two.
+static size_t
+byte_array_size(const GByteArray *array)
+{
+    size_t size = 16;
+    while (array != NULL && size < array->len) {
+        size *= 2;
+    }
+    return size;
+}
+
 static request_reader_t *
 reader_of(http_parser *parser)
 {
@@ -308,12 +319,39 @@
     return true;
 }
 
+/// Releases the body of a request that is no longer needed.
+void
+request_message_drop_body(request_message_t *message)
+{
+    g_clear_pointer(&message->body_bytes, g_byte_array_unref);
+    message->body = (slice_t){NULL, 0};
+}
+
+/// Returns the bytes of memory that the request takes so far.
+size_t
+request_reader_held_bytes(const request_reader_t *reader)
+{
+    return reader->text->allocated_len + byte_array_size(reader->body) +
+           reader->offsets->len * sizeof(header_offsets_t);
+}
+
+/// Returns the bytes of memory that a request takes.
+size_t
+request_message_held_bytes(const request_message_t *message)
+{
+    return message->text == NULL
+               ? 0
+               : message->text->allocated_len +
+                     message->header_count * sizeof(http_header_t) +
+                     byte_array_size(message->body_bytes);
+}
+
 /// Releases the memory of a request, and empties it.
 void
 request_message_finish(request_message_t *message)
 {
     g_free(message->headers);
     g_string_free(message->text, TRUE);
-    g_byte_array_unref(message->body_bytes);
+    request_message_drop_body(message);
     *message = (request_message_t){0};
 }
--- a/src/ibisfield/io/request_reader.h
+++ b/src/ibisfield/io/request_reader.h
@@ -58,5 +58,8 @@
                                const char *name);
 bool request_reader_take(request_reader_t *reader, request_message_t *message);
 void request_message_finish(request_message_t *message);
+void request_message_drop_body(request_message_t *message);
+size_t request_reader_held_bytes(const request_reader_t *reader);
+size_t request_message_held_bytes(const request_message_t *message);
 
 #endif
--- a/src/ibisfield/io/socket_options.c
+++ b/src/ibisfield/io/socket_options.c
@@ -5,6 +5,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /// A connection fails if sent data stays unacknowledged for this time. Nodes
@@ -25,6 +26,48 @@
     (void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
+/// For how long a peer may leave its window closed. It is alive, since it
+/// acknowledges the probes of the window, but doesn't read.
+#define CLOSED_WINDOW_MS 20000
+/// A peer that leaves this many retransmissions or probes in a row
+/// unacknowledged is unresponsive.
+#define UNANSWERED_MAX 2
+
+static bool
+get_tcp_info(int fd, struct tcp_info *info)
+{
+    socklen_t size = sizeof(*info);
+    memset(info, 0, sizeof(*info));
+    return getsockopt(fd, IPPROTO_TCP, TCP_INFO, info, &size) == 0 &&
+           info->tcpi_state == TCP_ESTABLISHED && info->tcpi_snd_mss > 0;
+}
+
+/// Lets the peer of a connection read slowly: the kernel no longer fails the
+/// connection when its window stays closed for ACK_TIMEOUT_MS. The caller then
+/// has to ask socket_peer_is_unresponsive() itself. Returns false, and changes
+/// nothing, if the system doesn't tell what the peer acknowledges.
+bool
+socket_allow_slow_peer(int fd)
+{
+    struct tcp_info info;
+    if (!get_tcp_info(fd, &info)) {
+        return false;
+    }
+    set_int_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, CLOSED_WINDOW_MS);
+    return true;
+}
+
+/// Returns whether the peer has acknowledged nothing for about ACK_TIMEOUT_MS,
+/// although data or probes were sent several times.
+bool
+socket_peer_is_unresponsive(int fd)
+{
+    struct tcp_info info;
+    return get_tcp_info(fd, &info) &&
+           (info.tcpi_retransmits >= UNANSWERED_MAX ||
+            info.tcpi_probes >= UNANSWERED_MAX);
+}
+
 /// Limits the bytes that the kernel holds for a connection until they are
 /// read.
 void
--- a/src/ibisfield/io/upstream_client.c
+++ b/src/ibisfield/io/upstream_client.c
@@ -76,6 +76,7 @@
 upstream_client_init(upstream_client_t *client, loop_t *loop,
                      const settings_t *settings,
                      const header_names_t *header_names,
+                     byte_account_t *account,
                      upstream_draining_changed_t draining_changed,
                      void *context)
 {
@@ -91,6 +92,7 @@
         .max_response_bytes = (size_t)settings->max_answer_bytes,
         .max_buffered_bytes =
             (size_t)settings->max_answer_bytes * LARGEST_RESPONSES_MAX,
+        .account = account,
         .connect_timeout_us = CONNECT_TIMEOUT_US,
         .receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
         .refusal_header = HEADER_SHED,
--- a/src/ibisfield/io/upstream_client.h
+++ b/src/ibisfield/io/upstream_client.h
@@ -27,6 +27,7 @@
 void upstream_client_init(upstream_client_t *client, loop_t *loop,
                           const settings_t *settings,
                           const header_names_t *header_names,
+                          byte_account_t *account,
                           upstream_draining_changed_t draining_changed,
                           void *context);
 void upstream_client_finish(upstream_client_t *client);
--- a/test/functional/test_crowds.c
+++ b/test/functional/test_crowds.c
@@ -290,8 +290,9 @@
                                       "content-length: 900000000\r\n\r\n");
     GString *chunked = new_chunked_head();
     GString *chunk = new_chunk(65536);
-    add_clients(CROWD_SIZE / 2, announced, chunk, 3 * REQUEST_BYTES_MAX);
-    add_clients(CROWD_SIZE / 2, chunked, chunk, 3 * REQUEST_BYTES_MAX);
+    add_clients(CROWD_SIZE / 2, announced, chunk,
+                (size_t)3 * REQUEST_BYTES_MAX);
+    add_clients(CROWD_SIZE / 2, chunked, chunk, (size_t)3 * REQUEST_BYTES_MAX);
     assert_node_bears_crowd();
     stop_target();
     g_string_free(announced, TRUE);
@@ -355,7 +356,7 @@
     GString *request = new_read_request();
     add_clients(CROWD_SIZE / 4, chunked, chunk, 15 * chunk->len);
     add_clients(CROWD_SIZE / 4, chunked, small, REQUEST_BYTES_MAX);
-    add_clients(CROWD_SIZE / 4, chunked, chunk, 3 * REQUEST_BYTES_MAX);
+    add_clients(CROWD_SIZE / 4, chunked, chunk, (size_t)3 * REQUEST_BYTES_MAX);
     add_clients(CROWD_SIZE / 4, request, request, 3000 * request->len);
     assert_node_bears_crowd();
     stop_target();
@@ -365,6 +366,74 @@
     g_string_free(request, TRUE);
 }
 
+#define SLOW_RESPONSE_BYTES 400000
+#define SLOW_READ_BYTES 16384
+#define SLOW_READ_INTERVAL_US 200000
+
+/// Guards against responses that are cut off because their caller reads them
+/// slowly, but steadily (review/3).
+static void
+test_slow_reader_is_served(void)
+{
+    start_target();
+    set_response_bytes(SLOW_RESPONSE_BYTES);
+    GString *request = new_read_request();
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int buffer_bytes = SLOW_READ_BYTES;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(PORT_CALLER)};
+    inet_pton(AF_INET, site.machines[0].address, &address.sin_addr);
+    CU_ASSERT_EQUAL_FATAL(
+        connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+    CU_ASSERT_EQUAL(send(fd, request->str, request->len, MSG_NOSIGNAL),
+                    (ssize_t)request->len);
+    char *bytes = g_malloc(SLOW_READ_BYTES);
+    size_t received = 0;
+    ssize_t got = 0;
+    while (received < SLOW_RESPONSE_BYTES &&
+           (got = recv(fd, bytes, SLOW_READ_BYTES, 0)) > 0)
+    {
+        received += (size_t)got;
+        g_usleep(SLOW_READ_INTERVAL_US);
+    }
+    CU_ASSERT_TRUE(received >= SLOW_RESPONSE_BYTES);
+    close(fd);
+    g_free(bytes);
+    g_string_free(request, TRUE);
+    stop_target();
+}
+
+#define LARGEST_BODY_BYTES 67108864
+#define SMALLEST_MACHINE_KB (160 * 1024)
+/// Settings of a node on the smallest machine of the users, with the largest
+/// body that their clients send.
+#define SMALLEST_MACHINE                                                      \
+    ",\"memory_limit_mb\":160,\"max_request_bytes\":" G_STRINGIFY(            \
+        LARGEST_BODY_BYTES)
+
+/// Guards against bounds on memory that refuse a single request of the largest
+/// size in calm, and against copies of its body.
+static void
+test_largest_request_in_calm(void)
+{
+    site_extra_settings = SMALLEST_MACHINE;
+    start_site(MACHINES);
+    publish_site();
+    char *body = g_strnfill(LARGEST_BODY_BYTES, 'x');
+    text_response_t response = http_call(
+        site.machines[0].address, PORT_CALLER, "POST", "/book/a",
+        "host: site.example\nx-request-id: large\nx-deadline-ms: 60000", body);
+    CU_ASSERT_EQUAL(response.status, 200);
+    text_response_free(&response);
+    g_free(body);
+    long memory_kb = peak_memory_kb();
+    printf("\n    peak %ld KB ", memory_kb);
+    CU_ASSERT_TRUE(memory_kb < (long)SMALLEST_MACHINE_KB * MEMORY_FACTOR);
+    stop_site();
+    site_extra_settings = "";
+}
+
 int
 main(void)
 {
@@ -377,6 +446,8 @@
         {"answers unread", test_answers_unread},
         {"heads without end", test_heads_without_end},
         {"all at once", test_all_at_once},
+        {"slow reader", test_slow_reader_is_served},
+        {"largest request in calm", test_largest_request_in_calm},
         CU_TEST_INFO_NULL,
     };
     return run_suite("crowds", tests);
--- a/test/functional/test_workspaces.c
+++ b/test/functional/test_workspaces.c
@@ -204,6 +204,7 @@
 }
 
 #define CAP_PER_S 10
+#define CAP_TEST_US ((gint64)4 * G_USEC_PER_SEC)
 #define CAPPED_TENANT                                                         \
     "[{\"name\":\"ws-a\",\"api_keys\":[\"" KEY_A                              \
     "\"],\"priority\":1,\"rate_per_s\":10,\"burst\":10}," TENANT(             \
@@ -220,8 +221,7 @@
     gint64 start_us = g_get_monotonic_time();
     int answered = 0;
     int refused = 0;
-    for (int i = 0; g_get_monotonic_time() - start_us < 4 * G_USEC_PER_SEC;
-         i++) {
+    for (int i = 0; g_get_monotonic_time() - start_us < CAP_TEST_US; i++) {
         char id[24];
         g_snprintf(id, sizeof(id), "id-a-%d", i);
         text_response_t response =
