Divide a scarce service among workspaces by fair shares

Cause: when a service is scarce the throttle refused all workspaces alike, so one that sends many times its usual inside its cap crowded the others out.

--- a/src/ibisfield/admission/entry_throttle.c
+++ b/src/ibisfield/admission/entry_throttle.c
@@ -131,13 +131,25 @@
                : (uint32_t)lround(1000 * current_pressure(throttle, kind));
 }
 
+static void
+count_request(entry_throttle_t *throttle, bool refused)
+{
+    int64_t now_us = clock_now_us(throttle->clock);
+    double age_us = (double)MAX(now_us - throttle->counted_us, 0);
+    double decay = exp2(-age_us / PRESSURE_HALF_LIFE_US);
+    throttle->offered = throttle->offered * decay + 1;
+    throttle->refused = throttle->refused * decay + (refused ? 1 : 0);
+    throttle->counted_us = now_us;
+}
+
 /// Returns whether to refuse a caller's request of the kind before it starts,
 /// and records its worth if it is the highest so far. Requests of a better
 /// rank than the last one (the highest number) are refused only like those of
-/// the highest worth.
+/// the highest worth. The fraction to refuse is multiplied by
+/// @p refusal_factor, 1 on average over all workspaces.
 bool
 entry_throttle_refuses(entry_throttle_t *throttle, uint64_t kind_hash,
-                       int32_t worth, int32_t rank)
+                       int32_t worth, int32_t rank, double refusal_factor)
 {
     throttle->last_rank = MAX(throttle->last_rank, rank);
     bool is_preferred = rank < throttle->last_rank;
@@ -145,6 +157,7 @@
     const throttle_kind_t *kind =
         g_hash_table_lookup(throttle->kinds, &kind_hash);
     if (kind == NULL) {
+        count_request(throttle, false);
         return false;
     }
     double pressure = current_pressure(throttle, kind);
@@ -153,6 +166,18 @@
             ? lower_worth_refuse_fraction(throttle, kind, pressure)
             : (pressure - HIGHEST_WORTH_PRESSURE_MIN) /
                   (1 - HIGHEST_WORTH_PRESSURE_MIN);
-    return g_rand_double(throttle->random) <
-           MIN(refuse_fraction, REFUSE_FRACTION_MAX);
+    bool refused = g_rand_double(throttle->random) <
+                   MIN(refuse_fraction * refusal_factor, REFUSE_FRACTION_MAX);
+    count_request(throttle, refused);
+    return refused;
+}
+
+/// Returns which part of the requests is refused, over about the last second,
+/// in thousandths.
+uint32_t
+entry_throttle_refused_permille(const entry_throttle_t *throttle)
+{
+    return throttle->offered < 1 ? 0
+                                 : (uint32_t)lround(1000 * throttle->refused /
+                                                    throttle->offered);
 }
--- a/src/ibisfield/admission/entry_throttle.h
+++ b/src/ibisfield/admission/entry_throttle.h
@@ -20,9 +20,12 @@
     GHashTable *kinds; ///< kind hash to throttle_kind_t
     GRand *random;
     int32_t highest_worth; ///< highest worth of the kinds seen
-    int32_t last_rank;     ///< highest rank number seen
-    double mean_cost;      ///< moving average of the costs reported for
-                           ///< requests below the highest worth
+    double offered;        ///< decaying number of requests
+    double refused;        ///< of these
+    int64_t counted_us;
+    int32_t last_rank; ///< highest rank number seen
+    double mean_cost;  ///< moving average of the costs reported for
+                       ///< requests below the highest worth
 } entry_throttle_t;
 
 void entry_throttle_init(entry_throttle_t *throttle,
@@ -34,6 +37,8 @@
 uint32_t entry_throttle_pressure(const entry_throttle_t *throttle,
                                  uint64_t kind_hash);
 bool entry_throttle_refuses(entry_throttle_t *throttle, uint64_t kind_hash,
-                            int32_t worth, int32_t rank);
+                            int32_t worth, int32_t rank,
+                            double refusal_factor);
+uint32_t entry_throttle_refused_permille(const entry_throttle_t *throttle);
 
 #endif
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -282,6 +282,17 @@
     }
 }
 
+/// Returns the factor by which a request is refused more or less often than
+/// others when a service is scarce; see fair_shares.c.
+static double
+refusal_factor(const entry_t *entry, const incoming_request_t *incoming)
+{
+    return entry->options.usage_gate == NULL || incoming->workspace == NULL
+               ? 1
+               : usage_gate_refusal_factor(entry->options.usage_gate,
+                                           incoming->workspace->id);
+}
+
 /// Returns whether a request may start. Calls by the own upstream belong to
 /// requests that have started and are to be completed, so only the end of the
 /// process keeps them from starting: a call that outlasts it would be broken
@@ -306,7 +317,8 @@
     int32_t rank = is_ranked(entry, incoming) ? effective_rank(incoming) : 0;
     if (entry->options.throttle != NULL &&
         entry_throttle_refuses(entry->options.throttle, hash_kind(incoming),
-                               incoming->kind->worth, rank))
+                               incoming->kind->worth, rank,
+                               refusal_factor(entry, incoming)))
     {
         metric_increment(METRIC_CALLS_HELD_OFF_TOTAL);
         *reason = REASON_OVERLOADED;
--- a/src/ibisfield/config/control_codec.c
+++ b/src/ibisfield/config/control_codec.c
@@ -228,11 +228,12 @@
 static void
 put_shares(GByteArray *out, const GArray *shares)
 {
-    put_array(out, (size_t)shares->len * 2);
+    put_array(out, (size_t)shares->len * 3);
     for (guint i = 0; i < shares->len; i++) {
         const usage_share_t *share = &g_array_index(shares, usage_share_t, i);
         put_uint(out, share->workspace);
         put_uint(out, share->permille);
+        put_uint(out, share->refusal_factor);
     }
 }
 
@@ -281,6 +282,9 @@
     if (fields & FIELD_WEIGHT) {
         put_uint(out, message->weight);
     }
+    if (fields & FIELD_REFUSED) {
+        put_uint(out, message->refused_permille);
+    }
     if (fields & FIELD_COUNTS) {
         put_counts(out, message->counts);
     }
@@ -567,14 +571,16 @@
 read_shares(cbor_reader_t *reader, control_message_t *message)
 {
     size_t count = 0;
-    if (!read_array(reader, 2, CONTROL_WORKSPACES_MAX, &count)) {
+    if (!read_array(reader, 3, CONTROL_WORKSPACES_MAX, &count)) {
         return false;
     }
     for (size_t i = 0; i < count; i++) {
         usage_share_t share;
         if (!read_uint(reader, &share.workspace) ||
             !read_uint32(reader, &share.permille) ||
-            share.permille > USAGE_ADMIT_ALL)
+            share.permille > USAGE_ADMIT_ALL ||
+            !read_uint32(reader, &share.refusal_factor) ||
+            share.refusal_factor > USAGE_REFUSAL_MAX)
         {
             return false;
         }
@@ -604,6 +610,8 @@
             read_uint(reader, &message->removal_grace_ms)) &&
            (!(fields & FIELD_WEIGHT) ||
             read_uint32(reader, &message->weight)) &&
+           (!(fields & FIELD_REFUSED) ||
+            read_uint32(reader, &message->refused_permille)) &&
            (!(fields & FIELD_COUNTS) || read_counts(reader, message)) &&
            (!(fields & FIELD_SHARES) || read_shares(reader, message)) &&
            (!(fields & FIELD_ITEMS) || read_items(reader, message));
--- a/src/ibisfield/config/control_defs.h
+++ b/src/ibisfield/config/control_defs.h
@@ -51,8 +51,9 @@
     X(CHANGES, "changes", FOLLOW,                                             \
       FIELD_REVISION | FIELD_IS_SNAPSHOT | FIELD_REMOVAL_GRACE | FIELD_ITEMS) \
     X(CATCH_UP, "catch-up", FOLLOW, FIELD_REVISION)                           \
-    X(USAGE, "usage", USAGE, FIELD_WEIGHT | FIELD_COUNTS)                     \
-    X(USAGE_SUM, "usage-sum", USAGE, FIELD_WEIGHT | FIELD_COUNTS)             \
+    X(USAGE, "usage", USAGE, FIELD_WEIGHT | FIELD_REFUSED | FIELD_COUNTS)     \
+    X(USAGE_SUM, "usage-sum", USAGE,                                          \
+      FIELD_WEIGHT | FIELD_REFUSED | FIELD_COUNTS)                            \
     X(SHARES, "shares", USAGE, FIELD_SHARES)
 
 typedef enum {
@@ -80,6 +81,7 @@
     FIELD_WEIGHT = 1 << 12,
     FIELD_COUNTS = 1 << 13,
     FIELD_SHARES = 1 << 14,
+    FIELD_REFUSED = 1 << 15,
 } control_field_t;
 
 typedef struct {
@@ -119,12 +121,13 @@
     /// For how long removals aren't final, because records of live VMs may
     /// have expired at the source; 0: they are final. See published_list_t.
     uint64_t removal_grace_ms;
-    GArray *digests;  ///< group_digest_t
-    GArray *versions; ///< item_version_t
-    GArray *items;    ///< config_item_t
-    uint32_t weight;  ///< number of nodes that the report stands for
-    GArray *counts;   ///< usage_count_t
-    GArray *shares;   ///< usage_share_t
+    GArray *digests;           ///< group_digest_t
+    GArray *versions;          ///< item_version_t
+    GArray *items;             ///< config_item_t
+    uint32_t weight;           ///< number of nodes that the report stands for
+    uint32_t refused_permille; ///< of the requests, for want of room
+    GArray *counts;            ///< usage_count_t
+    GArray *shares;            ///< usage_share_t
     GStringChunk *arena;
 } control_message_t;
 
--- a/src/ibisfield/contract/explain.c
+++ b/src/ibisfield/contract/explain.c
@@ -6,6 +6,7 @@
 
 #include "ibisfield/call/call_defs.h"
 #include "ibisfield/contract/contract.h"
+#include "ibisfield/workspace/workspaces.h"
 
 static void
 explain_retries(const contract_t *contract, GString *out)
@@ -143,6 +144,31 @@
                     "worth.\n");
 }
 
+static void
+explain_workspace(const workspace_t *workspace, GString *out)
+{
+    g_string_append_printf(out, "\nworkspace %s\n", workspace->name);
+    append_row(out, "access keys",
+               "digests of access_keys; a request without one gets 401", "%u",
+               workspace->keys == NULL ? 0 : workspace->keys->len);
+    append_row(out, "rank",
+               "goes before the worth of kinds: its requests are shed before "
+               "those of lower ranks",
+               "%d", workspace->rank);
+    if (workspace->rate_per_s <= 0) {
+        append_row(out, "usage cap", "rate_per_s is 0", "none");
+        return;
+    }
+    append_row(out, "usage cap",
+               "rate_per_s, counted over all nodes; beyond it 429 usage-cap",
+               "%g per second", workspace->rate_per_s);
+    append_row(out, "burst", "beyond the rate, after a time without requests",
+               "%g requests", workspace->burst);
+    append_row(out, "fair share",
+               "rate_per_s: weight among workspaces when a service is scarce",
+               "weight %g", workspace->rate_per_s);
+}
+
 /// Appends the explanation of @p contract to @p out.
 void
 explain_contract(const contract_t *contract, GString *out)
@@ -157,5 +183,8 @@
     for (uint32_t i = 0; i < contract->kind_count; i++) {
         explain_kind(contract, &contract->kinds[i], out);
     }
+    for (uint32_t i = 0; i < contract->workspace_count; i++) {
+        explain_workspace(&contract->workspaces[i], out);
+    }
     explain_shedding(contract, out);
 }
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -537,7 +537,8 @@
     change_feed_init(&node->feed, &node->loop, settings, &node->vms,
                      &node->key_proof);
     usage_link_init(&node->usage_link, &node->loop, settings, &node->vms,
-                    &node->customers.workspaces, &node->usage_gate);
+                    &node->customers.workspaces, &node->usage_gate,
+                    &node->throttle);
 }
 
 static bool
--- a/src/ibisfield/io/usage_link.c
+++ b/src/ibisfield/io/usage_link.c
@@ -2,7 +2,8 @@
 /// Reports of usage to keepers, and their shares in return. The keeper of a
 /// data centre and that of the fleet are nodes chosen by rendezvous hashing
 /// over the published list, so nodes with equal lists choose the same without
-/// exchanging messages. No traffic passes while no workspace has a cap.
+/// exchanging messages. No
+/// traffic passes while there are no workspaces.
 
 #include "ibisfield/io/usage_link.h"
 
@@ -227,6 +228,18 @@
     control_message_clear(&message);
 }
 
+/// Returns which part of the requests is refused for want of room, at this
+/// node or at those that report to its keeper.
+static uint32_t
+refused_permille(const usage_channel_t *channel)
+{
+    const usage_link_t *link = channel->link;
+    return channel->level == USAGE_DATA_CENTRE
+               ? entry_throttle_refused_permille(link->throttle)
+               : usage_keeper_refused_permille(
+                     &link->keepers[USAGE_DATA_CENTRE]);
+}
+
 static void
 report_to_self(usage_channel_t *channel, uint32_t weight)
 {
@@ -235,6 +248,7 @@
     usage_report_t report = {
         .reporter = subset_name_hash(link->settings->vm),
         .weight = weight,
+        .refused_permille = refused_permille(channel),
         .counts = channel->counts,
     };
     GArray *shares = g_array_new(FALSE, FALSE, sizeof(usage_share_t));
@@ -275,6 +289,7 @@
                              : CONTROL_USAGE_SUM,
                          link->settings->vm);
     message.weight = weight;
+    message.refused_permille = refused_permille(channel);
     if (channel->counts->len > 0) {
         g_array_append_vals(message.counts, channel->counts->data,
                             channel->counts->len);
@@ -343,7 +358,7 @@
 tick(void *context)
 {
     usage_link_t *link = context;
-    if (link->has_caps) {
+    if (link->has_workspaces) {
         if (link->vms_changed) {
             choose_keepers(link);
         }
@@ -355,7 +370,8 @@
                       own->unreported->len > 0, usage_keeper_weight(own));
     }
     loop_timer_start(link->loop, &link->tick_timer,
-                     link->has_caps ? TICK_US : IDLE_TICK_US, tick, link);
+                     link->has_workspaces ? TICK_US : IDLE_TICK_US, tick,
+                     link);
 }
 
 static void
@@ -372,11 +388,11 @@
     }
 }
 
-/// Initialises the link. It sends nothing before a workspace has a cap.
+/// Initialises the link. It sends nothing before there is a workspace.
 void
 usage_link_init(usage_link_t *link, loop_t *loop, const settings_t *settings,
                 const vm_view_t *vms, const workspaces_t *workspaces,
-                usage_gate_t *gate)
+                usage_gate_t *gate, const entry_throttle_t *throttle)
 {
     *link = (usage_link_t){
         .loop = loop,
@@ -384,6 +400,7 @@
         .vms = vms,
         .workspaces = workspaces,
         .gate = gate,
+        .throttle = throttle,
         .nodes = 1,
     };
     for (int level = 0; level < USAGE_LEVELS; level++) {
@@ -424,17 +441,10 @@
 void
 usage_link_workspaces_changed(usage_link_t *link)
 {
-    bool had_caps = link->has_caps;
-    link->has_caps = false;
-    GHashTableIter iter;
-    void *pointer = NULL;
-    g_hash_table_iter_init(&iter, link->workspaces->by_id);
-    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
-        const workspace_entry_t *entry = pointer;
-        link->has_caps |= entry->workspace.rate_per_s > 0;
-    }
+    bool had_workspaces = link->has_workspaces;
+    link->has_workspaces = g_hash_table_size(link->workspaces->by_id) > 0;
     usage_gate_retain(link->gate, link->workspaces);
-    if (link->has_caps && !had_caps) {
+    if (link->has_workspaces && !had_workspaces) {
         loop_timer_stop(link->loop, &link->tick_timer);
         tick(link);
     }
@@ -478,6 +488,7 @@
         usage_report_t report = {
             .reporter = subset_name_hash(message.sender),
             .weight = message.weight,
+            .refused_permille = MIN(message.refused_permille, 1000),
             .counts = message.counts,
         };
         usage_keeper_report(&link->keepers[level], &caps, &report,
--- a/src/ibisfield/io/usage_link.h
+++ b/src/ibisfield/io/usage_link.h
@@ -3,6 +3,7 @@
 
 #include <json-c/json.h>
 
+#include "ibisfield/admission/entry_throttle.h"
 #include "ibisfield/config/vm_view.h"
 #include "ibisfield/contract/settings_defs.h"
 #include "ibisfield/io/http_client.h"
@@ -46,19 +47,21 @@
     const vm_view_t *vms;
     const workspaces_t *workspaces;
     usage_gate_t *gate;
+    const entry_throttle_t *throttle;
     usage_keeper_t keepers[USAGE_LEVELS];
     usage_channel_t channels[USAGE_LEVELS];
     uint32_t nodes;             ///< of the fleet
     uint32_t data_centre_nodes; ///< of the own data centre
     bool vms_changed;
-    bool has_caps;
+    bool has_workspaces;
     loop_timer_t tick_timer;
     log_limit_t log_limit;
 };
 
 void usage_link_init(usage_link_t *link, loop_t *loop,
                      const settings_t *settings, const vm_view_t *vms,
-                     const workspaces_t *workspaces, usage_gate_t *gate);
+                     const workspaces_t *workspaces, usage_gate_t *gate,
+                     const entry_throttle_t *throttle);
 void usage_link_finish(usage_link_t *link);
 void usage_link_vms_changed(usage_link_t *link);
 void usage_link_workspaces_changed(usage_link_t *link);
--- a/src/ibisfield/workspace/usage_gate.c
+++ b/src/ibisfield/workspace/usage_gate.c
@@ -20,6 +20,7 @@
     uint32_t offered; ///< not reported yet
     int32_t spent;    ///< not reported yet
     uint32_t permille;
+    uint32_t refusal_factor;
     double credit;     ///< of thinning: admits at 1
     double tokens;     ///< of the node's own part of the cap
     int64_t filled_us; ///< time to which the tokens are filled up
@@ -59,6 +60,7 @@
         entry = g_new0(gate_entry_t, 1);
         entry->workspace = workspace;
         entry->permille = USAGE_ADMIT_ALL;
+        entry->refusal_factor = USAGE_REFUSAL_MEAN;
         entry->filled_us = clock_now_us(gate->clock);
         g_hash_table_insert(gate->entries, &entry->workspace, entry);
     }
@@ -108,14 +110,14 @@
 bool
 usage_gate_admit(usage_gate_t *gate, const workspace_entry_t *workspace)
 {
-    if (workspace->workspace.rate_per_s <= 0) {
-        return true;
-    }
     gate_entry_t *entry = get_or_add(gate, workspace->id);
     entry->offered++;
-    bool admitted = usage_gate_is_informed(gate)
-                        ? take_shared_token(entry)
-                        : take_own_token(gate, entry, &workspace->workspace);
+    bool admitted = workspace->workspace.rate_per_s <= 0;
+    if (!admitted) {
+        admitted = usage_gate_is_informed(gate)
+                       ? take_shared_token(entry)
+                       : take_own_token(gate, entry, &workspace->workspace);
+    }
     entry->spent += admitted ? 1 : 0;
     return admitted;
 }
@@ -139,6 +141,17 @@
     return entry == NULL ? USAGE_ADMIT_ALL : entry->permille;
 }
 
+/// Returns the factor on the part of the workspace's requests that the
+/// throttle refuses: 1 unless a keeper has told the fair shares.
+double
+usage_gate_refusal_factor(const usage_gate_t *gate, uint64_t workspace)
+{
+    const gate_entry_t *entry = g_hash_table_lookup(gate->entries, &workspace);
+    return entry == NULL || !usage_gate_is_informed(gate)
+               ? 1
+               : (double)entry->refusal_factor / USAGE_REFUSAL_MEAN;
+}
+
 /// Returns after which time a request beyond the cap should come back: the
 /// more is refused, the later.
 int32_t
@@ -200,7 +213,8 @@
 }
 
 /// Puts the shares of a keeper (usage_share_t) in force. Of workspaces that it
-/// doesn't name, all requests are admitted.
+/// doesn't name, all requests are admitted, and when a service is scarce they
+/// are refused like the mean.
 void
 usage_gate_apply_shares(usage_gate_t *gate, const GArray *shares)
 {
@@ -208,12 +222,15 @@
     void *pointer = NULL;
     g_hash_table_iter_init(&iter, gate->entries);
     while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
-        ((gate_entry_t *)pointer)->permille = USAGE_ADMIT_ALL;
+        gate_entry_t *entry = pointer;
+        entry->permille = USAGE_ADMIT_ALL;
+        entry->refusal_factor = USAGE_REFUSAL_MEAN;
     }
     for (guint i = 0; i < shares->len; i++) {
         const usage_share_t *share = &g_array_index(shares, usage_share_t, i);
-        get_or_add(gate, share->workspace)->permille =
-            MIN(share->permille, USAGE_ADMIT_ALL);
+        gate_entry_t *entry = get_or_add(gate, share->workspace);
+        entry->permille = MIN(share->permille, USAGE_ADMIT_ALL);
+        entry->refusal_factor = MIN(share->refusal_factor, USAGE_REFUSAL_MAX);
     }
     gate->replied_us = clock_now_us(gate->clock);
 }
--- a/src/ibisfield/workspace/usage_gate.h
+++ b/src/ibisfield/workspace/usage_gate.h
@@ -24,6 +24,7 @@
 bool usage_gate_admit(usage_gate_t *gate, const workspace_entry_t *workspace);
 void usage_gate_return(usage_gate_t *gate, uint64_t workspace);
 int32_t usage_gate_retry_after_ms(usage_gate_t *gate, uint64_t workspace);
+double usage_gate_refusal_factor(const usage_gate_t *gate, uint64_t workspace);
 uint32_t usage_gate_permille(const usage_gate_t *gate, uint64_t workspace);
 bool usage_gate_is_informed(const usage_gate_t *gate);
 bool usage_gate_has_counts(const usage_gate_t *gate);
--- a/src/ibisfield/workspace/usage_keeper.c
+++ b/src/ibisfield/workspace/usage_keeper.c
@@ -13,12 +13,20 @@
 
 #include <math.h>
 
+#include "ibisfield/workspace/fair_shares.h"
+
 /// Nodes count for this long after their last report.
 #define REPORTER_TTL_US (1500 * US_PER_MS)
 /// Shares from above hold for this long.
 #define SHARES_ABOVE_TTL_US (600 * US_PER_MS)
 /// Time constant of the moving average of what callers offer.
 #define DEMAND_TIME_US (400 * US_PER_MS)
+/// The same for fair shares, which follow lasting demand and not the chance of
+/// single requests.
+#define FAIR_DEMAND_TIME_US (1500 * US_PER_MS)
+/// Below this fraction of refused requests nothing is scarce enough to be
+/// divided.
+#define REFUSED_PERMILLE_MIN 20
 /// What was used beyond the cap is made up for in this time.
 #define PAY_BACK_TIME_S 1.0
 /// What is left of the burst may be used in this time.
@@ -34,12 +42,14 @@
 typedef struct {
     uint64_t id;
     uint32_t weight;
+    uint32_t refused_permille;
     int64_t reported_us;
 } reporter_t;
 
 typedef struct {
     uint64_t id;
-    double demand_per_s; ///< moving average at demand_us
+    double demand_per_s;      ///< moving average at demand_us
+    double fair_demand_per_s; ///< the same over FAIR_DEMAND_TIME_US
     int64_t demand_us;
     double tokens; ///< left of the burst; below 0: used beyond the cap
     int64_t filled_us;
@@ -91,6 +101,7 @@
         g_hash_table_insert(keeper->reporters, &reporter->id, reporter);
     }
     reporter->weight = report->weight;
+    reporter->refused_permille = report->refused_permille;
     reporter->reported_us = clock_now_us(keeper->clock);
 }
 
@@ -123,6 +134,31 @@
     return usage->demand_per_s * exp(-MAX(age, 0));
 }
 
+static double
+fair_demand_per_s(const usage_t *usage, int64_t now_us)
+{
+    double age = (double)(now_us - usage->demand_us) / FAIR_DEMAND_TIME_US;
+    return usage->fair_demand_per_s * exp(-MAX(age, 0));
+}
+
+/// Returns which part of the requests the nodes that report here refuse for
+/// want of room, in thousandths.
+uint32_t
+usage_keeper_refused_permille(const usage_keeper_t *keeper)
+{
+    uint64_t sum = 0;
+    uint64_t weight = 0;
+    GHashTableIter iter;
+    void *pointer = NULL;
+    g_hash_table_iter_init(&iter, keeper->reporters);
+    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
+        const reporter_t *reporter = pointer;
+        sum += (uint64_t)reporter->weight * reporter->refused_permille;
+        weight += reporter->weight;
+    }
+    return weight == 0 ? 0 : (uint32_t)(sum / weight);
+}
+
 /// The part of a cap that a keeper gives out.
 typedef struct {
     double rate_per_s;
@@ -172,6 +208,9 @@
     }
     usage->demand_per_s = demand_per_s(usage, now_us) +
                           count->offered * (double)US_PER_S / DEMAND_TIME_US;
+    usage->fair_demand_per_s =
+        fair_demand_per_s(usage, now_us) +
+        count->offered * (double)US_PER_S / FAIR_DEMAND_TIME_US;
     usage->demand_us = now_us;
     usage->tokens -= count->spent;
     if (has_shares_above(keeper)) {
@@ -224,8 +263,38 @@
                     : (uint32_t)(USAGE_ADMIT_ALL * admitted / demand);
 }
 
+/// Sets the factors of the shares (of all workspaces, in the order of
+/// @p demands) by the fair shares of what isn't refused.
+static void
+set_refusal_factors(const usage_keeper_t *keeper, GArray *shares,
+                    GArray *demands)
+{
+    uint32_t refused_permille = usage_keeper_refused_permille(keeper);
+    if (refused_permille < REFUSED_PERMILLE_MIN) {
+        return;
+    }
+    double refused = refused_permille / 1000.0;
+    fair_demand_t *all = (fair_demand_t *)(void *)demands->data;
+    double total = 0;
+    for (guint i = 0; i < demands->len; i++) {
+        total += all[i].demand;
+    }
+    double level = fair_shares_level(all, demands->len, (1 - refused) * total);
+    for (guint i = 0; i < demands->len; i++) {
+        g_array_index(shares, usage_share_t, all[i].index).refusal_factor =
+            fair_shares_refusal_factor(&all[i], level, refused);
+    }
+}
+
+static bool
+is_default_share(const usage_share_t *share)
+{
+    return share->permille == USAGE_ADMIT_ALL &&
+           share->refusal_factor == USAGE_REFUSAL_MEAN;
+}
+
 /// Computes the shares of this keeper. Forgets workspaces that are idle or no
-/// longer capped.
+/// longer in force.
 static void
 compute_shares(usage_keeper_t *keeper, const usage_caps_t *caps)
 {
@@ -236,6 +305,8 @@
     }
     keeper->shares_us = now_us;
     g_array_set_size(keeper->shares, 0);
+    GArray *all = g_array_new(FALSE, FALSE, sizeof(usage_share_t));
+    GArray *demands = g_array_new(FALSE, FALSE, sizeof(fair_demand_t));
     double part =
         MIN((double)usage_keeper_weight(keeper) / MAX(caps->nodes, 1), 1);
     GHashTableIter iter;
@@ -245,23 +316,39 @@
         usage_t *usage = pointer;
         const workspace_entry_t *entry =
             workspaces_find(caps->workspaces, usage->id);
-        if (entry == NULL || entry->workspace.rate_per_s <= 0 ||
-            now_us - usage->demand_us >= IDLE_TTL_US)
-        {
+        if (entry == NULL || now_us - usage->demand_us >= IDLE_TTL_US) {
             g_hash_table_iter_remove(&iter);
             continue;
         }
-        allowance_t allowance = allowance_of(caps, &entry->workspace, part);
+        const workspace_t *cap = &entry->workspace;
+        bool capped = cap->rate_per_s > 0;
+        allowance_t allowance = allowance_of(caps, cap, part);
         fill_tokens(usage, &allowance, now_us);
         usage_share_t share = {
             .workspace = usage->id,
-            .permille = admitted_permille(keeper, usage, &entry->workspace,
-                                          &allowance, now_us),
+            .permille = capped ? admitted_permille(keeper, usage, cap,
+                                                   &allowance, now_us)
+                               : USAGE_ADMIT_ALL,
+            .refusal_factor = USAGE_REFUSAL_MEAN,
         };
-        if (share.permille < USAGE_ADMIT_ALL) {
-            g_array_append_val(keeper->shares, share);
+        double demand = fair_demand_per_s(usage, now_us);
+        fair_demand_t fair = {
+            .demand = capped ? MIN(demand, allowance.rate_per_s) : demand,
+            .weight = capped ? cap->rate_per_s : 1,
+            .index = all->len,
+        };
+        g_array_append_val(all, share);
+        g_array_append_val(demands, fair);
+    }
+    set_refusal_factors(keeper, all, demands);
+    for (guint i = 0; i < all->len; i++) {
+        const usage_share_t *share = &g_array_index(all, usage_share_t, i);
+        if (!is_default_share(share)) {
+            g_array_append_vals(keeper->shares, share, 1);
         }
     }
+    g_array_free(all, TRUE);
+    g_array_free(demands, TRUE);
 }
 
 /// Records a report and appends the shares (usage_share_t) that hold for its
@@ -282,11 +369,11 @@
             }
         }
     }
-    compute_shares(keeper, caps);
-    int64_t above_age_us = clock_now_us(keeper->clock) - keeper->above_us;
-    bool has_above =
-        keeper->above_us != 0 && above_age_us < SHARES_ABOVE_TTL_US;
-    const GArray *chosen = has_above ? keeper->shares_above : keeper->shares;
+    const GArray *chosen = keeper->shares_above;
+    if (!has_shares_above(keeper)) {
+        compute_shares(keeper, caps);
+        chosen = keeper->shares;
+    }
     if (chosen->len > 0) {
         g_array_append_vals(shares, chosen->data, chosen->len);
     }
--- a/src/ibisfield/workspace/usage_keeper.h
+++ b/src/ibisfield/workspace/usage_keeper.h
@@ -36,7 +36,8 @@
 typedef struct {
     uint64_t reporter;
     uint32_t weight;
-    const GArray *counts; ///< usage_count_t
+    uint32_t refused_permille; ///< of the requests, for want of room
+    const GArray *counts;      ///< usage_count_t
 } usage_report_t;
 
 /// Fleet and caps by which a keeper decides.
@@ -56,6 +57,7 @@
 void usage_keeper_report(usage_keeper_t *keeper, const usage_caps_t *caps,
                          const usage_report_t *report, GArray *shares);
 uint32_t usage_keeper_weight(usage_keeper_t *keeper);
+uint32_t usage_keeper_refused_permille(const usage_keeper_t *keeper);
 void usage_keeper_take_counts(usage_keeper_t *keeper, GArray *counts);
 void usage_keeper_restore_counts(usage_keeper_t *keeper, const GArray *counts);
 void usage_keeper_apply_shares(usage_keeper_t *keeper, const GArray *shares);
--- a/test/unit/test_entry_throttle.c
+++ b/test/unit/test_entry_throttle.c
@@ -103,8 +103,9 @@
 start_root(simulation_t *sim, int kind)
 {
     sim->offered[kind]++;
-    if (sim->throttled && entry_throttle_refuses(
-                              &sim->throttle, (uint64_t)kind, worths[kind], 0))
+    if (sim->throttled &&
+        entry_throttle_refuses(&sim->throttle, (uint64_t)kind, worths[kind], 0,
+                               1))
     {
         sim->throttled_at_entry[kind]++;
         return;
@@ -216,7 +217,7 @@
     manual_clock_init(&clock, 100 * US_PER_S);
     entry_throttle_t throttle;
     entry_throttle_init(&throttle, &clock.base, 1);
-    CU_ASSERT_FALSE(entry_throttle_refuses(&throttle, 1, 100, 0));
+    CU_ASSERT_FALSE(entry_throttle_refuses(&throttle, 1, 100, 0, 1));
     for (int i = 0; i < 50; i++) {
         entry_throttle_record(
             &throttle, 2, 50,
@@ -224,14 +225,14 @@
     }
     int refused = 0;
     for (int i = 0; i < 1000; i++) {
-        refused += entry_throttle_refuses(&throttle, 2, 50, 0) ? 1 : 0;
+        refused += entry_throttle_refuses(&throttle, 2, 50, 0, 1) ? 1 : 0;
     }
     CU_ASSERT_TRUE(refused > 800);
     CU_ASSERT_TRUE(refused < 1000);
     manual_clock_advance(&clock, 10 * US_PER_S);
     refused = 0;
     for (int i = 0; i < 1000; i++) {
-        refused += entry_throttle_refuses(&throttle, 2, 50, 0) ? 1 : 0;
+        refused += entry_throttle_refuses(&throttle, 2, 50, 0, 1) ? 1 : 0;
     }
     CU_ASSERT_TRUE(refused < 5);
     entry_throttle_finish(&throttle);
@@ -248,7 +249,7 @@
     manual_clock_init(&clock, 100 * US_PER_S);
     entry_throttle_t throttle;
     entry_throttle_init(&throttle, &clock.base, 1);
-    entry_throttle_refuses(&throttle, 3, 100, 0);
+    entry_throttle_refuses(&throttle, 3, 100, 0, 1);
     for (int i = 0; i < 400; i++) {
         bool expensive = i % 5 == 0;
         entry_throttle_record(
@@ -259,9 +260,9 @@
     int refused[3] = {0};
     for (int i = 0; i < 1000; i++) {
         refused[CHEAP] +=
-            entry_throttle_refuses(&throttle, CHEAP, 50, 0) ? 1 : 0;
+            entry_throttle_refuses(&throttle, CHEAP, 50, 0, 1) ? 1 : 0;
         refused[EXPENSIVE] +=
-            entry_throttle_refuses(&throttle, EXPENSIVE, 50, 0) ? 1 : 0;
+            entry_throttle_refuses(&throttle, EXPENSIVE, 50, 0, 1) ? 1 : 0;
     }
     CU_ASSERT_TRUE(refused[CHEAP] < 350);
     CU_ASSERT_TRUE(refused[EXPENSIVE] > 550);
