Let full guards send requests elsewhere, and weigh the slots in use

Cause: the sender's choice rests on loads that are as old as the last response of each VM, and many senders choose at once. Its expected time knew queues and its own few attempts, not the slots that others use. So requests waited at one VM while another of its service had free slots.

Change: an attempt for which the sender knows another usable VM is refused as not run by a guard where it would wait, before its server sees it; the response brings a fresh load. After two refusals it waits at the better of the two. The expected time rises with the slots in use, discounted by the report's age. Nothing more is sent to servers, no repeat is counted.

--- a/src/ibisfield/admission/admission.c
+++ b/src/ibisfield/admission/admission.c
@@ -331,8 +331,9 @@
     return admission->kind_count++;
 }
 
-static bool
-can_start_immediately(const admission_t *admission, uint32_t kind)
+/// Returns whether a new request of the kind would run without waiting.
+bool
+admission_starts_at_once(const admission_t *admission, uint32_t kind)
 {
     bool long_kind = is_long(admission, kind);
     return is_below_limit(admission, long_kind) &&
@@ -361,7 +362,7 @@
     if (now_us > end_start_us) {
         return ADMISSION_REFUSED_ENDING;
     }
-    if (can_start_immediately(admission, request->kind)) {
+    if (admission_starts_at_once(admission, request->kind)) {
         record_start(admission, request->kind, worth);
         return ADMISSION_RUN;
     }
--- a/src/ibisfield/admission/admission.h
+++ b/src/ibisfield/admission/admission.h
@@ -121,6 +121,7 @@
 uint32_t admission_pressure(const admission_t *admission);
 uint32_t admission_cost(const admission_t *admission, int64_t service_us);
 guard_load_t admission_load(const admission_t *admission);
+bool admission_starts_at_once(const admission_t *admission, uint32_t kind);
 bool admission_ends_within(const admission_t *admission, uint32_t kind,
                            int32_t worth, int64_t time_us);
 int32_t admission_retry_after_ms(admission_t *admission);
--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -30,6 +30,8 @@
       "Age of the proof that no access key was taken away unnoticed.")        \
     X(CALLS_BEYOND_CAP_TOTAL, "ibisfield_calls_beyond_cap_total", "counter",  \
       "Requests refused because their workspace is beyond its usage cap.")    \
+    X(CALLS_REDIRECTED_TOTAL, "ibisfield_calls_redirected_total", "counter",  \
+      "Attempts that a full VM refused so that another one was chosen.")      \
     X(CALLS_TOTAL, "ibisfield_calls_total", "counter",                        \
       "Caller and upstream requests accepted by the entry.")                  \
     X(CALLS_ANSWERED_TOTAL, "ibisfield_calls_answered_total", "counter",      \
--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -35,6 +35,7 @@
     X(UPSTREAM_FAILED, "upstream-failed", 502)                                \
     X(ANSWER_TOO_LARGE, "answer-too-large", 502)                              \
     X(OVERLOADED, "overloaded", 503)                                          \
+    X(BUSY, "busy", 503)                                                      \
     X(UPSTREAM_SHED, "upstream-shed", 503)                                    \
     X(WRONG_INSTANCE, "wrong-instance", 503)                                  \
     X(LEAVING, "leaving", 503)                                                \
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -79,6 +79,8 @@
     int64_t response_timeout_us; ///< how long the adapter waits for the
                                  ///< response; longer than the budget when
                                  ///< the request carries a key
+    bool may_redirect; ///< another VM may take it at once: the guard refuses
+                       ///< it instead of letting it wait
     bool must_end; ///< the guard refuses it unless it is known to end within
                    ///< run_us, because this process ends
     uint32_t retry_tokens; ///< granted to the attempt
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -9,6 +9,9 @@
 /// HTTP status of a response that reports that the time for the request has
 /// run out. This doesn't count as a failure of the VM.
 #define STATUS_GATEWAY_TIMEOUT 504
+/// Attempts that a guard may refuse for another VM to be chosen. The next one
+/// waits where it arrives.
+#define REDIRECTS_MAX 2
 /// Mean Retry-After of refusals for which the guard gave none.
 #define MEAN_RETRY_AFTER_MS 1000
 
@@ -29,6 +32,7 @@
     case REASON_IN_PROGRESS:
     case REASON_CUSTOMER_RETRY_BUDGET:
     case REASON_OVERLOADED:
+    case REASON_BUSY:
     case REASON_UPSTREAM_SHED:
     case REASON_WRONG_INSTANCE:
     case REASON_LEAVING:
@@ -184,6 +188,15 @@
         tried[i] = call->attempts[i].vm;
     }
     picker_t *picker = entry->options.picker;
+    if (call->attempt_count == REDIRECTS_MAX && call->reason == REASON_BUSY &&
+        !call->may_have_run)
+    {
+        *vm = picker_pick_among(picker, call->kind_hash, tried,
+                                call->attempt_count);
+        if (*vm != VM_NONE) {
+            return PICK_OK;
+        }
+    }
     pick_result_t pick =
         picker_pick(picker, call->service, call->kind_hash, call->worth, tried,
                     call->attempt_count, vm);
@@ -197,10 +210,41 @@
     return pick;
 }
 
+static uint32_t
+running_attempts(const entry_call_t *call)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < call->attempt_count; i++) {
+        count += call->attempts[i].running;
+    }
+    return count;
+}
+
+/// Returns whether the guard of the VM may refuse the next attempt so that
+/// another VM is chosen. Not with context propagation, where each attempt
+/// costs a retry token, and not behind an attempt that may have run.
+static bool
+may_choose_again(const entry_t *entry, const entry_call_t *call,
+                 vm_handle_t vm)
+{
+    if (!entry->options.no_context_propagation || call->may_have_run ||
+        call->attempt_count >= REDIRECTS_MAX || running_attempts(call) > 0)
+    {
+        return false;
+    }
+    vm_handle_t tried[REDIRECTS_MAX];
+    for (uint32_t i = 0; i < call->attempt_count; i++) {
+        tried[i] = call->attempts[i].vm;
+    }
+    return picker_may_choose_again(entry->options.picker, call->service, tried,
+                                   call->attempt_count, vm);
+}
+
 static void
 send_attempt(entry_t *entry, entry_call_t *call, vm_handle_t vm)
 {
     int64_t now_us = clock_now_us(entry->options.clock);
+    bool may_redirect = may_choose_again(entry, call, vm);
     entry_attempt_t *attempt = &call->attempts[call->attempt_count];
     *attempt = (entry_attempt_t){
         .number = call->attempt_count + 1,
@@ -219,6 +263,7 @@
         .budget_us = call->deadline_us - now_us,
         .run_us = MIN(call->deadline_us, serving_end_at(&entry->end, now_us)) -
                   now_us,
+        .may_redirect = may_redirect,
         .must_end = entry_check_end(entry, call->kind_hash,
                                     call->deadline_us) == SERVING_END_UNKNOWN,
         .response_timeout_us = call->wait_end_us - now_us,
@@ -231,16 +276,6 @@
                                     call->user, attempt->number, vm, &info);
 }
 
-static uint32_t
-running_attempts(const entry_call_t *call)
-{
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < call->attempt_count; i++) {
-        count += call->attempts[i].running;
-    }
-    return count;
-}
-
 /// Returns the time since an attempt was sent, or 0 if the clock was stepped
 /// back meanwhile.
 static int64_t
@@ -529,6 +564,8 @@
     case REASON_NO_UPSTREAM:
     case REASON_WRONG_INSTANCE:
         return REPORT_UNREACHABLE;
+    case REASON_BUSY:
+        return REPORT_BUSY;
     case REASON_UPSTREAM_SHED:
         return REPORT_SHED;
     default:
@@ -681,6 +718,9 @@
     }
     call->may_have_run |= result->type == ATTEMPT_LOST;
     call->reason = attempt_reason(result);
+    if (call->reason == REASON_BUSY) {
+        metric_increment(METRIC_CALLS_REDIRECTED_TOTAL);
+    }
     call->retry_after_ms = result->retry_after_ms;
     if (running_attempts(call) > 0 ||
         (may_retry(call, result) &&
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -111,7 +111,8 @@
 {
     return reason == REASON_WRONG_INSTANCE || reason == REASON_OVERLOADED ||
            reason == REASON_UPSTREAM_SHED || reason == REASON_LEAVING ||
-           reason == REASON_NO_UPSTREAM || reason == REASON_DEADLINE;
+           reason == REASON_BUSY || reason == REASON_NO_UPSTREAM ||
+           reason == REASON_DEADLINE;
 }
 
 static void
@@ -308,6 +309,12 @@
         return 0;
     }
     call_handle_t handle = added->handle;
+    if (request->may_redirect &&
+        !admission_starts_at_once(&guard->admission, added->kind_index))
+    {
+        end_request(guard, added, REASON_BUSY, OUTCOME_NOT_RUN);
+        return 0;
+    }
     // The sender's process ends and it hasn't timed the kind itself.
     if (request->must_end &&
         !admission_ends_within(&guard->admission, added->kind_index,
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -17,6 +17,7 @@
     int64_t budget_us;     ///< time left until the deadline, at arrival
     int64_t run_us;        ///< time in which the upstream has to respond, at
                            ///< arrival; 0: as long as the budget
+    bool may_redirect;     ///< refuse it instead of letting it wait
     bool must_end;         ///< run only if it is known to end within run_us
     uint32_t retry_tokens; ///< granted to this attempt
     bool at_most_once;     ///< not cancelled once it runs
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -473,6 +473,9 @@
     if (info->run_us < info->budget_us) {
         message_add_number(message, HEADER_RUN_US, info->run_us);
     }
+    if (info->may_redirect) {
+        message_add_string(message, HEADER_MAY_REDIRECT, "1");
+    }
     if (info->must_end) {
         message_add_string(message, HEADER_MUST_END, "1");
     }
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -32,6 +32,7 @@
 #define HEADER_RUN_US "ibisfield-run-us"
 #define HEADER_ACCESS_KEY "ibisfield-access-key"
 #define HEADER_WORKSPACE "ibisfield-workspace"
+#define HEADER_MAY_REDIRECT "ibisfield-may-redirect"
 #define HEADER_MUST_END "ibisfield-must-end"
 /// Id of the request context that an upstream's calls belong to.
 #define HEADER_REQUEST "ibisfield-request"
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -267,6 +267,8 @@
                               G_MAXINT32 * US_PER_MS, &out->budget_us);
     parse_number(http_request_header(request, HEADER_RUN_US),
                  G_MAXINT32 * US_PER_MS, &out->run_us);
+    out->may_redirect =
+        http_request_header(request, HEADER_MAY_REDIRECT).data != NULL;
     out->must_end = out->run_us > 0 &&
                     http_request_header(request, HEADER_MUST_END).data != NULL;
     int64_t remaining = 0;
--- a/src/ibisfield/routing/picker.c
+++ b/src/ibisfield/routing/picker.c
@@ -65,6 +65,10 @@
 /// LOCAL_EXTRA_TIME_MAX_US.
 #define LOCAL_TIME_RATIO_MAX 2.0
 #define LOCAL_EXTRA_TIME_MAX_US (20.0 * US_PER_MS)
+/// A VM with less than this fraction of its slots in use counts as free.
+#define FULLNESS_FREE 0.6
+/// Its expected time is multiplied by 1 plus this when it is full.
+#define FULLNESS_WEIGHT 4.0
 /// How long a service counts as overloaded after a refusal.
 #define OVERLOAD_TTL_US (500 * US_PER_MS)
 /// A probe succeeds if it takes at most this many mean latencies of its kind.
@@ -289,6 +293,26 @@
     fraction->updated_us = now_us;
 }
 
+/// Returns a factor on the expected time of a VM by how many of its slots were
+/// in use when it last reported; 1 while that is few, or the report is old.
+/// The number of outstanding attempts of one node alone says little about a VM
+/// that many nodes use.
+static double
+fullness_factor(const picker_t *picker, const vm_record_t *record)
+{
+    int64_t now_us = clock_now_us(picker->clock);
+    if (!is_enabled(picker, PICKER_FEATURE_FULLNESS) ||
+        now_us >= record->load_expires_us || record->load.limit == 0)
+    {
+        return 1;
+    }
+    double freshness =
+        (double)(record->load_expires_us - now_us) / LOAD_REPORT_TTL_US;
+    double in_use = (double)record->load.in_flight / record->load.limit;
+    double above = MAX(in_use - FULLNESS_FREE, 0) / (1 - FULLNESS_FREE);
+    return 1 + freshness * FULLNESS_WEIGHT * above * above;
+}
+
 /// Returns the expected response time of the VM for a kind whose mean latency
 /// is @p latency_us.
 static double
@@ -315,7 +339,7 @@
         1 + record->health.outstanding / (overloaded ? 1.0 : limit);
     double processing_us =
         latency_us * vm_health_slowness(&record->health, now_us) *
-        load_factor *
+        load_factor * fullness_factor(picker, record) *
         (1 + SHED_PENALTY * fraction_get(&record->shed_fraction, now_us));
     if (is_enabled(picker, PICKER_FEATURE_SLOW_START)) {
         processing_us *= vm_health_slow_start_factor(&record->health, now_us);
@@ -703,6 +727,37 @@
     return PICK_OK;
 }
 
+/// Chooses the VM of lowest expected time among those that have just refused a
+/// request because it would have to wait there, and counts the attempt as
+/// outstanding. Their loads are known; that of another VM may be old, and one
+/// that looks free by an old report would get the requests of all senders.
+/// Returns VM_NONE if none of them is listed any more.
+vm_handle_t
+picker_pick_among(picker_t *picker, uint64_t kind, const vm_handle_t *vms,
+                  uint32_t count)
+{
+    double latency_us = kind_latency_mean_us(picker->latencies, kind);
+    if (latency_us == 0) {
+        latency_us = DEFAULT_LATENCY_US;
+    }
+    vm_handle_t best = VM_NONE;
+    for (uint32_t i = 0; i < count; i++) {
+        const vm_record_t *record = find_vm(picker, vms[i]);
+        if (record == NULL || record->draining) {
+            continue;
+        }
+        if (best == VM_NONE || expected_time(picker, vms[i], latency_us) <
+                                   expected_time(picker, best, latency_us))
+        {
+            best = vms[i];
+        }
+    }
+    if (best != VM_NONE) {
+        record_pick(picker, best, latency_us);
+    }
+    return best;
+}
+
 /// Returns whether any VM of the service refused a request for overload
 /// lately. Latencies then reflect the queues, and ejecting a VM would add to
 /// the overload of the others.
@@ -826,6 +881,7 @@
         vm_health_record_failure(&record->health);
         break;
     case REPORT_SHED:
+    case REPORT_BUSY:
         break;
     case REPORT_UNREACHABLE:
         record->unreachable_until_us = now_us + UNREACHABLE_TTL_US;
@@ -909,6 +965,52 @@
     eject_if_unhealthy(picker, record);
 }
 
+/// Returns whether a VM may have a free slot. Its last report isn't asked: it
+/// is old when it matters, and a guard that is full says so.
+static bool
+may_have_room(const picker_t *picker, const vm_record_t *record)
+{
+    int64_t now_us = clock_now_us(picker->clock);
+    if (record->draining || record->health.ejected ||
+        now_us < record->unreachable_until_us ||
+        now_us < record->reported_draining_until_us ||
+        vm_health_is_overloaded(&record->health, now_us))
+    {
+        return false;
+    }
+    double limit = record->load.limit > 0 ? record->load.limit : DEFAULT_LIMIT;
+    return record->health.outstanding < limit;
+}
+
+/// Returns whether an attempt at @p vm may be refused if it would have to wait
+/// there, because another untried VM may take it at once. An old report makes
+/// a VM everybody's choice or nobody's; the guard knows better, and a refusal
+/// by it costs one hop.
+bool
+picker_may_choose_again(const picker_t *picker, const char *service_name,
+                        const vm_handle_t *tried, uint32_t tried_count,
+                        vm_handle_t vm)
+{
+    const service_record_t *service =
+        g_hash_table_lookup(picker->services, service_name);
+    if (service == NULL || !is_enabled(picker, PICKER_FEATURE_REDIRECTS) ||
+        is_overloaded(service, clock_now_us(picker->clock)))
+    {
+        return false;
+    }
+    for (guint i = 0; i < service->subset->len; i++) {
+        vm_handle_t other = g_array_index(service->subset, vm_handle_t, i);
+        const vm_record_t *record = find_vm(picker, other);
+        if (other != vm && record != NULL &&
+            !was_tried(other, tried, tried_count) &&
+            may_have_room(picker, record))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Returns the highest pressure that a VM of the service reported lately, in
 /// thousandths. It is for requests that are refused at this sender: they never
 /// reach a guard, so no response reports the pressure.
--- a/src/ibisfield/routing/picker.h
+++ b/src/ibisfield/routing/picker.h
@@ -32,6 +32,8 @@
     PICKER_FEATURE_SLOW_START = 16, ///< fewer attempts at new VMs
     PICKER_FEATURE_LOCAL_ROOM = 32, ///< preference for VMs of the own data
                                     ///< centre that have room
+    PICKER_FEATURE_REDIRECTS = 64,  ///< refusals by guards that would queue
+    PICKER_FEATURE_FULLNESS = 128,  ///< expected time by the slots in use
 } picker_feature_t;
 
 /// State of a VM after it was taken out of use, because it is ejected or
@@ -80,6 +82,8 @@
     REPORT_SHED,        ///< not run: the guard admitted it, but the upstream
                         ///< shed it
     REPORT_REFUSED,     ///< not run: the guard is overloaded
+    REPORT_BUSY,        ///< not run: it would have had to wait there, and was
+                        ///< sent so that another VM could be chosen
     REPORT_DRAINING,    ///< not run: the VM is draining
     REPORT_FAILED,      ///< response lost, or the upstream failed
     REPORT_UNREACHABLE, ///< no connection; nothing was sent
@@ -114,6 +118,11 @@
 void picker_report(picker_t *picker, vm_handle_t vm, uint64_t kind,
                    attempt_report_t report, int64_t latency_us,
                    const guard_load_t *load);
+vm_handle_t picker_pick_among(picker_t *picker, uint64_t kind,
+                              const vm_handle_t *vms, uint32_t count);
+bool picker_may_choose_again(const picker_t *picker, const char *service,
+                             const vm_handle_t *tried, uint32_t tried_count,
+                             vm_handle_t vm);
 uint32_t picker_pressure(const picker_t *picker, const char *service);
 int64_t picker_latency_bound_us(const picker_t *picker, uint64_t kind);
 int64_t picker_latency_upper_us(const picker_t *picker, uint64_t kind);
--- a/test/unit/test_entry_unkeyed.c
+++ b/test/unit/test_entry_unkeyed.c
@@ -501,6 +501,35 @@
     stop();
 }
 
+/// Guards against a request that waits at a full VM while others have room,
+/// one that is refused although it could wait, and guards' refusals for
+/// another choice that count as overload or as retries.
+static void
+test_full_vm_is_exchanged_for_another(void)
+{
+    start();
+    request(BOOKING, 0);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 1);
+    CU_ASSERT_TRUE(sent[0].info.may_redirect);
+    finish_attempt(0, ATTEMPT_REFUSED, REASON_BUSY, 503);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 2);
+    CU_ASSERT_TRUE(sent[1].info.may_redirect);
+    CU_ASSERT_FALSE(sent[1].info.is_retry);
+    finish_attempt(1, ATTEMPT_REFUSED, REASON_BUSY, 503);
+    // The third attempt waits at one of those whose load is known.
+    CU_ASSERT_EQUAL_FATAL(sent_count, 3);
+    CU_ASSERT_FALSE(sent[2].info.may_redirect);
+    CU_ASSERT_EQUAL(response_count, 0);
+    finish_attempt(2, ATTEMPT_ANSWERED, REASON_NONE, 200);
+    CU_ASSERT_EQUAL(last_response.outcome, OUTCOME_ANSWERED);
+    // An overloaded service isn't asked twice for each request.
+    request(BOOKING, 0);
+    finish_attempt(3, ATTEMPT_REFUSED, REASON_OVERLOADED, 503);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 5);
+    CU_ASSERT_FALSE(sent[4].info.may_redirect);
+    stop();
+}
+
 int
 main(void)
 {
@@ -517,6 +546,7 @@
         {"calls that end in time", test_calls_that_end_in_time_are_accepted},
         {"calls under way", test_calls_under_way_show_how_long_others_take},
         {"late calls need a proof", test_late_calls_need_a_proof},
+        {"full VM", test_full_vm_is_exchanged_for_another},
         {"late repeats", test_no_repeat_outlasts_the_process},
         {"timeouts", test_timeouts_and_disconnected_callers},
         CU_TEST_INFO_NULL,
--- a/test/unit/test_guard.c
+++ b/test/unit/test_guard.c
@@ -294,6 +294,33 @@
     stop_guard();
 }
 
+/// Guards against a request that waits although its sender may choose another
+/// VM, and against refusing it while there is a free slot.
+static void
+test_full_guard_lets_the_sender_choose_again(void)
+{
+    start_guard(1, 4);
+    guard_request_t incoming = {
+        .customer = SLICE_LITERAL("c"),
+        .kind = SLICE_LITERAL("k"),
+        .budget_us = US_PER_S,
+        .may_redirect = true,
+        .user = &senders[0],
+    };
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &incoming), 0);
+    CU_ASSERT_EQUAL(senders[0].start_count, 1);
+    incoming.user = &senders[1];
+    CU_ASSERT_EQUAL(guard_request(&guard, &incoming), 0);
+    CU_ASSERT_EQUAL(senders[1].response.reason, REASON_BUSY);
+    CU_ASSERT_EQUAL(senders[1].response.outcome, OUTCOME_NOT_RUN);
+    CU_ASSERT_EQUAL(senders[1].response.load.in_flight, 1);
+    incoming.may_redirect = false;
+    incoming.user = &senders[2];
+    CU_ASSERT_NOT_EQUAL(guard_request(&guard, &incoming), 0);
+    CU_ASSERT_EQUAL(senders[2].response_count, 0);
+    stop_guard();
+}
+
 /// Guards against running a request of a kind that was never timed, or that
 /// takes too long, for a sender that ends soon (review/4).
 static void
@@ -491,6 +518,7 @@
          test_queued_requests_start_before_the_end_or_not_at_all},
         {"after the end", test_no_start_after_the_end},
         {"time to run", test_time_to_run_is_limited_by_the_end},
+        {"full guard", test_full_guard_lets_the_sender_choose_again},
         {"request that must end",
          test_request_that_must_end_needs_a_timed_kind},
         {"in time", test_requests_that_end_in_time_are_accepted},
