Teach the soak access keys of workspaces and their proofs

Cause: the soak's fleets knew no workspaces, so keys, their proofs and the keepers of caps never ran beside cuts, pauses and killed nodes.

Change: all clients of the soak belong to a workspace with a cap that they don't reach and send its key; one request in some has the key of no workspace. A run of such a request, or a 401 for a key that was never taken away, counts as a fault. Caps that bind are played by test_usage instead, which has no scheduling in it.

--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -18,6 +18,8 @@
 
 store_site_t site;
 const char *site_extra_settings = "";
+const char *site_tenants = NULL;
+const char *site_access_key = NULL;
 static const char standin_upstream[] =
     IBISFIELD_BUILD_DIR "/test/standin_upstream";
 
@@ -73,7 +75,7 @@
 void
 put_desired_state(int version, const char *extra)
 {
-    put_desired_state_with_tenants(version, extra, NULL);
+    put_desired_state_with_tenants(version, extra, site_tenants);
 }
 
 /// The same with a list of tenants (JSON); NULL: none. An extra route is then
@@ -307,10 +309,12 @@
 request_via_node(int machine, const char *method, const char *path,
                  const char *id)
 {
-    char *headers = g_strdup_printf("host: site.example\nx-request-id: %s\n"
-                                    "x-deadline-ms: 4000\n"
-                                    "x-caller-service: forged",
-                                    id);
+    char *headers =
+        g_strdup_printf("host: site.example\nx-request-id: %s\n"
+                        "x-deadline-ms: 4000\n"
+                        "x-caller-service: forged%s%s",
+                        id, site_access_key == NULL ? "" : "\nx-credential: ",
+                        site_access_key == NULL ? "" : site_access_key);
     text_response_t response =
         http_call(site.machines[machine].address, PORT_CALLER, method, path,
                   headers, "");
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -37,6 +37,10 @@
 extern store_site_t site;
 /// Appended to the settings of nodes that are started from now on.
 extern const char *site_extra_settings;
+/// Tenants (JSON) of desired states that name none themselves, and the key
+/// that request_via_node() sends; NULL: none.
+extern const char *site_tenants;
+extern const char *site_access_key;
 
 void start_site(int machines);
 void start_site_with_addresses(int machines,
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -40,6 +40,10 @@
 #define STOP_LIMIT_US ((gint64)7 * G_USEC_PER_SEC)
 /// Attempts of one request, as max_attempts of the routes allows.
 #define ATTEMPTS_MAX 2
+/// The workspace of all clients, with a cap that they don't reach.
+#define SOAK_TENANTS                                                          \
+    "[{\"name\":\"" SOAK_WORKSPACE "\",\"api_keys\":[\"" SOAK_ACCESS_KEY      \
+    "\"],\"priority\":1,\"rate_per_s\":100000,\"burst\":100000}]"
 /// Prefix of the ids of requests that check the recovery.
 #define RECOVERY_ID_PREFIX "recovery-"
 /// Time after its deadline by which a response of a running node may arrive.
@@ -572,7 +576,12 @@
             request->id, request->machine,
             request->reused ? " (reused connection)" : "");
     }
-    if (request->status == 400 || request->status == 404) {
+    if (request->wrong_key && runs > 0) {
+        report_violation("%s ran with a key of no workspace", request->id);
+    }
+    if (request->status == 400 || request->status == 404 ||
+        (request->status == 401 && !request->wrong_key))
+    {
         report_violation("%s to machine %d got status %d", request->id,
                          request->machine, request->status);
     }
@@ -730,6 +739,8 @@
     fault_proxy_init(&soak.proxy);
     start_site_with_addresses(soak.machines, publish_proxy_address);
     fault_proxy_start(&soak.proxy);
+    site_tenants = SOAK_TENANTS;
+    site_access_key = SOAK_ACCESS_KEY;
     publish_site();
     draw_faults();
     soak.start_us = g_get_monotonic_time();
--- a/test/soak/soak_client.c
+++ b/test/soak/soak_client.c
@@ -20,6 +20,8 @@
 #define STANDIN_TIMEOUT_MS 500
 #define REQUEST_GAP_MAX_US 20000
 /// One in this many requests is a booking.
+/// One request in this many has an access key of no workspace.
+#define WRONG_KEY_ONE_IN 24
 #define BOOKING_ONE_IN 3
 /// One in this many requests opens a new connection, and one in this many
 /// changes the machine. Either does both: it connects to a random machine.
@@ -147,7 +149,8 @@
     }
     if (request->status == 200 &&
         (!g_str_has_prefix(body, body_start) || strchr(body, '}') == NULL ||
-         strcasestr(client->response, "x-server-seal:") == NULL))
+         strcasestr(client->response, "x-server-seal:") == NULL ||
+         strstr(body, "\"workspace\": \"" SOAK_WORKSPACE "\"") == NULL))
     {
         add_violation(client, request,
                       "response body incomplete or not from a server");
@@ -184,11 +187,12 @@
     g_string_append_printf(
         out,
         "%s %s HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: %s\r\n"
+        "X-Credential: %s\r\nX-Tenant: forged\r\n"
         "X-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
         request->booking ? "POST" : "GET",
         request->booking ? "/book/x" : "/read/x", request->id,
-        SOAK_DEADLINE_MS, request->booking ? 2 : 0,
-        request->booking ? "{}" : "");
+        request->wrong_key ? "wrong-key" : site_access_key, SOAK_DEADLINE_MS,
+        request->booking ? 2 : 0, request->booking ? "{}" : "");
 }
 
 /// Reads the response to a request that was sent. @p is_last: no further
@@ -278,6 +282,8 @@
     }
     requests[count - 1]->booking =
         g_rand_int_range(random, 0, BOOKING_ONE_IN) == 0;
+    requests[0]->wrong_key =
+        g_rand_int_range(random, 0, WRONG_KEY_ONE_IN) == 0;
     if (client->fd < 0) {
         client->fd = connect_to(site.machines[client->machine].address,
                                 PORT_CALLER, CONNECT_TIMEOUT_MS);
--- a/test/soak/soak_client.h
+++ b/test/soak/soak_client.h
@@ -11,6 +11,10 @@
 /// a late response is seen as late.
 #define SOAK_RESPONSE_TIMEOUT_MS (SOAK_DEADLINE_MS + 1500)
 
+/// Workspace of all clients, and its key.
+#define SOAK_WORKSPACE "ws-soak"
+#define SOAK_ACCESS_KEY "soak-key"
+
 /// How a request ended.
 typedef enum {
     SOAK_COMPLETE, ///< complete response
@@ -25,8 +29,9 @@
 typedef struct {
     char id[32];
     int machine;
-    bool booking; ///< non-idempotent: may run at most once
-    bool reused;  ///< sent on a connection that had served another request
+    bool booking;   ///< non-idempotent: may run at most once
+    bool wrong_key; ///< has an access key of no workspace: must not run
+    bool reused;    ///< sent on a connection that had served another request
     soak_outcome_t outcome;
     int status;
     gint64 sent_us;
