--- a/src/ibisfield/io/usage_link.c
+++ b/src/ibisfield/io/usage_link.c
@@ -502,13 +502,15 @@
 }
 
 /// Adds the object "usage" to @p status: the keeper that this node reports to,
-/// how many nodes report here, and the workspaces of which a part is refused.
+/// how many nodes report here, the workspaces of which a cap refuses a part,
+/// and how often a scarce service refuses one, relative to the mean (1000).
 void
 usage_link_write_status(const usage_link_t *link, struct json_object *status)
 {
     const usage_channel_t *channel = &link->channels[USAGE_DATA_CENTRE];
     struct json_object *usage = json_object_new_object();
     struct json_object *limited = json_object_new_object();
+    struct json_object *refused = json_object_new_object();
     GHashTableIter iter;
     void *pointer = NULL;
     g_hash_table_iter_init(&iter, link->workspaces->by_id);
@@ -519,6 +521,12 @@
             json_object_object_add(limited, entry->workspace.name,
                                    json_object_new_int64(permille));
         }
+        double factor = usage_gate_refusal_factor(link->gate, entry->id);
+        if (factor != 1.0) {
+            json_object_object_add(
+                refused, entry->workspace.name,
+                json_object_new_int64((int64_t)(factor * 1000.0)));
+        }
     }
     json_object_object_add(
         usage, "keeper",
@@ -531,5 +539,6 @@
         json_object_new_boolean(usage_gate_is_informed(link->gate)));
     json_object_object_add(usage, "nodes", json_object_new_int64(link->nodes));
     json_object_object_add(usage, "admitted_permille", limited);
+    json_object_object_add(usage, "refusal_permille", refused);
     json_object_object_add(status, "usage", usage);
 }
