--- a/bench/evenness.c
+++ b/bench/evenness.c
@@ -14,7 +14,7 @@
 #define WORTH 50
 #define SLOTS 40
 #define SERVICE_US (100.0 * US_PER_MS)
-#define HOP_US 500
+#define HOP_US ((int64_t)500)
 #define WARM_UP_US (5 * US_PER_S)
 #define MEASURED_US (20 * US_PER_S)
 #define HISTORY_STEP_US (10 * US_PER_MS)
@@ -292,7 +292,7 @@
     }
     if (is_measuring()) {
         int64_t wait_us = request->started_us - request->sent_us +
-                          request->redirects * 2 * HOP_US;
+                          2 * HOP_US * request->redirects;
         g_array_append_val(sim.waits_us, wait_us);
         sim.served++;
     }
--- a/test/soak/soak_client.c
+++ b/test/soak/soak_client.c
@@ -279,11 +279,11 @@
                     : 1;
     for (int i = 0; i < count; i++) {
         requests[i] = new_request(client);
+        requests[i]->wrong_key =
+            i == 0 && g_rand_int_range(random, 0, WRONG_KEY_ONE_IN) == 0;
     }
     requests[count - 1]->booking =
         g_rand_int_range(random, 0, BOOKING_ONE_IN) == 0;
-    requests[0]->wrong_key =
-        g_rand_int_range(random, 0, WRONG_KEY_ONE_IN) == 0;
     if (client->fd < 0) {
         client->fd = connect_to(site.machines[client->machine].address,
                                 PORT_CALLER, CONNECT_TIMEOUT_MS);
