Check a configuration against the one in force, and note what can't be meant

Cause: 'ibisfield check' found errors only. An entry that never matches, limits that contradict each other and what a new version changes were seen after it was in force.

'note:' lines name entries that never match, split targets that get nothing, target latencies above deadlines, workspaces without keys and bursts without a rate. No node is needed.

Measured: two tests in test_cli. Not done: output as JSON, caps against capacity, time-outs against the time of whole chains.

--- a/src/ibisfield/cli/cmd_check.c
+++ b/src/ibisfield/cli/cmd_check.c
@@ -8,6 +8,8 @@
 #include "ibisfield/cli/commands.h"
 #include "ibisfield/cli/input.h"
 #include "ibisfield/contract/contract.h"
+#include "ibisfield/contract/contract_review.h"
+#include "ibisfield/contract/json_compare.h"
 #include "ibisfield/contract/json_reader.h"
 #include "ibisfield/contract/settings.h"
 #include "platform/adapter.h"
@@ -23,6 +25,7 @@
 typedef struct {
     document_type_t type;
     GPtrArray *files;
+    const char *in_force; ///< file to compare with; NULL: none
 } check_arguments_t;
 
 static error_t
@@ -39,9 +42,17 @@
     case 'c':
         arguments->type = DOCUMENT_CONTRACT;
         return 0;
+    case 'a':
+        arguments->in_force = argument;
+        return 0;
     case ARGP_KEY_ARG:
         g_ptr_array_add(arguments->files, argument);
         return 0;
+    case ARGP_KEY_END:
+        if (arguments->in_force != NULL && arguments->files->len != 1) {
+            argp_error(state, "--against takes one file to check");
+        }
+        return 0;
     case ARGP_KEY_NO_ARGS:
         argp_error(state, "the file to check is missing");
         return EINVAL;
@@ -119,6 +130,16 @@
     g_free(declaration);
 }
 
+/// Prints what nodes would take and can't be meant.
+static void
+print_notes_and_free(const char *file, GPtrArray *notes)
+{
+    for (guint i = 0; i < notes->len; i++) {
+        printf("%s: note: %s\n", file, (char *)notes->pdata[i]);
+    }
+    g_ptr_array_free(notes, TRUE);
+}
+
 static void
 check_contract(const char *file, slice_t text, GHashTable *seen,
                GPtrArray *problems)
@@ -133,6 +154,11 @@
     }
     printf("%s: valid contract of customer %s, %u kinds\n", file,
            contract.customer, contract.kind_count);
+    GPtrArray *notes = g_ptr_array_new_with_free_func(g_free);
+    contract_review(&contract, contract.workspaces != NULL, notes);
+    workspace_list_review(contract.workspaces, contract.workspace_count,
+                          notes);
+    print_notes_and_free(file, notes);
     contract_finish(&contract);
 }
 
@@ -153,12 +179,14 @@
 {
     uint64_t version = 0;
     uint32_t host_count = 0;
-    if (platform_adapter.check_desired_state(text, problems, &version,
+    GPtrArray *notes = g_ptr_array_new_with_free_func(g_free);
+    if (platform_adapter.check_desired_state(text, problems, notes, &version,
                                              &host_count))
     {
         printf("%s: valid desired state, version %" PRIu64 ", %u hosts\n",
                file, version, host_count);
     }
+    print_notes_and_free(file, notes);
 }
 
 /// Checks one file and prints its problems. Returns whether it is valid.
@@ -188,6 +216,64 @@
     return !problems_print_and_free(problems);
 }
 
+/// Reports a version that nodes would ignore, as it isn't above the one in
+/// force. Contracts have none; their versions are the store's.
+static void
+check_version(json_reader_t *after, struct json_object *before)
+{
+    struct json_object *old = json_get_field(before, "version");
+    struct json_object *new = json_get_field(after->root, "version");
+    if (json_object_is_type(old, json_type_int) &&
+        json_object_is_type(new, json_type_int) &&
+        json_object_get_int64(new) <= json_object_get_int64(old) &&
+        !json_object_equal(before, after->root))
+    {
+        json_add_problem(after, "version",
+                         "found %" PRId64 ", expected above %" PRId64
+                         ", the version in force: nodes would ignore it",
+                         json_object_get_int64(new),
+                         json_object_get_int64(old));
+    }
+}
+
+/// Prints what differs in @p file from the file @p in_force, which need not be
+/// valid. Returns whether both could be read and a change would be taken.
+static bool
+compare_with_force(const char *file, const char *in_force)
+{
+    GPtrArray *problems = problems_new();
+    GPtrArray *differences = g_ptr_array_new_with_free_func(g_free);
+    size_t len = 0;
+    size_t len_before = 0;
+    char *data = json_load_file(file, &len, problems);
+    char *data_before = json_load_file(in_force, &len_before, problems);
+    json_reader_t after;
+    json_reader_t before;
+    if (data != NULL && data_before != NULL &&
+        json_reader_open(&after, file, (slice_t){data, len}, problems))
+    {
+        if (json_reader_open(&before, in_force,
+                             (slice_t){data_before, len_before}, problems))
+        {
+            json_compare(before.root, after.root, differences);
+            check_version(&after, before.root);
+            json_reader_close(&before);
+        }
+        json_reader_close(&after);
+    }
+    if (problems->len == 0) {
+        printf("%s: %u differences from %s\n", file, differences->len,
+               in_force);
+    }
+    for (guint i = 0; i < differences->len; i++) {
+        printf("  %s\n", (char *)differences->pdata[i]);
+    }
+    g_ptr_array_free(differences, TRUE);
+    g_free(data);
+    g_free(data_before);
+    return !problems_print_and_free(problems);
+}
+
 /// Validates every file given; returns exit code 2 if any has a problem.
 int
 command_check(int argc, char **argv)
@@ -197,6 +283,8 @@
         {"contract", 'c', NULL, 0, "Every FILE holds a contract", 0},
         {"desired-state", 'd', NULL, 0,
          "Every FILE holds a desired state of the platform", 0},
+        {"against", 'a', "FILE", 0,
+         "Show what differs from this file, the one in force", 0},
         {0},
     };
     static const struct argp argp = {
@@ -209,10 +297,15 @@
                "on standard error with file, line, field, what was found and "
                "what was expected. A node applies the same checks when it "
                "starts and when a contract is published. Contracts checked "
-               "together must not share a customer or a host. Exit code "
+               "together must not share a customer or a host. With "
+               "--against, what differs from the version in force is "
+               "listed on standard output, without access keys. Lines with "
+               "'note:' name what nodes would take and can't be meant: "
+               "entries that never match, limits that contradict each other. "
+               "Exit code "
                "0: all files are valid, 2: at least one problem.",
     };
-    check_arguments_t arguments = {DOCUMENT_DETECT, g_ptr_array_new()};
+    check_arguments_t arguments = {.files = g_ptr_array_new()};
     parse_arguments(&argp, argc, argv, &arguments);
     GHashTable *seen =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -220,6 +313,10 @@
     for (guint i = 0; i < arguments.files->len; i++) {
         valid &= check_file(arguments.files->pdata[i], arguments.type, seen);
     }
+    if (valid && arguments.in_force != NULL) {
+        valid =
+            compare_with_force(arguments.files->pdata[0], arguments.in_force);
+    }
     g_hash_table_destroy(seen);
     g_ptr_array_free(arguments.files, TRUE);
     return valid ? EXIT_CODE_OK : EXIT_CODE_BAD_INPUT;
--- a/src/ibisfield/io/config_source.h
+++ b/src/ibisfield/io/config_source.h
@@ -45,10 +45,11 @@
     const header_names_t *header_names;
     /// Checks a text in the form in which operators publish contracts; needs
     /// no running node. If it is valid, returns true and sets @p version and
-    /// the number of @p customers. Otherwise returns false and appends
-    /// problems (char *).
+    /// the number of @p customers, and appends @p notes (char *) on what can't
+    /// be meant. Otherwise returns false and appends problems (char *).
     bool (*check_desired_state)(slice_t text, GPtrArray *problems,
-                                uint64_t *version, uint32_t *customers);
+                                GPtrArray *notes, uint64_t *version,
+                                uint32_t *customers);
     config_source_t *(*source_new)(loop_t *loop, const settings_t *settings,
                                    const config_source_callbacks_t *callbacks,
                                    void *context, change_feed_t *feed);
--- a/test/functional/test_cli.c
+++ b/test/functional/test_cli.c
@@ -56,6 +56,28 @@
     g_free(result.errors);
 }
 
+/// Checks the result of "check --against" on two texts.
+static void
+assert_comparison(const char *before, const char *after, int code,
+                  const char *output, const char *errors)
+{
+    char *directory = g_dir_make_tmp("ibisfield-XXXXXX", NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(directory);
+    char *before_file = g_build_filename(directory, "before.json", NULL);
+    char *after_file = g_build_filename(directory, "after.json", NULL);
+    CU_ASSERT_TRUE(g_file_set_contents(before_file, before, -1, NULL));
+    CU_ASSERT_TRUE(g_file_set_contents(after_file, after, -1, NULL));
+    assert_result(
+        RUN("check", "--desired-state", "--against", before_file, after_file),
+        code, output, errors);
+    g_unlink(before_file);
+    g_unlink(after_file);
+    g_rmdir(directory);
+    g_free(before_file);
+    g_free(after_file);
+    g_free(directory);
+}
+
 /// Writes @p text to a temporary file, checks the result of "check" on it and
 /// removes it.
 static void
@@ -303,6 +325,74 @@
     nng_http_server_release(server);
 }
 
+#define STATE(version, timeout, tenants)                                      \
+    "{\"version\":" version ",\"routes\":[{\"name\":\"r\",\"host\":\"h\","    \
+    "\"prefix\":\"/a/\",\"service\":\"s\",\"kind\":\"idempotent\","           \
+    "\"timeout_s\":" timeout ",\"target_latency_s\":1,\"max_attempts\":1,"    \
+    "\"priority\":0}],\"services\":[{\"name\":\"s\"}],\"tenants\":[" tenants  \
+    "]}"
+#define TENANT(name, keys, rate)                                              \
+    "{\"name\":\"" name "\",\"api_keys\":[" keys                              \
+    "],\"priority\":0,\"rate_per_s\":" rate ",\"burst\":1}"
+
+/// Guards against entries that never match, and limits that contradict each
+/// other, of which nobody is told before they are sent.
+static void
+test_notes_on_what_is_not_meant(void)
+{
+    const char *text = STATE("1", "0.5",
+                             "{\"name\":\"x\",\"api_keys\":[],"
+                             "\"priority\":0,\"burst\":3}");
+    assert_comparison(text, text, 0, "note: h: the target latency", "");
+    assert_comparison(text, text, 0, "note: workspace x has no access key",
+                      "");
+    assert_comparison(text, text, 0, "note: the burst of workspace x", "");
+    char **parts = g_strsplit(text, "}],\"services\"", 2);
+    char *twice = g_strdup_printf(
+        "%s},{\"name\":\"r2\",\"host\":\"h\",\"prefix\":\"/a/\",\"kind\":"
+        "\"idempotent\",\"traffic_split\":[{\"service\":\"s\",\"weight\":0},"
+        "{\"service\":\"s\",\"weight\":1}]}],\"services\"%s",
+        parts[0], parts[1]);
+    assert_comparison(twice, twice, 0,
+                      "note: h: \"r2\" never matches: \"r\" before", "");
+    assert_comparison(twice, twice, 0,
+                      "note: h: \"r2\" never goes to service s", "");
+    g_free(twice);
+    g_strfreev(parts);
+}
+
+/// Guards against a comparison that shows an entry which moved as two that
+/// changed, shows access keys, or accepts a version that nodes would ignore.
+static void
+test_versions_are_compared(void)
+{
+    const char *before = STATE(
+        "4", "1",
+        TENANT("x", "\"k1\",\"k2\"", "5") "," TENANT("y", "\"k3\"", "7"));
+    const char *after = STATE(
+        "5", "2", TENANT("y", "\"k3\"", "8") "," TENANT("z", "\"k1\"", "1"));
+    assert_comparison(before, after, 0, "5 differences from", "");
+    assert_comparison(before, after, 0,
+                      "  version: 4 -> 5\n"
+                      "  routes[r@h].timeout_s: 1 -> 2\n"
+                      "  tenants[x]: removed\n"
+                      "  tenants[y].rate_per_s: 7 -> 8\n"
+                      "  tenants[z]: added\n",
+                      "");
+    assert_comparison(before,
+                      STATE("5", "1",
+                            TENANT("y", "\"k3\"", "7") "," TENANT(
+                                "x", "\"k2\",\"k9\",\"k8\"", "5")),
+                      0,
+                      "  tenants[x].api_keys: 2 added, 1 removed\n"
+                      "  tenants: the order of entries that stay changed\n",
+                      "");
+    assert_comparison(before, STATE("4", "2", TENANT("y", "\"k3\"", "7")), 2,
+                      "tenants[x]: removed", "expected above 4");
+    assert_comparison(before, before, 0, "0 differences", "");
+    assert_comparison("[", before, 2, "", "before.json:1");
+}
+
 int
 main(void)
 {
@@ -312,6 +402,8 @@
         {"explain", test_explain_prints_order_of_shedding},
         {"check", test_check_lists_problems},
         {"desired state", test_desired_state_is_checked},
+        {"notes", test_notes_on_what_is_not_meant},
+        {"versions compared", test_versions_are_compared},
         {"contracts checked together", test_contracts_are_compared},
         {"unusable files", test_unusable_files_are_refused},
         {"run", test_run_refuses_invalid_settings},
