--- a/src/ibisfield/contract/contract_review.c
+++ b/src/ibisfield/contract/contract_review.c
@@ -7,15 +7,6 @@
 
 #include <string.h>
 
-static void G_GNUC_PRINTF(2, 3)
-    add_note(GPtrArray *notes, const char *format, ...)
-{
-    va_list values;
-    va_start(values, format);
-    g_ptr_array_add(notes, g_strdup_vprintf(format, values));
-    va_end(values);
-}
-
 /// Notes a kind that matches nothing, since an earlier one has its path.
 static void
 review_path(const contract_t *contract, const kind_t *kind, GPtrArray *notes)
@@ -25,11 +16,13 @@
             (earlier->method[0] == '\0' ||
              strcmp(earlier->method, kind->method) == 0))
         {
-            add_note(notes,
-                     "%s: \"%s\" never matches: \"%s\" before it has the same "
-                     "path %s",
-                     contract->customer, kind->name, earlier->name,
-                     kind->path);
+            g_ptr_array_add(
+                notes,
+                g_strdup_printf(
+                    "%s: \"%s\" never matches: \"%s\" before it has the same "
+                    "path %s",
+                    contract->customer, kind->name, earlier->name,
+                    kind->path));
             return;
         }
     }
@@ -45,14 +38,17 @@
     for (uint32_t i = 0; i < kind->split_target_count; i++) {
         const split_target_t *target = &kind->split_targets[i];
         if (sum > 0 && target->weight == 0) {
-            add_note(notes,
-                     "%s: \"%s\" never goes to service %s: its weight is 0",
-                     contract->customer, kind->name, target->service);
+            g_ptr_array_add(
+                notes,
+                g_strdup_printf(
+                    "%s: \"%s\" never goes to service %s: its weight is 0",
+                    contract->customer, kind->name, target->service));
         }
     }
     if (kind->split_target_count > 0 && sum == 0) {
-        add_note(notes, "%s: the weights of \"%s\" are all 0",
-                 contract->customer, kind->name);
+        g_ptr_array_add(notes,
+                        g_strdup_printf("%s: the weights of \"%s\" are all 0",
+                                        contract->customer, kind->name));
     }
 }
 
@@ -67,17 +63,21 @@
         review_path(contract, kind, notes);
         review_split(contract, kind, notes);
         if (kind->target_latency_ms > kind->deadline_ms) {
-            add_note(notes,
-                     "%s: the target latency of \"%s\" (%d ms) is above its "
-                     "deadline (%d ms), so every response is in time for it",
-                     contract->customer, kind->name, kind->target_latency_ms,
-                     kind->deadline_ms);
+            g_ptr_array_add(
+                notes,
+                g_strdup_printf(
+                    "%s: the target latency of \"%s\" (%d ms) is above its "
+                    "deadline (%d ms), so every response is in time for it",
+                    contract->customer, kind->name, kind->target_latency_ms,
+                    kind->deadline_ms));
         }
         if (kind->anonymous && !has_workspaces) {
-            add_note(notes,
-                     "%s: \"%s\" is anonymous, but no kind needs a key: there "
-                     "are no workspaces",
-                     contract->customer, kind->name);
+            g_ptr_array_add(
+                notes,
+                g_strdup_printf(
+                    "%s: \"%s\" is anonymous, but no kind needs a key: there "
+                    "are no workspaces",
+                    contract->customer, kind->name));
         }
     }
 }
@@ -90,14 +90,18 @@
     for (uint32_t i = 0; i < count; i++) {
         const workspace_t *workspace = &workspaces[i];
         if (workspace->keys == NULL || workspace->keys->len == 0) {
-            add_note(notes, "workspace %s has no access key: it is closed",
-                     workspace->name);
+            g_ptr_array_add(
+                notes,
+                g_strdup_printf("workspace %s has no access key: it is closed",
+                                workspace->name));
         }
         if (workspace->rate_per_s == 0 && workspace->burst > 0) {
-            add_note(notes,
-                     "the burst of workspace %s does nothing: without a rate "
-                     "there is no cap",
-                     workspace->name);
+            g_ptr_array_add(
+                notes,
+                g_strdup_printf(
+                    "the burst of workspace %s does nothing: without a rate "
+                    "there is no cap",
+                    workspace->name));
         }
     }
 }
--- a/src/ibisfield/contract/json_compare.c
+++ b/src/ibisfield/contract/json_compare.c
@@ -14,15 +14,6 @@
 static void compare_values(const char *path, struct json_object *before,
                            struct json_object *after, GPtrArray *differences);
 
-static void G_GNUC_PRINTF(2, 3)
-    add_difference(GPtrArray *differences, const char *format, ...)
-{
-    va_list values;
-    va_start(values, format);
-    g_ptr_array_add(differences, g_strdup_vprintf(format, values));
-    va_end(values);
-}
-
 static bool
 is_secret(const char *name)
 {
@@ -105,13 +96,15 @@
     for (guint i = 0; i < names_before->len; i++) {
         const char *name = names_before->pdata[i];
         if (!g_hash_table_contains(after, name)) {
-            add_difference(differences, "%s[%s]: removed", path, name);
+            g_ptr_array_add(differences,
+                            g_strdup_printf("%s[%s]: removed", path, name));
         }
     }
     for (guint i = 0; i < names_after->len; i++) {
         const char *name = names_after->pdata[i];
         if (!g_hash_table_contains(before, name)) {
-            add_difference(differences, "%s[%s]: added", path, name);
+            g_ptr_array_add(differences,
+                            g_strdup_printf("%s[%s]: added", path, name));
             continue;
         }
         char *entry_path = g_strdup_printf("%s[%s]", path, name);
@@ -120,8 +113,10 @@
         g_free(entry_path);
     }
     if (!has_same_order(names_before, before, names_after, after)) {
-        add_difference(differences,
-                       "%s: the order of entries that stay changed", path);
+        g_ptr_array_add(
+            differences,
+            g_strdup_printf("%s: the order of entries that stay changed",
+                            path));
     }
 }
 
@@ -171,12 +166,13 @@
     if (json_object_is_type(before, json_type_array) &&
         json_object_is_type(after, json_type_array))
     {
-        add_difference(differences, "%s: %zu added, %zu removed", path,
-                       count_missing(after, before),
-                       count_missing(before, after));
+        g_ptr_array_add(differences,
+                        g_strdup_printf("%s: %zu added, %zu removed", path,
+                                        count_missing(after, before),
+                                        count_missing(before, after)));
         return;
     }
-    add_difference(differences, "%s: changed", path);
+    g_ptr_array_add(differences, g_strdup_printf("%s: changed", path));
 }
 
 static void
@@ -187,12 +183,14 @@
     json_object_object_foreach(before, removed_name, removed)
     {
         if (!json_object_object_get_ex(after, removed_name, NULL)) {
-            add_difference(differences, "%s%s%s: %s -> %s", path,
-                           *path == '\0' ? "" : ".", removed_name,
-                           is_secret(removed_name)
-                               ? "set"
-                               : json_object_to_json_string(removed),
-                           no_value);
+            g_ptr_array_add(
+                differences,
+                g_strdup_printf("%s%s%s: %s -> %s", path,
+                                *path == '\0' ? "" : ".", removed_name,
+                                is_secret(removed_name)
+                                    ? "set"
+                                    : json_object_to_json_string(removed),
+                                no_value));
         }
     }
     json_object_object_foreach(after, name, value)
@@ -210,9 +208,12 @@
             compare_values(field_path, old, value, differences);
         }
         else {
-            add_difference(
-                differences, "%s: %s -> %s", field_path, no_value,
-                is_secret(name) ? "set" : json_object_to_json_string(value));
+            g_ptr_array_add(
+                differences,
+                g_strdup_printf("%s: %s -> %s", field_path, no_value,
+                                is_secret(name)
+                                    ? "set"
+                                    : json_object_to_json_string(value)));
         }
         g_free(field_path);
     }
@@ -237,9 +238,10 @@
         return;
     }
     // Two calls on one value share its buffer, but these are two values.
-    add_difference(differences, "%s: %s -> %s", path,
-                   json_object_to_json_string(before),
-                   json_object_to_json_string(after));
+    g_ptr_array_add(differences,
+                    g_strdup_printf("%s: %s -> %s", path,
+                                    json_object_to_json_string(before),
+                                    json_object_to_json_string(after)));
 }
 
 /// Adds a line for each difference between two documents to @p differences
