--- a/src/ibisfield/contract/json_compare.c
+++ b/src/ibisfield/contract/json_compare.c
@@ -25,6 +25,47 @@
     return false;
 }
 
+/// Returns a value as text. Of objects, and lists of them, only the size is
+/// told, as there may be secret fields in them. The caller frees it.
+static char *
+describe_value(struct json_object *value)
+{
+    if (json_object_is_type(value, json_type_object)) {
+        return g_strdup_printf("an object of %d fields",
+                               json_object_object_length(value));
+    }
+    if (json_object_is_type(value, json_type_array) &&
+        json_object_array_length(value) > 0 &&
+        !json_object_is_type(json_object_array_get_idx(value, 0),
+                             json_type_string))
+    {
+        return g_strdup_printf("a list of %zu",
+                               json_object_array_length(value));
+    }
+    return g_strdup(json_object_to_json_string(value));
+}
+
+/// Adds the difference of one value. @p before or @p after may be the text
+/// that stands for a value that isn't there.
+static void
+add_change(GPtrArray *differences, const char *path, const char *before,
+           const char *after)
+{
+    g_ptr_array_add(differences,
+                    g_strdup_printf("%s: %s -> %s", path, before, after));
+}
+
+/// Adds a field that only one of the documents has.
+static void
+add_field(GPtrArray *differences, const char *path, const char *name,
+          struct json_object *value, bool added)
+{
+    char *text = is_secret(name) ? g_strdup("set") : describe_value(value);
+    add_change(differences, path, added ? "none" : text,
+               added ? text : "none");
+    g_free(text);
+}
+
 /// Returns the name of a list's entry, with its host if it has one, since
 /// names are unique within a host; NULL if it has no name. The caller frees
 /// it.
@@ -179,41 +220,28 @@
 compare_fields(const char *path, struct json_object *before,
                struct json_object *after, GPtrArray *differences)
 {
-    static const char no_value[] = "none";
-    json_object_object_foreach(before, removed_name, removed)
+    const char *separator = *path == '\0' ? "" : ".";
+    json_object_object_foreach(before, old_name, old_value)
     {
-        if (!json_object_object_get_ex(after, removed_name, NULL)) {
-            g_ptr_array_add(
-                differences,
-                g_strdup_printf("%s%s%s: %s -> %s", path,
-                                *path == '\0' ? "" : ".", removed_name,
-                                is_secret(removed_name)
-                                    ? "set"
-                                    : json_object_to_json_string(removed),
-                                no_value));
+        if (!json_object_object_get_ex(after, old_name, NULL)) {
+            char *field_path =
+                g_strdup_printf("%s%s%s", path, separator, old_name);
+            add_field(differences, field_path, old_name, old_value, false);
+            g_free(field_path);
         }
     }
     json_object_object_foreach(after, name, value)
     {
-        char *field_path =
-            g_strdup_printf("%s%s%s", path, *path == '\0' ? "" : ".", name);
+        char *field_path = g_strdup_printf("%s%s%s", path, separator, name);
         struct json_object *old = NULL;
-        bool existed = json_object_object_get_ex(before, name, &old);
-        if (existed && is_secret(name)) {
-            if (!json_object_equal(old, value)) {
-                compare_secrets(field_path, old, value, differences);
-            }
+        if (!json_object_object_get_ex(before, name, &old)) {
+            add_field(differences, field_path, name, value, true);
         }
-        else if (existed) {
+        else if (!is_secret(name)) {
             compare_values(field_path, old, value, differences);
         }
-        else {
-            g_ptr_array_add(
-                differences,
-                g_strdup_printf("%s: %s -> %s", field_path, no_value,
-                                is_secret(name)
-                                    ? "set"
-                                    : json_object_to_json_string(value)));
+        else if (!json_object_equal(old, value)) {
+            compare_secrets(field_path, old, value, differences);
         }
         g_free(field_path);
     }
@@ -237,11 +265,11 @@
     {
         return;
     }
-    // Two calls on one value share its buffer, but these are two values.
-    g_ptr_array_add(differences,
-                    g_strdup_printf("%s: %s -> %s", path,
-                                    json_object_to_json_string(before),
-                                    json_object_to_json_string(after)));
+    char *before_text = describe_value(before);
+    char *after_text = describe_value(after);
+    add_change(differences, path, before_text, after_text);
+    g_free(before_text);
+    g_free(after_text);
 }
 
 /// Adds a line for each difference between two documents to @p differences
--- a/test/functional/test_cli.c
+++ b/test/functional/test_cli.c
@@ -390,6 +390,17 @@
     assert_comparison(before, STATE("4", "2", TENANT("y", "\"k3\"", "7")), 2,
                       "tenants[x]: removed", "expected above 4");
     assert_comparison(before, before, 0, "0 differences", "");
+    // Lists that can't be matched by name: no key may be shown.
+    char **parts = g_strsplit(after, "\"tenants\"", 2);
+    char *without = g_strdup_printf("%s\"owners\":[]}", parts[0]);
+    assert_comparison(without, after, 2, "  tenants: none -> a list of 2\n",
+                      "expected above 5");
+    g_free(without);
+    g_strfreev(parts);
+    assert_comparison(
+        STATE("1", "1",
+              TENANT("x", "\"k1\"", "5") "," TENANT("x", "\"k2\"", "5")),
+        after, 0, "  tenants: a list of 2 -> a list of 2\n", "");
     assert_comparison("[", before, 2, "", "before.json:1");
 }
 
