Ask a VM again that was only busy when another one leaves

Callers: requests that waited at a server which began to drain were refused with 503 although the other server of the service had room to let them wait.

Cause: VMs that had refused a request so that another one is chosen ('busy') counted as tried for the rest of the call. When the VM at which it then waited refused it as leaving, none was left.

Change: a VM that was only busy is avoided while others may be free, and not once the VM at which the request waited has refused it.

--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -178,6 +178,7 @@
     int64_t sent_us;
     uint32_t retry_tokens; ///< granted to the attempt
     bool running;
+    bool busy; ///< refused so that another VM is chosen
 } entry_attempt_t;
 
 /// A request in flight at the entry.
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -169,11 +169,27 @@
         entry, call, entry->options.grant_all_tokens ? left : (left + 1) / 2);
 }
 
-static bool
-was_tried(const entry_call_t *call, vm_handle_t vm)
+/// Lists the VMs that the next attempt avoids. One that was only busy would
+/// have let the request wait, so it is avoided while others may be free, and
+/// not when the VM at which the request waited has refused it.
+static uint32_t
+list_tried(const entry_call_t *call, vm_handle_t *tried)
 {
+    uint32_t count = 0;
     for (uint32_t i = 0; i < call->attempt_count; i++) {
-        if (call->attempts[i].vm == vm) {
+        const entry_attempt_t *attempt = &call->attempts[i];
+        if (!attempt->busy || call->reason == REASON_BUSY) {
+            tried[count++] = attempt->vm;
+        }
+    }
+    return count;
+}
+
+static bool
+contains(const vm_handle_t *vms, uint32_t count, vm_handle_t vm)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (vms[i] == vm) {
             return true;
         }
     }
@@ -183,24 +199,22 @@
 static pick_result_t
 pick_vm(entry_t *entry, entry_call_t *call, vm_handle_t *vm)
 {
-    vm_handle_t tried[1 + CONTRACT_RETRIES_MAX];
-    for (uint32_t i = 0; i < call->attempt_count; i++) {
-        tried[i] = call->attempts[i].vm;
-    }
+    vm_handle_t tried[1 + CONTRACT_RETRIES_MAX] = {VM_NONE};
+    uint32_t tried_count = list_tried(call, tried);
     picker_t *picker = entry->options.picker;
     if (call->attempt_count == REDIRECTS_MAX && call->reason == REASON_BUSY &&
         !call->may_have_run)
     {
-        *vm = picker_pick_among(picker, call->kind_hash, tried,
-                                call->attempt_count);
+        *vm = picker_pick_among(picker, call->kind_hash, tried, tried_count);
         if (*vm != VM_NONE) {
             return PICK_OK;
         }
     }
-    pick_result_t pick =
-        picker_pick(picker, call->service, call->kind_hash, call->worth, tried,
-                    call->attempt_count, vm);
-    if (pick == PICK_OK && was_tried(call, *vm) && !call->may_have_run) {
+    pick_result_t pick = picker_pick(picker, call->service, call->kind_hash,
+                                     call->worth, tried, tried_count, vm);
+    if (pick == PICK_OK && contains(tried, tried_count, *vm) &&
+        !call->may_have_run)
+    {
         // No VM is left untried. As the request hasn't run, this one has just
         // refused it and would do so again. After a lost or failed response
         // the same VM may succeed.
@@ -719,6 +733,7 @@
     call->may_have_run |= result->type == ATTEMPT_LOST;
     call->reason = attempt_reason(result);
     if (call->reason == REASON_BUSY) {
+        attempt->busy = true;
         metric_increment(METRIC_CALLS_REDIRECTED_TOTAL);
     }
     call->retry_after_ms = result->retry_after_ms;
--- a/test/unit/test_entry_unkeyed.c
+++ b/test/unit/test_entry_unkeyed.c
@@ -18,6 +18,7 @@
     attempt_info_t info;
     uint32_t attempt;
     bool cancelled;
+    vm_handle_t vm;
 } sent_t;
 
 static manual_clock_t manual;
@@ -58,9 +59,8 @@
 {
     (void)io;
     (void)user;
-    (void)vm;
     CU_ASSERT_FATAL(sent_count < SENT_MAX);
-    sent[sent_count++] = (sent_t){call, *info, attempt, false};
+    sent[sent_count++] = (sent_t){call, *info, attempt, false, vm};
 }
 
 static void
@@ -530,6 +530,27 @@
     stop();
 }
 
+/// Guards against a request that is refused because the VM at which it waited
+/// leaves, although another one, which was only busy, would take it.
+static void
+test_busy_vm_is_asked_again_when_another_leaves(void)
+{
+    start();
+    request(BOOKING, 0);
+    finish_attempt(0, ATTEMPT_REFUSED, REASON_BUSY, 503);
+    finish_attempt(1, ATTEMPT_REFUSED, REASON_BUSY, 503);
+    CU_ASSERT_EQUAL_FATAL(sent_count, 3);
+    vm_handle_t only_busy = sent[2].vm == sent[0].vm ? sent[1].vm : sent[0].vm;
+    for (int i = 2; i < 5 && sent[i].vm != only_busy; i++) {
+        finish_attempt(i, ATTEMPT_REFUSED, REASON_LEAVING, 503);
+        CU_ASSERT_EQUAL_FATAL(sent_count, i + 2);
+    }
+    CU_ASSERT_EQUAL(sent[sent_count - 1].vm, only_busy);
+    finish_attempt(sent_count - 1, ATTEMPT_ANSWERED, REASON_NONE, 200);
+    CU_ASSERT_EQUAL(last_response.outcome, OUTCOME_ANSWERED);
+    stop();
+}
+
 int
 main(void)
 {
@@ -547,6 +568,8 @@
         {"calls under way", test_calls_under_way_show_how_long_others_take},
         {"late calls need a proof", test_late_calls_need_a_proof},
         {"full VM", test_full_vm_is_exchanged_for_another},
+        {"busy VM asked again",
+         test_busy_vm_is_asked_again_when_another_leaves},
         {"late repeats", test_no_repeat_outlasts_the_process},
         {"timeouts", test_timeouts_and_disconnected_callers},
         CU_TEST_INFO_NULL,
