Free memory before responses are read, and return large blocks at once

Cause: the account of held bytes was compared with its limit on callers' connections and each 250 ms only. Callers who don't read are paused, so nothing but the timer looked while responses to requests sent ahead arrived from the other node. A trace of the account showed 117 MB of 64 MB. Beside it, the allocator raises its threshold for blocks that it maps singly to the largest block freed, so freed responses left gaps in the heap (up to 85 MB free, 107 MB of heap).

Change: who reads responses has memory freed first, if the account is exceeded (byte_account_relieve()); the threshold is fixed at 128 KB. A search for connections to evict that finds none is not repeated for 1 ms.

The new test of the client ("memory before a response") fails without the call in on_readable().

--- a/src/ibisfield/base/byte_account.c
+++ b/src/ibisfield/base/byte_account.c
@@ -45,3 +45,23 @@
     return account != NULL && account->limit > 0 &&
            account->held > account->limit;
 }
+
+/// Sets what byte_account_relieve() calls.
+void
+byte_account_set_relief(byte_account_t *account,
+                        void (*relieve)(void *context), void *context)
+{
+    account->relieve = relieve;
+    account->relieve_context = context;
+}
+
+/// Frees memory of holders if the limit is exceeded. Holders, the caller among
+/// them, may be closed, so it is called only at the start of an event, before
+/// more is read. NULL: there is no account.
+void
+byte_account_relieve(const byte_account_t *account)
+{
+    if (byte_account_is_exceeded(account) && account->relieve != NULL) {
+        account->relieve(account->relieve_context);
+    }
+}
--- a/src/ibisfield/cli/cmd_run.c
+++ b/src/ibisfield/cli/cmd_run.c
@@ -1,6 +1,7 @@
 /// @file
 /// The "run" command: runs a node until a signal stops it.
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -102,6 +103,11 @@
     }
 }
 
+/// Blocks of this size and more are returned to the system when they are
+/// freed. The allocator would raise its own threshold to the largest block
+/// freed, up to 32 MB, and then keep gaps between long-lived blocks for good.
+#define MMAP_THRESHOLD_BYTES (128 << 10)
+
 /// Runs a node until a signal stops it; returns the exit code. @p file is the
 /// file that @p settings were read from; SIGHUP reads it again.
 int
@@ -113,6 +119,7 @@
     log_init();
     log_set_level(settings->log_level);
     raise_descriptor_limit(settings);
+    mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
     GError *error = NULL;
     // A node without a store in its settings reads its configuration from
     // config_url and needs no adapter.
--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -376,6 +376,10 @@
     if (connection == NULL) {
         return;
     }
+    byte_account_relieve(connection->pool->options.account);
+    if (socket->data == NULL) { // Its exchange was cancelled.
+        return;
+    }
     if (connection->exchange != NULL) {
         read_response(connection, error);
     }
--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -59,6 +59,9 @@
 #define CONNECTION_OVERHEAD_BYTES 2048
 /// Connections that hold less give nothing back worth closing them.
 #define EVICTED_BYTES_MIN 4096
+/// After a search that found no connection to evict, the next one waits for
+/// this time: a search visits all connections.
+#define RELIEF_PAUSE_US US_PER_MS
 /// Requests with a body above this size don't start while memory is scarce.
 #define SCARCE_BODY_BYTES_MAX 4096
 /// A connection without requests may be closed for a new one if it has been
@@ -75,6 +78,7 @@
     byte_account_t *account; ///< NULL: memory isn't limited
     bool memory_scarce;      ///< as last logged
     uint32_t evicted;        ///< connections since then
+    int64_t relief_from_us;  ///< no search for connections to evict before
     log_limit_t refusal_log_limit;
     loop_timer_t timeout_timer;
     bool draining;
@@ -796,20 +800,16 @@
 }
 
 /// Evicts connections while more than the limit is held: those that hold much
-/// and progress least first. Only called between events, since requests of
-/// evicted connections may be in flight.
+/// and progress least first. Requests of evicted connections may be in flight.
 static void
-relieve_memory(http_server_t *server)
+relieve_memory(void *context)
 {
-    if (server->account == NULL) {
-        return;
-    }
-    metric_set(METRIC_HELD_BYTES, (int64_t)server->account->held);
+    http_server_t *server = context;
     log_memory_state(server);
-    if (!byte_account_is_exceeded(server->account)) {
+    int64_t at_us = clock_now_us(server->loop->clock);
+    if (at_us < server->relief_from_us) {
         return;
     }
-    int64_t at_us = clock_now_us(server->loop->clock);
     while (byte_account_is_scarce(server->account)) {
         connection_t *worst = NULL;
         double worst_score = 0;
@@ -825,6 +825,7 @@
             }
         }
         if (worst == NULL) {
+            server->relief_from_us = at_us + RELIEF_PAUSE_US;
             return;
         }
         evict(worst);
@@ -887,7 +888,7 @@
     if (connection == NULL) {
         return;
     }
-    relieve_memory(connection->listener->server);
+    byte_account_relieve(connection->listener->server->account);
     if (socket->data == NULL) { // evicted
         return;
     }
@@ -1042,7 +1043,11 @@
         link = link->next;
         check_timeouts(connection, at_us);
     }
-    relieve_memory(server);
+    if (server->account != NULL) {
+        metric_set(METRIC_HELD_BYTES, (int64_t)server->account->held);
+        byte_account_relieve(server->account);
+        log_memory_state(server);
+    }
     loop_timer_start(server->loop, &server->timeout_timer,
                      TIMEOUT_CHECK_INTERVAL_US, check_all_timeouts, server);
 }
@@ -1065,11 +1070,12 @@
 }
 
 /// Makes the server keep within the limit of an account, which others may use
-/// too.
+/// too; they have memory freed by byte_account_relieve().
 void
 http_server_set_account(http_server_t *server, byte_account_t *account)
 {
     server->account = account;
+    byte_account_set_relief(account, relieve_memory, server);
 }
 
 /// Opens a listener. All listeners must be opened before http_server_start().
--- a/test/functional/test_http_client.c
+++ b/test/functional/test_http_client.c
@@ -549,6 +549,52 @@
     stop_server(&server);
 }
 
+typedef struct {
+    byte_account_t account;
+    loop_t *loop;
+    http_exchange_t *exchange;
+} relief_t;
+
+static void
+cancel_for_memory(void *context)
+{
+    relief_t *relief = context;
+    byte_account_change(&relief->account, relief->account.held, 0);
+    http_exchange_cancel(relief->exchange);
+    loop_stop(relief->loop);
+}
+
+/// Guards against responses that are read while more memory is held than the
+/// limit allows, and whose own exchange the relief may end.
+static void
+test_memory_is_freed_before_a_response_is_read(void)
+{
+    script_server_t server;
+    start_server(&server, "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+                 false);
+    clock_source_t clock;
+    boot_clock_init(&clock);
+    loop_t loop;
+    loop_init(&loop, &clock);
+    relief_t relief = {.loop = &loop};
+    byte_account_init(&relief.account, 1024);
+    byte_account_set_relief(&relief.account, cancel_for_memory, &relief);
+    byte_account_change(&relief.account, 0, 1025); // held by somebody else
+    http_pool_t *pool = http_pool_new_with_options(
+        &loop, &(http_pool_options_t){.endpoint = server.endpoint,
+                                      .connections_max = 1,
+                                      .max_response_bytes = 32,
+                                      .account = &relief.account});
+    results_t results = {.loop = &loop, .expected = 1};
+    relief.exchange = get(pool, &results, TEST_TIMEOUT_US);
+    loop_run(&loop);
+    CU_ASSERT_EQUAL(results.count, 0);
+    CU_ASSERT_EQUAL(relief.account.held, 0);
+    http_pool_release(pool);
+    loop_finish(&loop);
+    stop_server(&server);
+}
+
 int
 main(void)
 {
@@ -566,6 +612,8 @@
         {"waiting", test_exchanges_wait_for_a_free_connection},
         {"cancel", test_cancelled_exchange_reports_nothing},
         {"cancel in one iteration", test_cancel_in_the_iteration_of_the_start},
+        {"memory before a response",
+         test_memory_is_freed_before_a_response_is_read},
         CU_TEST_INFO_NULL,
     };
     return run_suite("http client", tests);
