Separate the search for a connection to evict from the eviction

clang-tidy took the connection of the earlier form for freed memory that is read again: it doesn't see that evict() takes it out of the queue.

--- a/src/ibisfield/io/http_server.c
+++ b/src/ibisfield/io/http_server.c
@@ -799,8 +799,31 @@
     }
 }
 
-/// Evicts connections while more than the limit is held: those that hold much
-/// and progress least first. Requests of evicted connections may be in flight.
+/// Returns the connection that holds much and progresses least; NULL if none
+/// can be evicted.
+static connection_t *
+find_evictable(const http_server_t *server, int64_t at_us)
+{
+    connection_t *worst = NULL;
+    double worst_score = 0;
+    for (const GList *link = server->connections.head; link != NULL;
+         link = link->next)
+    {
+        connection_t *connection = link->data;
+        // evict() takes the connection out of the queue, which the analyzer
+        // doesn't see. NOLINTNEXTLINE(clang-analyzer-unix.Malloc)
+        bool evictable = is_evictable(connection);
+        double score = eviction_score(connection, at_us);
+        if (evictable && score > worst_score) {
+            worst = connection;
+            worst_score = score;
+        }
+    }
+    return worst;
+}
+
+/// Evicts connections until the account has room again. Requests of evicted
+/// connections may be in flight.
 static void
 relieve_memory(void *context)
 {
@@ -811,24 +834,12 @@
         return;
     }
     while (byte_account_is_scarce(server->account)) {
-        connection_t *worst = NULL;
-        double worst_score = 0;
-        for (GList *link = server->connections.head; link != NULL;
-             link = link->next) {
-            connection_t *connection = link->data;
-            double score = is_evictable(connection)
-                               ? eviction_score(connection, at_us)
-                               : 0;
-            if (score > worst_score) {
-                worst = connection;
-                worst_score = score;
-            }
-        }
-        if (worst == NULL) {
+        connection_t *connection = find_evictable(server, at_us);
+        if (connection == NULL) {
             server->relief_from_us = at_us + RELIEF_PAUSE_US;
             return;
         }
-        evict(worst);
+        evict(connection);
     }
 }
 
