Don't take a reset during an upload for the end of a response

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The client got that part as a complete 200.

Cause: a write that fails takes the error of the reset from the socket. The next read returns the end of the stream, as after an orderly close, and read_response() completed the response.

Change: while the request is being written, the end of the stream ends a response without a length only once the write has succeeded. After a failed write such a response is invalid. Responses with a length or in chunks don't depend on the end of the connection; they are still delivered if they are complete, also after a failed write.

Why it works: the error of a reset is returned once, by a write or by a read. If a read returned it, the response was invalid before this change too. If a write returned it, the exchange now knows. A server that has sent its whole response closes its side and reads the rest of the upload, so that the write succeeds.

Measured (x86_64): the new test sends seven forms of an end during an upload of 8 MiB and four whole responses, 20 times each.

--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -44,9 +44,12 @@
     GString *request; ///< head that is being written
     GByteArray *body; ///< that is being written; NULL: none
     bool writing;
-    bool delivering;          ///< the callback of its last exchange is running
-    bool broken;              ///< must not be reused
-    size_t buffered_bytes;    ///< part of the pool's
+    bool write_failed;
+    bool read_ended;       ///< the server has closed its side, which ends the
+                           ///< response unless the write fails
+    bool delivering;       ///< the callback of its last exchange is running
+    bool broken;           ///< must not be reused
+    size_t buffered_bytes; ///< part of the pool's
     uint32_t stale_responses; ///< responses to other requests that arrived
     int64_t idle_until_us;
     GList idle_link;
@@ -318,6 +321,54 @@
     pool_exchange_ended(pool);
 }
 
+/// Ends the exchange of a connection if its response is complete or has
+/// failed.
+static void
+end_exchange_if_read(connection_t *connection, const char *error)
+{
+    const http_pool_t *pool = connection->pool;
+    response_reader_t *reader = &connection->reader;
+    if (reader->state == RESPONSE_PARTIAL &&
+        pool->options.max_buffered_bytes > 0 &&
+        pool->buffered_bytes > pool->options.max_buffered_bytes)
+    {
+        reader->state = RESPONSE_TOO_LARGE;
+    }
+    switch (reader->state) {
+    case RESPONSE_PARTIAL:
+        break;
+    case RESPONSE_COMPLETE:
+        deliver_response(connection);
+        break;
+    case RESPONSE_TOO_LARGE:
+        fail_exchange(connection->exchange, HTTP_TOO_LARGE,
+                      "responses exceed the size limit");
+        break;
+    default:
+        fail_exchange(connection->exchange, HTTP_LOST,
+                      error == NULL ? "not a complete HTTP response" : error);
+        break;
+    }
+}
+
+/// Handles the end of what the server sends.
+static void
+handle_read_end(connection_t *connection, const char *error)
+{
+    response_reader_t *reader = &connection->reader;
+    bool closed = error == h2o_socket_error_closed;
+    connection->broken = true;
+    if (closed && connection->writing && reader->close_delimited) {
+        // A write that fails takes the error of a reset from the socket, and
+        // reads then return the end of the stream. Whether the server closed
+        // the connection is known only once the write has ended.
+        connection->read_ended = true;
+        h2o_socket_read_stop(connection->socket);
+        return;
+    }
+    response_reader_eof(reader, closed && !connection->write_failed);
+}
+
 /// Feeds the input to the reader, drops stale responses, and ends the exchange
 /// if its response is complete or has failed.
 static void
@@ -342,31 +393,9 @@
         response_reader_start(reader, connection->exchange->is_head);
     }
     if (error != NULL) {
-        response_reader_eof(reader, error == h2o_socket_error_closed);
-        connection->broken = true;
-    }
-    const http_pool_t *pool = connection->pool;
-    if (reader->state == RESPONSE_PARTIAL &&
-        pool->options.max_buffered_bytes > 0 &&
-        pool->buffered_bytes > pool->options.max_buffered_bytes)
-    {
-        reader->state = RESPONSE_TOO_LARGE;
-    }
-    switch (reader->state) {
-    case RESPONSE_PARTIAL:
-        break;
-    case RESPONSE_COMPLETE:
-        deliver_response(connection);
-        break;
-    case RESPONSE_TOO_LARGE:
-        fail_exchange(connection->exchange, HTTP_TOO_LARGE,
-                      "responses exceed the size limit");
-        break;
-    default:
-        fail_exchange(connection->exchange, HTTP_LOST,
-                      error == NULL ? "not a complete HTTP response" : error);
-        break;
+        handle_read_end(connection, error);
     }
+    end_exchange_if_read(connection, error);
 }
 
 static void
@@ -401,8 +430,15 @@
     }
     connection->writing = false;
     g_clear_pointer(&connection->body, g_byte_array_unref);
-    // A response that the server sent before it closed is still read.
-    connection->broken |= error != NULL;
+    if (error != NULL) {
+        // A complete response that the server sent before is still read.
+        connection->broken = true;
+        connection->write_failed = true;
+    }
+    if (connection->read_ended && connection->exchange != NULL) {
+        response_reader_eof(&connection->reader, error == NULL);
+        end_exchange_if_read(connection, error);
+    }
 }
 
 static void
--- /dev/null
+++ b/test/functional/test_broken_responses.c
@@ -0,0 +1,338 @@
+/// @file
+/// Servers that respond with bytes that are no response in HTTP/1.1, or break
+/// a response off: nothing of them may be taken for a response. Complete
+/// responses of unusual forms that HTTP/1.1 allows must still pass.
+
+#include <signal.h>
+
+#include "common/raw_server.h"
+#include "common/store_site.h"
+#include "common/suite.h"
+
+/// The node beside this machine's server gets its responses.
+#define GUARD 2
+#define UPLOAD_BYTES ((size_t)8 << 20)
+#define UPLOAD_ROUNDS 20
+
+/// Headers that the platform's servers set on all responses, so that only the
+/// form of a response tells that it is broken.
+#define SEALED "X-Request-Id: @ID\r\nX-Server-Seal: 3e1b.07\r\n"
+#define OK "HTTP/1.1 200 OK\r\n" SEALED
+#define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
+#define WITH_LENGTH "Content-Length: 7\r\n\r\nmarker."
+#define WITHOUT_LENGTH "\r\nmarker."
+
+/// A complete response, and what the client must get of it.
+typedef struct {
+    raw_response_t response;
+    int status;
+    const char *body;
+} whole_response_t;
+
+static const whole_response_t whole_responses[] = {
+    {{"usual", RAW_BYTES(OK WITH_LENGTH), RAW_KEEP}, 200, "marker."},
+    {{"no reason", RAW_BYTES("HTTP/1.1 200 \r\n" SEALED WITH_LENGTH),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"neither reason nor blank",
+      RAW_BYTES("HTTP/1.1 200\r\n" SEALED WITH_LENGTH), RAW_KEEP},
+     200,
+     "marker."},
+    {{"reason with bytes above ASCII",
+      RAW_BYTES("HTTP/1.1 200 Tr\303\251s\tbien\r\n" SEALED WITH_LENGTH),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"blanks before the status",
+      RAW_BYTES("HTTP/1.1   200 OK\r\n" SEALED WITH_LENGTH), RAW_KEEP},
+     200,
+     "marker."},
+    {{"lines that end in a line feed",
+      RAW_BYTES("HTTP/1.1 200 OK\nX-Request-Id: @ID\nX-Server-Seal: 1\n"
+                "Content-Length: 7\n\nmarker."),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"HTTP/1.0", RAW_BYTES("HTTP/1.0 200 OK\r\n" SEALED WITH_LENGTH)},
+     200,
+     "marker."},
+    {{"later minor version",
+      RAW_BYTES("HTTP/1.2 200 OK\r\n" SEALED WITH_LENGTH), RAW_KEEP},
+     200,
+     "marker."},
+    {{"no length", RAW_BYTES(OK WITHOUT_LENGTH)}, 200, "marker."},
+    {{"no length, HTTP/1.0",
+      RAW_BYTES("HTTP/1.0 200 OK\r\n" SEALED WITHOUT_LENGTH)},
+     200,
+     "marker."},
+    {{"no length and no body", RAW_BYTES(OK "\r\n")}, 200, ""},
+    {{"chunks", RAW_BYTES(CHUNKED "3\r\nmar\r\n04\r\nker.\r\n000\r\n\r\n"),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"chunk extensions",
+      RAW_BYTES(CHUNKED "3;a=b\r\nmar\r\n4 ; c=\"d\"\r\nker.\r\n0;e\r\n\r\n"),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"blanks behind the size",
+      RAW_BYTES(CHUNKED "7  \r\nmarker.\r\n0\r\n\r\n"), RAW_KEEP},
+     200,
+     "marker."},
+    {{"chunk with line ends in it",
+      RAW_BYTES(CHUNKED "B\r\nmar\r\n\r\nker.\r\n0\r\n\r\n"), RAW_KEEP},
+     200,
+     "mar\r\n\r\nker."},
+    {{"trailers",
+      RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n"),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"coding in capitals",
+      RAW_BYTES(OK "TRANSFER-ENCODING: Chunked\r\n\r\n7\r\nmarker.\r\n0\r\n"
+                   "\r\n"),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"interim responses",
+      RAW_BYTES(
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+          "Link: </a>\r\n\r\nHTTP/1.1 102\r\nContent-Length: 0\r\n\r\n" OK
+              WITH_LENGTH),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"empty line before the response", RAW_BYTES("\r\n" OK WITH_LENGTH),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"folded value", RAW_BYTES(OK "X-Folded: a\r\n b\r\n\tc\r\n" WITH_LENGTH),
+      RAW_KEEP},
+     200,
+     "marker."},
+    {{"blanks around the length",
+      RAW_BYTES(OK "Content-Length: \t 7 \r\n\r\nmarker."), RAW_KEEP},
+     200,
+     "marker."},
+    {{"no blank before a value",
+      RAW_BYTES(OK "Content-Length:7\r\nX-Empty:\r\n\r\nmarker."), RAW_KEEP},
+     200,
+     "marker."},
+    {{"all bytes of names",
+      RAW_BYTES(OK "!#$%&'*+-.^_`|~09AZaz: 1\r\n" WITH_LENGTH), RAW_KEEP},
+     200,
+     "marker."},
+    {{"values with tabs and bytes above ASCII",
+      RAW_BYTES(OK "X-Value: a\tb\303\251\377:; c\r\n" WITH_LENGTH), RAW_KEEP},
+     200,
+     "marker."},
+    {{"204", RAW_BYTES("HTTP/1.1 204 No Content\r\n" SEALED "\r\n"), RAW_KEEP},
+     204,
+     ""},
+    {{"204 with length 0",
+      RAW_BYTES("HTTP/1.1 204 No Content\r\n" SEALED
+                "Content-Length: 0\r\n\r\n"),
+      RAW_KEEP},
+     204,
+     ""},
+    {{"status 207",
+      RAW_BYTES("HTTP/1.1 207 Multi-Status\r\n" SEALED WITH_LENGTH), RAW_KEEP},
+     207,
+     "marker."},
+    {{"status 418", RAW_BYTES("HTTP/1.1 418 Teapot\r\n" SEALED WITH_LENGTH),
+      RAW_KEEP},
+     418,
+     "marker."},
+    {{"status 599", RAW_BYTES("HTTP/1.1 599 Other\r\n" SEALED WITH_LENGTH),
+      RAW_KEEP},
+     599,
+     "marker."},
+};
+
+static raw_server_t server;
+static int next_id;
+
+static int
+status_of(const GString *response)
+{
+    int status = 0;
+    return sscanf(response->str, "HTTP/1.1 %3d ", &status) == 1 ? status : 0;
+}
+
+/// Returns the body of a response that has exactly the length that it says;
+/// NULL if there is none.
+static const char *
+body_of(const GString *response)
+{
+    const char *end = strstr(response->str, "\r\n\r\n");
+    const char *length = strstr(response->str, "\r\ncontent-length: ");
+    if (end == NULL) {
+        return NULL;
+    }
+    const char *body = end + strlen("\r\n\r\n");
+    size_t len = response->len - (size_t)(body - response->str);
+    size_t announced =
+        length == NULL || length > end
+            ? 0
+            : (size_t)g_ascii_strtoull(length + strlen("\r\ncontent-length: "),
+                                       NULL, 10);
+    return len == announced ? body : NULL;
+}
+
+/// Sends a request that may run at most once to the node of the first machine,
+/// and returns the response. @p id is set to its id.
+static GString *
+book(size_t body_bytes, char id[32])
+{
+    g_snprintf(id, 32, "id-%d", next_id++);
+    char *head = g_strdup_printf("POST /book/a HTTP/1.1\r\nHost: site.example"
+                                 "\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 4500"
+                                 "\r\nConnection: close\r\n",
+                                 id);
+    GString *response =
+        raw_request(site.machines[0].address, PORT_CALLER, head, body_bytes);
+    g_free(head);
+    return response;
+}
+
+/// Fails the test unless the client got an error of the node's own, whose
+/// outcome is unknown, and the request was sent once.
+static void
+check_refused(const char *name, const GString *response, const char *id)
+{
+    int status = status_of(response);
+    bool passed =
+        (status == 502 || status == 504) && body_of(response) != NULL &&
+        strstr(response->str, "ibisfield-outcome: unknown") != NULL &&
+        strstr(response->str, "seal") == NULL &&
+        strstr(response->str, "marker") == NULL &&
+        raw_server_requests(&server, id) == 1;
+    if (!passed) {
+        printf("\n  %s: sent %u times, client got:\n%s\n", name,
+               raw_server_requests(&server, id), response->str);
+    }
+    CU_ASSERT_TRUE(passed);
+}
+
+static void
+check_passed(const char *name, const GString *response, int status,
+             const char *body)
+{
+    const char *found = body_of(response);
+    bool passed = status_of(response) == status && found != NULL &&
+                  strcmp(found, body) == 0 &&
+                  strstr(response->str, "x-server-seal: ") != NULL;
+    if (!passed) {
+        printf("\n  %s: expected %d, client got:\n%s\n", name, status,
+               response->str);
+    }
+    CU_ASSERT_TRUE(passed);
+}
+
+/// Starts a site with a raw server in place of the only one of "back".
+static void
+start_site_with_raw_server(void)
+{
+    site_extra_settings = ", \"max_request_bytes\": 16777216";
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    process_stop(&site.machines[GUARD].server, SIGKILL);
+    raw_server_start(&server, site.machines[GUARD].address, PORT_UPSTREAM,
+                     &whole_responses[0].response);
+    remove_server_record(&site.machines[GUARD + 1]);
+    wait_nodes_logged("event=vm_removed upstream_vm=i-3");
+}
+
+static void
+test_whole_responses_of_a_server(void)
+{
+    char id[32];
+    start_site_with_raw_server();
+    for (size_t i = 0; i < G_N_ELEMENTS(whole_responses); i++) {
+        const whole_response_t *whole = &whole_responses[i];
+        server.response = &whole->response;
+        GString *response = book(0, id);
+        check_passed(whole->response.name, response, whole->status,
+                     whole->body);
+        CU_ASSERT_EQUAL(raw_server_requests(&server, id), 1);
+        g_string_free(response, TRUE);
+    }
+    raw_server_stop(&server);
+    stop_site();
+}
+
+/// Guards against a reset that looks like an orderly end: a write that fails
+/// takes the error of the reset from the socket.
+static void
+test_resets_while_an_upload_is_written(void)
+{
+    static const raw_response_t resets[] = {
+        {"reset at once", RAW_BYTES(OK WITHOUT_LENGTH), RAW_RESET, true, 0},
+        {"reset after 2 ms", RAW_BYTES(OK WITHOUT_LENGTH), RAW_RESET, true,
+         2000},
+        {"reset after 30 ms", RAW_BYTES(OK WITHOUT_LENGTH), RAW_RESET, true,
+         30000},
+        {"unread upload", RAW_BYTES(OK WITHOUT_LENGTH), RAW_CLOSE, true,
+         10000},
+        {"reset in a body with a length",
+         RAW_BYTES(OK "Content-Length: 9\r\n\r\nmarker."), RAW_RESET, true,
+         10000},
+        {"reset in chunks", RAW_BYTES(CHUNKED "7\r\nmarker.\r\n"), RAW_RESET,
+         true, 10000},
+        {"reset in the head", RAW_BYTES(OK), RAW_RESET, true, 10000},
+    };
+    char id[32];
+    start_site_with_raw_server();
+    for (int round = 0; round < UPLOAD_ROUNDS; round++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(resets); i++) {
+            server.response = &resets[i];
+            GString *response = book(UPLOAD_BYTES, id);
+            check_refused(resets[i].name, response, id);
+            g_string_free(response, TRUE);
+        }
+    }
+    raw_server_stop(&server);
+    stop_site();
+}
+
+/// Guards against refusing complete responses to an upload that is still being
+/// written.
+static void
+test_whole_responses_while_an_upload_is_written(void)
+{
+    static const raw_response_t responses[] = {
+        {"no length", RAW_BYTES(OK WITHOUT_LENGTH), RAW_DRAIN, true, 10000},
+        {"length", RAW_BYTES(OK WITH_LENGTH), RAW_DRAIN, true, 10000},
+        {"length, then a reset", RAW_BYTES(OK WITH_LENGTH), RAW_RESET, true,
+         10000},
+        {"chunks", RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\n\r\n"), RAW_DRAIN,
+         true, 10000},
+    };
+    char id[32];
+    start_site_with_raw_server();
+    for (int round = 0; round < UPLOAD_ROUNDS; round++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(responses); i++) {
+            server.response = &responses[i];
+            GString *response = book(UPLOAD_BYTES, id);
+            check_passed(responses[i].name, response, 200, "marker.");
+            CU_ASSERT_EQUAL(raw_server_requests(&server, id), 1);
+            g_string_free(response, TRUE);
+        }
+    }
+    raw_server_stop(&server);
+    stop_site();
+}
+
+int
+main(void)
+{
+    CU_TestInfo tests[] = {
+        {"whole responses of a server", test_whole_responses_of_a_server},
+        {"resets during an upload", test_resets_while_an_upload_is_written},
+        {"whole responses during an upload",
+         test_whole_responses_while_an_upload_is_written},
+        CU_TEST_INFO_NULL,
+    };
+    return run_suite("broken responses", tests);
+}
