Refuse responses whose status line is malformed

What callers saw: a server in trouble sent a response whose status was 000. The client got it as a response.

Cause: http_parser takes status codes of any number of digits and any value up to 999, any version, any byte of a reason, and any byte in place of the line feed behind a carriage return. Nothing checked the status afterwards.

Change: response_reader checks each status line, those of interim responses included, before http_parser gets it: "HTTP/1.", a digit, a code of three digits from 100 to 599, a reason without control bytes, a line end. http_scan finds the lines, http_line knows their syntax. The ends of other lines are found as http_parser finds them; their syntax follows. What the standard lets recipients accept still passes: no reason, several blanks before the code, a line feed alone, an empty line before the response. The standard calls codes above 599 invalid and has them treated as a failure of the server.

Why it works: an invalid response ends its exchange as lost. Its outcome is unknown, so the caller gets a 502 or 504 and a request that may run once is not sent again.

--- /dev/null
+++ b/src/ibisfield/io/http_line.c
@@ -0,0 +1,201 @@
+/// @file
+/// Syntax of the lines of HTTP/1.1 messages (RFC 9112). http_parser takes
+/// status codes of any number of digits, 000 among them. Readers therefore
+/// check the status line before http_parser gets it; of other lines, only the
+/// end is found, as http_parser finds it.
+///
+/// Accepted are forms that the standard lets recipients accept: a line feed
+/// without a carriage return, several spaces after the version, and a status
+/// line that ends behind the code.
+
+#include "ibisfield/io/http_line.h"
+
+#include <glib.h>
+
+#define STATUS_DIGITS 3
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
+enum {
+    STATE_START,
+    STATE_CR,          ///< a carriage return was read
+    STATE_EMPTY_CR,    ///< the same in an empty line before the start line
+    STATE_VERSION,     ///< in "HTTP/1."
+    STATE_MINOR,       ///< minor version
+    STATE_VERSION_END, ///< blank after the version
+    STATE_CODE,
+    STATE_SIZE,
+    STATE_SIZE_END, ///< blanks behind the size of a chunk
+    STATE_TEXT,     ///< reason phrase, field value or chunk extension
+};
+
+static const char version[] = "HTTP/1.";
+
+/// Returns whether @p c may occur in a field value: any byte but the control
+/// characters, of which the tab is allowed.
+static bool
+is_text(char c)
+{
+    unsigned char byte = (unsigned char)c;
+    return byte == '\t' || (byte >= ' ' && byte != 0x7f);
+}
+
+/// Lets the line go on in @p state.
+static http_line_result_t
+go_on(http_line_t *line, int state)
+{
+    line->state = state;
+    return HTTP_LINE_PARTIAL;
+}
+
+/// Reads a byte of text, or of the end of the line.
+static http_line_result_t
+read_text(http_line_t *line, char c)
+{
+    if (c == '\r') {
+        return go_on(line, STATE_CR);
+    }
+    if (c == '\n') {
+        return HTTP_LINE_END;
+    }
+    return is_text(c) ? go_on(line, STATE_TEXT) : HTTP_LINE_INVALID;
+}
+
+static http_line_result_t
+read_status_code(http_line_t *line, char c)
+{
+    if (line->matched < STATUS_DIGITS) {
+        if (!g_ascii_isdigit(c)) {
+            return HTTP_LINE_INVALID;
+        }
+        line->matched++;
+        line->status = line->status * 10 + g_ascii_digit_value(c);
+        return go_on(line, STATE_CODE);
+    }
+    if (line->status < STATUS_MIN || line->status > STATUS_MAX ||
+        (c != ' ' && c != '\r' && c != '\n'))
+    {
+        return HTTP_LINE_INVALID;
+    }
+    return read_text(line, c);
+}
+
+static http_line_result_t
+read_status_line(http_line_t *line, char c)
+{
+    switch (line->state) {
+    case STATE_START:
+    case STATE_VERSION:
+        if (c != version[line->matched]) {
+            return HTTP_LINE_INVALID;
+        }
+        line->matched++;
+        return go_on(line, version[line->matched] == '\0' ? STATE_MINOR
+                                                          : STATE_VERSION);
+    case STATE_MINOR:
+        line->matched = 0;
+        return g_ascii_isdigit(c) ? go_on(line, STATE_VERSION_END)
+                                  : HTTP_LINE_INVALID;
+    case STATE_VERSION_END:
+        if (c == ' ') {
+            line->matched++;
+            return HTTP_LINE_PARTIAL;
+        }
+        if (line->matched == 0) {
+            return HTTP_LINE_INVALID;
+        }
+        line->matched = 0;
+        // Fall through.
+    case STATE_CODE:
+        return read_status_code(line, c);
+    default:
+        return read_text(line, c);
+    }
+}
+
+static http_line_result_t
+read_field_line(http_line_t *line, char c)
+{
+    if (line->state == STATE_START) {
+        line->is_empty = c == '\r' || c == '\n';
+        line->state = c == '\r' ? STATE_CR : STATE_TEXT;
+    }
+    return c == '\n' ? HTTP_LINE_END : HTTP_LINE_PARTIAL;
+}
+
+static http_line_result_t
+read_chunk_line(http_line_t *line, char c)
+{
+    if (c == '\r') {
+        return go_on(line, STATE_CR);
+    }
+    if (line->state != STATE_SIZE_END && g_ascii_isxdigit(c)) {
+        line->chunk_size =
+            line->chunk_size << 4 | (uint64_t)g_ascii_xdigit_value(c);
+        return go_on(line, STATE_SIZE);
+    }
+    return go_on(line, STATE_SIZE_END);
+}
+
+/// Reads the first byte of a start line, or of an empty line before it.
+static http_line_result_t
+read_start(http_line_t *line, char c)
+{
+    if (c == '\r') {
+        return go_on(line, STATE_EMPTY_CR);
+    }
+    if (c == '\n') {
+        return HTTP_LINE_PARTIAL;
+    }
+    return read_status_line(line, c);
+}
+
+static http_line_result_t
+read_byte(http_line_t *line, char c)
+{
+    if (line->state == STATE_CR && line->kind != HTTP_LINE_STATUS) {
+        return HTTP_LINE_END; // http_parser takes any byte for the line feed.
+    }
+    if (line->state == STATE_CR) {
+        return c == '\n' ? HTTP_LINE_END : HTTP_LINE_INVALID;
+    }
+    switch (line->kind) {
+    case HTTP_LINE_FIELD:
+        return read_field_line(line, c);
+    case HTTP_LINE_CHUNK:
+        return read_chunk_line(line, c);
+    case HTTP_LINE_CHUNK_END:
+        return go_on(line, STATE_CR);
+    default:
+        break;
+    }
+    if (line->state == STATE_START) {
+        return read_start(line, c);
+    }
+    if (line->state == STATE_EMPTY_CR) {
+        return c == '\n' ? go_on(line, STATE_START) : HTTP_LINE_INVALID;
+    }
+    return read_status_line(line, c);
+}
+
+/// Starts a line.
+void
+http_line_start(http_line_t *line, http_line_kind_t kind)
+{
+    *line = (http_line_t){.kind = kind};
+}
+
+/// Checks @p bytes up to the end of the line. Sets @p used to the number of
+/// bytes that belong to it.
+http_line_result_t
+http_line_feed(http_line_t *line, slice_t bytes, size_t *used)
+{
+    http_line_result_t result = HTTP_LINE_PARTIAL;
+    size_t i = 0;
+    while (i < bytes.len && result == HTTP_LINE_PARTIAL) {
+        result = read_byte(line, bytes.data[i]);
+        i++;
+    }
+    *used = i;
+    return result;
+}
--- a/src/ibisfield/io/response_reader.c
+++ b/src/ibisfield/io/response_reader.c
@@ -1,6 +1,7 @@
 /// @file
 /// Incremental reader of HTTP/1.1 responses, on top of http_parser. It does no
-/// I/O: the client feeds it bytes and reports the end of the connection.
+/// I/O: the client feeds it bytes and reports the end of the connection. Lines
+/// are checked before http_parser gets them.
 
 #include "ibisfield/io/response_reader.h"
 
@@ -31,6 +32,17 @@
     return parser->data;
 }
 
+/// Marks the response as invalid unless it is already, and stops the parser.
+static int
+reject(response_reader_t *reader, const char *error)
+{
+    if (reader->state == RESPONSE_PARTIAL) {
+        reader->state = RESPONSE_INVALID;
+        reader->error = error;
+    }
+    return -1;
+}
+
 static header_offsets_t *
 last_header(const response_reader_t *reader)
 {
@@ -46,7 +58,7 @@
     response_reader_t *reader = reader_of(parser);
     if (reader->header_offsets->len == 0 || reader->in_header_value) {
         if (reader->header_offsets->len >= HEADERS_MAX) {
-            return -1;
+            return reject(reader, "too many fields");
         }
         header_offsets_t header = {.name = reader->header_text->len};
         g_array_append_val(reader->header_offsets, header);
@@ -97,9 +109,9 @@
     if (reader->close_delimited && !reader->allow_close_delimited) {
         // A response that ends with its connection can't be distinguished from
         // a truncated one, unless the peer is known to close properly.
-        reader->state = RESPONSE_INVALID;
-        return -1;
+        return reject(reader, "no length");
     }
+    http_scan_begin_body(&reader->scan, is_chunked);
     return reader->is_head ? 1 : 0; // 1: http_parser expects no body
 }
 
@@ -131,6 +143,7 @@
     g_byte_array_set_size(reader->body, 0);
     reader->in_header_value = false;
     reader->close_delimited = false;
+    http_scan_start(&reader->scan, HTTP_LINE_STATUS);
 }
 
 static void
@@ -155,7 +168,9 @@
     if (parser->status_code / 100 == 1) {
         // An interim response; the final one follows on the connection.
         reset(reader);
-        return ++reader->interim_count > INTERIM_RESPONSES_MAX ? -1 : 0;
+        return ++reader->interim_count > INTERIM_RESPONSES_MAX
+                   ? reject(reader, "too many interim responses")
+                   : 0;
     }
     reader->state = RESPONSE_COMPLETE;
     reader->keep_alive = http_should_keep_alive(parser) != 0;
@@ -198,13 +213,14 @@
     reader->is_head = is_head;
     reader->interim_count = 0;
     reader->state = RESPONSE_PARTIAL;
+    reader->error = NULL;
+    reader->started = false;
     reset(reader);
 }
 
-/// Parses @p bytes and updates the state. Returns the number of bytes that
-/// belong to the response; any further bytes follow it on the connection.
-size_t
-response_reader_feed(response_reader_t *reader, slice_t bytes)
+/// Passes bytes that have been checked to http_parser.
+static size_t
+parse(response_reader_t *reader, slice_t bytes)
 {
     static const http_parser_settings settings = {
         .on_header_field = on_header_field,
@@ -213,26 +229,41 @@
         .on_body = on_body,
         .on_message_complete = on_message_complete,
     };
-    if (reader->state != RESPONSE_PARTIAL || bytes.len == 0) {
-        return 0;
-    }
     size_t used =
         http_parser_execute(&reader->parser, &settings, bytes.data, bytes.len);
     enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
-    if (reader->state == RESPONSE_COMPLETE) {
-        return used;
+    if (error != HPE_OK && error != HPE_PAUSED) {
+        reject(reader, http_errno_description(error));
     }
-    if (reader->state == RESPONSE_PARTIAL &&
-        (error != HPE_OK || reader->parser.upgrade))
-    {
-        // After an upgrade the connection no longer carries HTTP.
-        reader->state = RESPONSE_INVALID;
+    if (reader->parser.upgrade) {
+        reject(reader, "change of protocol");
+    }
+    return used;
+}
+
+/// Parses @p bytes and updates the state. Returns the number of bytes that
+/// belong to the response; any further bytes follow it on the connection.
+size_t
+response_reader_feed(response_reader_t *reader, slice_t bytes)
+{
+    size_t used = 0;
+    while (reader->state == RESPONSE_PARTIAL && used < bytes.len) {
+        slice_t checked;
+        reader->started = true;
+        if (!http_scan_next(&reader->scan,
+                            (slice_t){bytes.data + used, bytes.len - used},
+                            &checked))
+        {
+            reject(reader, http_scan_error(&reader->scan));
+            break;
+        }
+        used += parse(reader, checked);
     }
     return used;
 }
 
-/// Reports the end of the connection. @p orderly is false after a reset, which
-/// may have truncated the response.
+/// Reports the end of the connection. @p orderly is false if it was reset, or
+/// may have been, which truncates a response without a length.
 void
 response_reader_eof(response_reader_t *reader, bool orderly)
 {
@@ -245,7 +276,8 @@
         set_headers(reader);
         return;
     }
-    reader->state = RESPONSE_INVALID;
+    reject(reader, orderly ? "connection closed within the response"
+                           : "connection reset within the response");
 }
 
 /// Returns the bytes of memory that the response takes so far.
--- a/src/ibisfield/io/response_reader.h
+++ b/src/ibisfield/io/response_reader.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 
 #include "ibisfield/base/slice.h"
+#include "ibisfield/io/http_scan.h"
 
 typedef struct {
     slice_t name; ///< lower case
@@ -15,24 +16,28 @@
 typedef enum {
     RESPONSE_PARTIAL, ///< needs more bytes
     RESPONSE_COMPLETE,
-    RESPONSE_INVALID, ///< not an HTTP response, truncated, or without a length
-                      ///< although allow_close_delimited isn't set
+    RESPONSE_INVALID, ///< malformed, truncated, or without a length although
+                      ///< allow_close_delimited isn't set
     RESPONSE_TOO_LARGE,
 } response_state_t;
 
 /// Incremental reader of one HTTP/1.1 response.
 typedef struct {
     http_parser parser;
+    http_scan_t scan;
     size_t max_body_bytes;
     bool is_head;               ///< the request was HEAD: no body follows
     bool allow_close_delimited; ///< an orderly close may end a response that
                                 ///< has no length
     response_state_t state;
+    const char *error;      ///< valid in RESPONSE_INVALID; holds no bytes of
+                            ///< the response
+    bool started;           ///< a byte was read
     bool keep_alive;        ///< valid in RESPONSE_COMPLETE
     bool close_delimited;   ///< the end of the connection ends the body
     bool in_header_value;   ///< the last parsed text was a header value
     uint32_t interim_count; ///< interim responses (1xx) before this one
-    GString *header_text;   ///< names and values of all headers
+    GString *header_text;   ///< names and values of the headers
     GArray *header_offsets; ///< of header_offsets_t, into header_text
     GByteArray *body;
     http_header_t *headers; ///< valid in RESPONSE_COMPLETE
--- a/test/functional/test_broken_responses.c
+++ b/test/functional/test_broken_responses.c
@@ -22,6 +22,38 @@
 #define WITH_LENGTH "Content-Length: 7\r\n\r\nmarker."
 #define WITHOUT_LENGTH "\r\nmarker."
 
+/// Responses that must not reach a client.
+static const raw_response_t broken_responses[] = {
+    {"status 000", RAW_BYTES("HTTP/1.1 000 OK\r\n" SEALED WITH_LENGTH)},
+    {"status 000, without a length",
+     RAW_BYTES("HTTP/1.1 000 OK\r\n" SEALED WITHOUT_LENGTH)},
+    {"status 000, chunked",
+     RAW_BYTES("HTTP/1.1 000 OK\r\n" SEALED "Transfer-Encoding: chunked"
+               "\r\n\r\n7\r\nmarker.\r\n0\r\n\r\n")},
+    {"status 099", RAW_BYTES("HTTP/1.1 099 OK\r\n" SEALED WITH_LENGTH)},
+    {"status 600", RAW_BYTES("HTTP/1.1 600 OK\r\n" SEALED WITH_LENGTH)},
+    {"status 999", RAW_BYTES("HTTP/1.1 999 OK\r\n" SEALED WITH_LENGTH)},
+    {"status of two digits",
+     RAW_BYTES("HTTP/1.1 20 OK\r\n" SEALED WITH_LENGTH)},
+    {"status of four digits",
+     RAW_BYTES("HTTP/1.1 0200 OK\r\n" SEALED WITH_LENGTH)},
+    {"status with a sign",
+     RAW_BYTES("HTTP/1.1 +200 OK\r\n" SEALED WITH_LENGTH)},
+    {"status with a letter",
+     RAW_BYTES("HTTP/1.1 200x OK\r\n" SEALED WITH_LENGTH)},
+    {"no status", RAW_BYTES("HTTP/1.1 OK\r\n" SEALED WITH_LENGTH)},
+    {"no version", RAW_BYTES("200 OK\r\n" SEALED WITH_LENGTH)},
+    {"other protocol", RAW_BYTES("ICY 200 OK\r\n" SEALED WITH_LENGTH)},
+    {"HTTP/2.0", RAW_BYTES("HTTP/2.0 200 OK\r\n" SEALED WITH_LENGTH)},
+    {"HTTP/0.9", RAW_BYTES("HTTP/0.9 200 OK\r\n" SEALED WITH_LENGTH)},
+    {"control byte in the reason",
+     RAW_BYTES("HTTP/1.1 200 O\0K\r\n" SEALED WITH_LENGTH)},
+    {"status line that ends in a carriage return",
+     RAW_BYTES("HTTP/1.1 200 OK\rX" SEALED WITH_LENGTH)},
+    {"broken interim status",
+     RAW_BYTES("HTTP/1.1 0100 Continue\r\n\r\n" OK WITH_LENGTH)},
+};
+
 /// A complete response, and what the client must get of it.
 typedef struct {
     raw_response_t response;
@@ -244,6 +276,21 @@
     wait_nodes_logged("event=vm_removed upstream_vm=i-3");
 }
 
+static void
+test_broken_responses_of_a_server(void)
+{
+    char id[32];
+    start_site_with_raw_server();
+    for (size_t i = 0; i < G_N_ELEMENTS(broken_responses); i++) {
+        server.response = &broken_responses[i];
+        GString *response = book(0, id);
+        check_refused(broken_responses[i].name, response, id);
+        g_string_free(response, TRUE);
+    }
+    raw_server_stop(&server);
+    stop_site();
+}
+
 static void
 test_whole_responses_of_a_server(void)
 {
@@ -328,6 +375,7 @@
 main(void)
 {
     CU_TestInfo tests[] = {
+        {"broken responses of a server", test_broken_responses_of_a_server},
         {"whole responses of a server", test_whole_responses_of_a_server},
         {"resets during an upload", test_resets_while_an_upload_is_written},
         {"whole responses during an upload",
--- a/test/functional/test_response_reader.c
+++ b/test/functional/test_response_reader.c
@@ -186,10 +186,39 @@
     response_reader_finish(&reader);
 }
 
+/// Guards against responses of any status that isn't defined, and of any
+/// number of digits but three.
+static void
+test_status_codes(void)
+{
+    start(true);
+    for (int status = 0; status < 10000; status++) {
+        for (int digits = 1; digits <= 4; digits++) {
+            char text[64];
+            g_snprintf(text, sizeof(text),
+                       "HTTP/1.1 %0*d\r\nContent-Length: 0\r\n\r\n", digits,
+                       status);
+            response_reader_start(&reader, false);
+            feed(text);
+            bool has_three = digits <= 3 && status >= 100 && status < 1000;
+            response_state_t expected = !has_three || status >= 600
+                                            ? RESPONSE_INVALID
+                                        : status < 200 ? RESPONSE_PARTIAL
+                                                       : RESPONSE_COMPLETE;
+            if (reader.state != expected) {
+                printf("\n  state %d for %s", reader.state, text);
+                CU_FAIL("wrong state");
+            }
+        }
+    }
+    response_reader_finish(&reader);
+}
+
 int
 main(void)
 {
     CU_TestInfo tests[] = {
+        {"status codes", test_status_codes},
         {"number of headers", test_number_of_headers_is_bounded},
         {"extra bytes", test_bytes_after_a_response_are_not_consumed},
         {"single bytes", test_response_in_single_bytes},
