Refuse responses with malformed header or trailer lines

What callers saw, on other systems and here: a server in trouble sent a response in whose head the name of a field held a blank. The client got it as a response, with that line passed on.

Cause: Debian builds http_parser without its strict checks. It then takes blanks in and before names, doesn't check the first byte of a value, and takes any byte for the line feed at the end of a head.

Change: http_line checks each field line of heads, interim responses and trailers before http_parser gets it: a name of token characters, a colon, a value without control characters but the tab, a line end. Folded values and line feeds alone, which the standard lets recipients accept, still pass.

Why it works: as for the status line; http_parser never sees a line that isn't one.

--- a/src/ibisfield/io/http_line.c
+++ b/src/ibisfield/io/http_line.c
@@ -1,16 +1,17 @@
 /// @file
-/// Syntax of the lines of HTTP/1.1 messages (RFC 9112). http_parser takes
-/// status codes of any number of digits, 000 among them. Readers therefore
-/// check the status line before http_parser gets it; of other lines, only the
-/// end is found, as http_parser finds it.
+/// Syntax of the lines of HTTP/1.1 messages (RFC 9112). http_parser, as Debian
+/// builds it, takes blanks in field names, any byte in the place of a line
+/// feed, and status codes of any number of digits. The readers therefore check
+/// each line of a head or of trailers before http_parser gets it.
 ///
 /// Accepted are forms that the standard lets recipients accept: a line feed
-/// without a carriage return, several spaces after the version, and a status
-/// line that ends behind the code.
+/// without a carriage return, several spaces after the version, a status line
+/// that ends behind the code, and folded field values.
 
 #include "ibisfield/io/http_line.h"
 
 #include <glib.h>
+#include <limits.h>
 
 #define STATUS_DIGITS 3
 #define STATUS_MIN 100
@@ -24,6 +25,7 @@
     STATE_MINOR,       ///< minor version
     STATE_VERSION_END, ///< blank after the version
     STATE_CODE,
+    STATE_NAME,
     STATE_SIZE,
     STATE_SIZE_END, ///< blanks behind the size of a chunk
     STATE_TEXT,     ///< reason phrase, field value or chunk extension
@@ -31,6 +33,12 @@
 
 static const char version[] = "HTTP/1.";
 
+static bool
+is_blank(char c)
+{
+    return c == ' ' || c == '\t';
+}
+
 /// Returns whether @p c may occur in a field value: any byte but the control
 /// characters, of which the tab is allowed.
 static bool
@@ -40,6 +48,20 @@
     return byte == '\t' || (byte >= ' ' && byte != 0x7f);
 }
 
+/// Bytes of field names ("tchar").
+static const bool token_bytes[UCHAR_MAX + 1] = {
+    ['!'] = true,         ['#' ... '\''] = true, ['*'] = true,
+    ['+'] = true,         ['-'] = true,          ['.'] = true,
+    ['0' ... '9'] = true, ['A' ... 'Z'] = true,  ['^' ... 'z'] = true,
+    ['|'] = true,         ['~'] = true,
+};
+
+static bool
+is_token(char c)
+{
+    return token_bytes[(unsigned char)c];
+}
+
 /// Lets the line go on in @p state.
 static http_line_result_t
 go_on(http_line_t *line, int state)
@@ -117,10 +139,23 @@
 read_field_line(http_line_t *line, char c)
 {
     if (line->state == STATE_START) {
-        line->is_empty = c == '\r' || c == '\n';
-        line->state = c == '\r' ? STATE_CR : STATE_TEXT;
+        if (c == '\r' || c == '\n') {
+            line->is_empty = true;
+            return read_text(line, c);
+        }
+        if (is_blank(c)) {
+            return line->may_be_continued ? go_on(line, STATE_TEXT)
+                                          : HTTP_LINE_INVALID;
+        }
+        return is_token(c) ? go_on(line, STATE_NAME) : HTTP_LINE_INVALID;
     }
-    return c == '\n' ? HTTP_LINE_END : HTTP_LINE_PARTIAL;
+    if (line->state == STATE_NAME) {
+        if (c == ':') {
+            return go_on(line, STATE_TEXT);
+        }
+        return is_token(c) ? HTTP_LINE_PARTIAL : HTTP_LINE_INVALID;
+    }
+    return read_text(line, c);
 }
 
 static http_line_result_t
@@ -153,7 +188,9 @@
 static http_line_result_t
 read_byte(http_line_t *line, char c)
 {
-    if (line->state == STATE_CR && line->kind != HTTP_LINE_STATUS) {
+    bool is_chunk_line =
+        line->kind == HTTP_LINE_CHUNK || line->kind == HTTP_LINE_CHUNK_END;
+    if (line->state == STATE_CR && is_chunk_line) {
         return HTTP_LINE_END; // http_parser takes any byte for the line feed.
     }
     if (line->state == STATE_CR) {
@@ -178,11 +215,34 @@
     return read_status_line(line, c);
 }
 
-/// Starts a line.
+/// Starts a line. It follows the line that was checked before, if any; a field
+/// may only be continued after another one.
 void
 http_line_start(http_line_t *line, http_line_kind_t kind)
 {
-    *line = (http_line_t){.kind = kind};
+    bool follows_field = kind == HTTP_LINE_FIELD &&
+                         line->kind == HTTP_LINE_FIELD && !line->is_empty;
+    *line = (http_line_t){.kind = kind, .may_be_continued = follows_field};
+}
+
+/// Returns how many bytes at the start of @p bytes leave the state unchanged,
+/// in the two states that most bytes of a head are read in.
+static size_t
+count_unchanged(const http_line_t *line, slice_t bytes)
+{
+    size_t i = 0;
+    if (line->state == STATE_TEXT) {
+        while (i < bytes.len && bytes.data[i] != '\t' &&
+               is_text(bytes.data[i])) {
+            i++;
+        }
+    }
+    else if (line->state == STATE_NAME) {
+        while (i < bytes.len && is_token(bytes.data[i])) {
+            i++;
+        }
+    }
+    return i;
 }
 
 /// Checks @p bytes up to the end of the line. Sets @p used to the number of
@@ -193,8 +253,11 @@
     http_line_result_t result = HTTP_LINE_PARTIAL;
     size_t i = 0;
     while (i < bytes.len && result == HTTP_LINE_PARTIAL) {
-        result = read_byte(line, bytes.data[i]);
-        i++;
+        i += count_unchanged(line, (slice_t){bytes.data + i, bytes.len - i});
+        if (i < bytes.len) {
+            result = read_byte(line, bytes.data[i]);
+            i++;
+        }
     }
     *used = i;
     return result;
--- a/src/ibisfield/io/http_line.h
+++ b/src/ibisfield/io/http_line.h
@@ -23,11 +23,12 @@
 /// Incremental check of one line of an HTTP/1.1 message.
 typedef struct {
     http_line_kind_t kind;
-    int state;           ///< private
-    uint32_t matched;    ///< bytes of the current element
-    int status;          ///< of a status line
-    uint64_t chunk_size; ///< of a HTTP_LINE_CHUNK
-    bool is_empty;       ///< the line has no bytes but its end
+    int state;             ///< private
+    uint32_t matched;      ///< bytes of the current element
+    int status;            ///< of a status line
+    uint64_t chunk_size;   ///< of a HTTP_LINE_CHUNK
+    bool is_empty;         ///< the line has no bytes but its end
+    bool may_be_continued; ///< the line before it is a field
 } http_line_t;
 
 void http_line_start(http_line_t *line, http_line_kind_t kind);
--- a/test/functional/test_response_reader.c
+++ b/test/functional/test_response_reader.c
@@ -186,6 +186,57 @@
     response_reader_finish(&reader);
 }
 
+/// Feeds a head with one header, in pieces of a size, and returns whether it
+/// was read to its end.
+static bool
+is_header_accepted(const char *name, size_t name_len, const char *value,
+                   size_t value_len, size_t piece)
+{
+    GString *text = g_string_new("HTTP/1.1 200 OK\r\n");
+    g_string_append_len(text, name, (gssize)name_len);
+    g_string_append(text, ": ");
+    g_string_append_len(text, value, (gssize)value_len);
+    g_string_append(text, "\r\nContent-Length: 0\r\n\r\n");
+    response_reader_start(&reader, false);
+    for (size_t used = 0;
+         used < text->len && reader.state == RESPONSE_PARTIAL;) {
+        size_t len = MIN(piece, text->len - used);
+        used +=
+            response_reader_feed(&reader, (slice_t){text->str + used, len});
+    }
+    g_string_free(text, TRUE);
+    CU_ASSERT_EQUAL(reader.state == RESPONSE_INVALID, reader.error != NULL);
+    return reader.state == RESPONSE_COMPLETE;
+}
+
+/// Guards against names and values with bytes that HTTP/1.1 doesn't allow
+/// there, wherever they stand, and against refusing the others.
+static void
+test_bytes_of_headers(void)
+{
+    static const char marks[] = "!#$%&'*+-.^_`|~";
+    start(true);
+    for (int byte = 0; byte < 256; byte++) {
+        char c = (char)byte;
+        bool is_token =
+            g_ascii_isalnum(c) || (c != '\0' && strchr(marks, c) != NULL);
+        bool is_text = byte == '\t' || (byte >= ' ' && byte != 0x7f);
+        for (size_t place = 0; place < 3; place++) {
+            char text[] = "abc";
+            text[place] = c;
+            // The first colon ends a name, which must not be empty.
+            bool ends_name = c == ':' && place > 0;
+            for (size_t piece = 1; piece <= 64; piece *= 64) {
+                CU_ASSERT_EQUAL(is_header_accepted(text, 3, "v", 1, piece),
+                                is_token || ends_name);
+                CU_ASSERT_EQUAL(is_header_accepted("n", 1, text, 3, piece),
+                                is_text);
+            }
+        }
+    }
+    response_reader_finish(&reader);
+}
+
 /// Guards against responses of any status that isn't defined, and of any
 /// number of digits but three.
 static void
@@ -218,6 +269,7 @@
 main(void)
 {
     CU_TestInfo tests[] = {
+        {"bytes of headers", test_bytes_of_headers},
         {"status codes", test_status_codes},
         {"number of headers", test_number_of_headers_is_bounded},
         {"extra bytes", test_bytes_after_a_response_are_not_consumed},
--- a/test/fuzz/fuzz_http_reader.c
+++ b/test/fuzz/fuzz_http_reader.c
@@ -3,7 +3,7 @@
 /// the pieces in which the rest arrives. Requests sent one behind the other,
 /// and a response, must be read the same whole and in pieces, and a response
 /// that is cut must never be complete unless the end of its connection ends
-/// it.
+/// it. A complete response has a final status and well-formed headers.
 
 #include <stdlib.h>
 
@@ -80,6 +80,29 @@
     return out;
 }
 
+static void
+check_complete_response(const response_reader_t *reader)
+{
+    unsigned int status = reader->parser.status_code;
+    if (status < 200 || status > 599) {
+        abort();
+    }
+    for (size_t i = 0; i < response_reader_header_count(reader); i++) {
+        slice_t name = reader->headers[i].name;
+        slice_t value = reader->headers[i].value;
+        for (size_t j = 0; j < name.len; j++) {
+            if (!g_ascii_isgraph(name.data[j]) || name.data[j] == ':') {
+                abort();
+            }
+        }
+        for (size_t j = 0; j < value.len; j++) {
+            if (g_ascii_iscntrl(value.data[j]) && value.data[j] != '\t') {
+                abort();
+            }
+        }
+    }
+}
+
 static GString *
 read_response(slice_t text, size_t piece)
 {
@@ -101,6 +124,7 @@
     }
     g_string_append_printf(out, "state=%d", reader.state);
     if (reader.state == RESPONSE_COMPLETE) {
+        check_complete_response(&reader);
         g_string_append_printf(out, "status=%u",
                                (unsigned int)reader.parser.status_code);
         append_slice(
