Refuse responses whose chunks are malformed

What callers saw: nothing was reported. Found by looking for the cause of the malformed header lines where else responses are read: a chunk whose data wasn't followed by a line end reached the client as a 200, though such a response is cut or has bytes of another one in it.

Cause: as before, http_parser without its strict checks takes any two bytes behind the data of a chunk, any byte for the line feed behind its size, and any bytes behind a blank or in an extension.

Extensions, blanks behind a size, leading zeros and capital digits still pass.

--- a/src/ibisfield/io/http_line.c
+++ b/src/ibisfield/io/http_line.c
@@ -1,12 +1,14 @@
 /// @file
 /// Syntax of the lines of HTTP/1.1 messages (RFC 9112). http_parser, as Debian
 /// builds it, takes blanks in field names, any byte in the place of a line
-/// feed, and status codes of any number of digits. The readers therefore check
-/// each line of a head or of trailers before http_parser gets it.
+/// feed or of the end of a chunk, and status codes of any number of digits.
+/// The readers therefore check each line before http_parser gets it.
 ///
 /// Accepted are forms that the standard lets recipients accept: a line feed
-/// without a carriage return, several spaces after the version, a status line
-/// that ends behind the code, and folded field values.
+/// without a carriage return (but not in the framing of chunks), several
+/// spaces after the version, a status line that ends behind the code, folded
+/// field values, and blanks behind the size of a chunk. Of a request line,
+/// only the bytes are checked.
 
 #include "ibisfield/io/http_line.h"
 
@@ -74,10 +76,11 @@
 static http_line_result_t
 read_text(http_line_t *line, char c)
 {
+    bool needs_cr = line->kind == HTTP_LINE_CHUNK;
     if (c == '\r') {
         return go_on(line, STATE_CR);
     }
-    if (c == '\n') {
+    if (c == '\n' && !needs_cr) {
         return HTTP_LINE_END;
     }
     return is_text(c) ? go_on(line, STATE_TEXT) : HTTP_LINE_INVALID;
@@ -161,15 +164,24 @@
 static http_line_result_t
 read_chunk_line(http_line_t *line, char c)
 {
-    if (c == '\r') {
-        return go_on(line, STATE_CR);
+    if (line->state == STATE_TEXT) {
+        return read_text(line, c);
     }
     if (line->state != STATE_SIZE_END && g_ascii_isxdigit(c)) {
+        if (line->chunk_size > UINT64_MAX >> 4) {
+            return HTTP_LINE_INVALID;
+        }
         line->chunk_size =
             line->chunk_size << 4 | (uint64_t)g_ascii_xdigit_value(c);
         return go_on(line, STATE_SIZE);
     }
-    return go_on(line, STATE_SIZE_END);
+    if (line->state == STATE_START) {
+        return HTTP_LINE_INVALID;
+    }
+    if (is_blank(c)) {
+        return go_on(line, STATE_SIZE_END);
+    }
+    return c == ';' || c == '\r' ? read_text(line, c) : HTTP_LINE_INVALID;
 }
 
 /// Reads the first byte of a start line, or of an empty line before it.
@@ -188,11 +200,6 @@
 static http_line_result_t
 read_byte(http_line_t *line, char c)
 {
-    bool is_chunk_line =
-        line->kind == HTTP_LINE_CHUNK || line->kind == HTTP_LINE_CHUNK_END;
-    if (line->state == STATE_CR && is_chunk_line) {
-        return HTTP_LINE_END; // http_parser takes any byte for the line feed.
-    }
     if (line->state == STATE_CR) {
         return c == '\n' ? HTTP_LINE_END : HTTP_LINE_INVALID;
     }
@@ -202,7 +209,7 @@
     case HTTP_LINE_CHUNK:
         return read_chunk_line(line, c);
     case HTTP_LINE_CHUNK_END:
-        return go_on(line, STATE_CR);
+        return c == '\r' ? go_on(line, STATE_CR) : HTTP_LINE_INVALID;
     default:
         break;
     }
--- a/test/functional/test_broken_responses.c
+++ b/test/functional/test_broken_responses.c
@@ -93,6 +93,26 @@
      RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX-Marker\r\n\r\n")},
     {"trailers that end in a carriage return",
      RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\n\rX")},
+
+    {"chunk without its end", RAW_BYTES(CHUNKED "7\r\nmarker.XY0\r\n\r\n")},
+    {"chunk that ends in a line feed",
+     RAW_BYTES(CHUNKED "7\r\nmarker.\n0\r\n\r\n")},
+    {"chunk longer than its size",
+     RAW_BYTES(CHUNKED "5\r\nmarker.\r\n0\r\n\r\n")},
+    {"blank in the size of a chunk",
+     RAW_BYTES(CHUNKED "7 7\r\nmarker.\r\n0\r\n\r\n")},
+    {"size of a chunk with a prefix",
+     RAW_BYTES(CHUNKED "0x7\r\nmarker.\r\n0\r\n\r\n")},
+    {"size of a chunk with a sign",
+     RAW_BYTES(CHUNKED "+7\r\nmarker.\r\n0\r\n\r\n")},
+    {"size of a chunk above the range",
+     RAW_BYTES(CHUNKED "10000000000000007\r\nmarker.\r\n0\r\n\r\n")},
+    {"size that ends in a carriage return",
+     RAW_BYTES(CHUNKED "7\rXmarker.\r\n0\r\n\r\n")},
+    {"size that ends in a line feed",
+     RAW_BYTES(CHUNKED "7;a\nmarker.\r\n0\r\n\r\n")},
+    {"control byte in a chunk extension",
+     RAW_BYTES(CHUNKED "7;a\1b\r\nmarker.\r\n0\r\n\r\n")},
 };
 
 /// A complete response, and what the client must get of it.
