Refuse responses whose framing can't be known

What callers saw: nothing was reported. Found by looking for further forms of responses whose body isn't the server's. A response with a transfer coding that nobody asked for reached the client as a 200 without that coding; an interim response with a body had its bytes taken from the next response; a change of protocol that wasn't asked for was skipped like an interim response.

Cause: http_parser ignores codings other than chunks and ends such a body with the connection; the node then leaves Transfer-Encoding out. http_parser reads bodies behind any status, though 1xx, 204 and 304 have none.

Change: a response is refused if its transfer coding isn't just "chunked", or comes with HTTP/1.0, if it is interim or a 204 and has a body, and if its status is 101. A 304 with the length of what it doesn't send passes now; before, the node waited for that body until the time was over.

The 304 passes; an interim response and a 204 with length 0 pass as before.

--- a/src/ibisfield/io/response_reader.c
+++ b/src/ibisfield/io/response_reader.c
@@ -92,12 +92,76 @@
            status == 304;
 }
 
+static slice_t
+header_name(const response_reader_t *reader, const header_offsets_t *header)
+{
+    return (slice_t){reader->header_text->str + header->name,
+                     header->name_len};
+}
+
+/// Returns the value of a header without blanks behind it.
+static slice_t
+trimmed_value(const response_reader_t *reader, const header_offsets_t *header)
+{
+    slice_t value = {reader->header_text->str + header->value,
+                     header->value_len};
+    while (value.len > 0 && g_ascii_isspace(value.data[value.len - 1])) {
+        value.len--;
+    }
+    return value;
+}
+
+static bool
+equals_ignoring_case(slice_t value, const char *text)
+{
+    return value.len == strlen(text) &&
+           g_ascii_strncasecmp(value.data, text, value.len) == 0;
+}
+
+/// Checks the headers that delimit the body. http_parser refuses a length that
+/// isn't a number, more than one, and one beside a transfer coding, but
+/// ignores codings other than chunks, which can't be removed here. Returns
+/// what is wrong, NULL if nothing is.
+static const char *
+framing_error(const response_reader_t *reader)
+{
+    const http_parser *parser = &reader->parser;
+    bool is_chunked = (parser->flags & F_CHUNKED) != 0;
+    bool has_content = is_chunked || (parser->content_length != UINT64_MAX &&
+                                      parser->content_length > 0);
+    uint32_t codings = 0;
+    for (guint i = 0; i < reader->header_offsets->len; i++) {
+        const header_offsets_t *header =
+            &g_array_index(reader->header_offsets, header_offsets_t, i);
+        if (slice_equal_string(header_name(reader, header),
+                               "transfer-encoding") &&
+            (++codings > 1 || !is_chunked || parser->http_minor == 0 ||
+             !equals_ignoring_case(trimmed_value(reader, header), "chunked")))
+        {
+            return "transfer coding not supported";
+        }
+    }
+    if (has_content &&
+        (parser->status_code / 100 == 1 || parser->status_code == 204))
+    {
+        return "body in a response that can't have one";
+    }
+    if (parser->status_code == 101) {
+        return "change of protocol that wasn't asked for";
+    }
+    return NULL;
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
     response_reader_t *reader = reader_of(parser);
     bool has_length = parser->content_length != UINT64_MAX;
     bool is_chunked = (parser->flags & F_CHUNKED) != 0;
+    const char *error = framing_error(reader);
+    if (error != NULL) {
+        return reject(reader, error);
+    }
     if (has_length && parser->content_length > reader->max_body_bytes &&
         !has_no_body(reader))
     {
@@ -112,7 +176,7 @@
         return reject(reader, "no length");
     }
     http_scan_begin_body(&reader->scan, is_chunked);
-    return reader->is_head ? 1 : 0; // 1: http_parser expects no body
+    return has_no_body(reader) ? 1 : 0; // 1: http_parser expects no body
 }
 
 static int
@@ -235,9 +299,6 @@
     if (error != HPE_OK && error != HPE_PAUSED) {
         reject(reader, http_errno_description(error));
     }
-    if (reader->parser.upgrade) {
-        reject(reader, "change of protocol");
-    }
     return used;
 }
 
--- a/test/functional/test_broken_responses.c
+++ b/test/functional/test_broken_responses.c
@@ -113,6 +113,44 @@
      RAW_BYTES(CHUNKED "7;a\nmarker.\r\n0\r\n\r\n")},
     {"control byte in a chunk extension",
      RAW_BYTES(CHUNKED "7;a\1b\r\nmarker.\r\n0\r\n\r\n")},
+
+    {"empty length", RAW_BYTES(OK "Content-Length:\r\n\r\nmarker.")},
+    {"length with a sign", RAW_BYTES(OK "Content-Length: +7\r\n\r\nmarker.")},
+    {"negative length", RAW_BYTES(OK "Content-Length: -7\r\n\r\nmarker.")},
+    {"two lengths", RAW_BYTES(OK "Content-Length: 3\r\n" WITH_LENGTH)},
+    {"list of lengths", RAW_BYTES(OK "Content-Length: 7, 3\r\n\r\nmarker.")},
+    {"length and chunks",
+     RAW_BYTES(OK "Content-Length: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "7\r\nmarker.\r\n0\r\n\r\n")},
+    {"coding that wasn't asked for",
+     RAW_BYTES(OK "Transfer-Encoding: gzip\r\n\r\nmarker.")},
+    {"coding before the chunks",
+     RAW_BYTES(OK "Transfer-Encoding: gzip, chunked\r\n\r\n7\r\nmarker.\r\n0"
+                  "\r\n\r\n")},
+    {"coding after the chunks",
+     RAW_BYTES(OK "Transfer-Encoding: chunked, gzip\r\n\r\n7\r\nmarker.\r\n0"
+                  "\r\n\r\n")},
+    // Allowed by HTTP/1.1, but http_parser doesn't recognise the coding.
+    {"chunks with a tab behind the coding",
+     RAW_BYTES(OK "Transfer-Encoding: chunked\t\r\n\r\n7\r\nmarker.\r\n0\r\n"
+                  "\r\n")},
+    {"chunks in HTTP/1.0",
+     RAW_BYTES("HTTP/1.0 200 OK\r\n" SEALED "Transfer-Encoding: chunked\r\n"
+               "\r\n7\r\nmarker.\r\n0\r\n\r\n")},
+    {"204 with a body",
+     RAW_BYTES("HTTP/1.1 204 No Content\r\n" SEALED WITH_LENGTH)},
+    {"interim response with a length",
+     RAW_BYTES("HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nabc" OK
+                   WITH_LENGTH)},
+    {"interim response with chunks",
+     RAW_BYTES("HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "0\r\n\r\n" OK WITH_LENGTH)},
+    {"change of protocol",
+     RAW_BYTES("HTTP/1.1 101 Switching\r\nConnection: upgrade\r\n"
+               "Upgrade: marker\r\n\r\n" OK WITH_LENGTH)},
+    {"change of protocol without its name",
+     RAW_BYTES("HTTP/1.1 101 Switching\r\n\r\n" OK WITH_LENGTH)},
+    {"interim response only", RAW_BYTES("HTTP/1.1 100 Continue\r\n\r\n")},
 };
 
 /// A complete response, and what the client must get of it.
@@ -229,6 +267,12 @@
       RAW_KEEP},
      204,
      ""},
+    {{"304 with the length of what wasn't modified",
+      RAW_BYTES("HTTP/1.1 304 Not Modified\r\n" SEALED
+                "Content-Length: 7\r\n\r\n"),
+      RAW_KEEP},
+     304,
+     ""},
     {{"status 207",
       RAW_BYTES("HTTP/1.1 207 Multi-Status\r\n" SEALED WITH_LENGTH), RAW_KEEP},
      207,
--- a/test/functional/test_response_reader.c
+++ b/test/functional/test_response_reader.c
@@ -252,10 +252,10 @@
             response_reader_start(&reader, false);
             feed(text);
             bool has_three = digits <= 3 && status >= 100 && status < 1000;
-            response_state_t expected = !has_three || status >= 600
-                                            ? RESPONSE_INVALID
-                                        : status < 200 ? RESPONSE_PARTIAL
-                                                       : RESPONSE_COMPLETE;
+            response_state_t expected =
+                !has_three || status >= 600 || status == 101 ? RESPONSE_INVALID
+                : status < 200                               ? RESPONSE_PARTIAL
+                               : RESPONSE_COMPLETE;
             if (reader.state != expected) {
                 printf("\n  state %d for %s", reader.state, text);
                 CU_FAIL("wrong state");
