Keep trailers out of the headers of a response

What callers saw: nothing was reported. Found by looking at each part of a response: a field behind a body in chunks was taken for a field of the head. A trailer X-Not-Executed made a request that had run look as if it hadn't, and the client got a 503, which promises that; a trailer with the server's seal made a response without one look sealed.

Cause: http_parser reports trailers by the same callbacks as headers, and response_reader appended them.

Change: trailers are checked and counted, and dropped. The standard has recipients do that unless they know that a field may be merged. Node responses have a length, so trailers can't be passed on as such.

Measured (x86_64): both cases of the new test fail on the code before and pass now; responses with trailers still arrive.

--- a/src/ibisfield/io/response_reader.c
+++ b/src/ibisfield/io/response_reader.c
@@ -56,10 +56,19 @@
 on_header_field(http_parser *parser, const char *at, size_t len)
 {
     response_reader_t *reader = reader_of(parser);
-    if (reader->header_offsets->len == 0 || reader->in_header_value) {
-        if (reader->header_offsets->len >= HEADERS_MAX) {
-            return reject(reader, "too many fields");
-        }
+    bool begins = reader->header_offsets->len == 0 || reader->in_header_value;
+    if (begins &&
+        reader->header_offsets->len + reader->trailer_count >= HEADERS_MAX)
+    {
+        return reject(reader, "too many fields");
+    }
+    if (reader->head_complete) {
+        // A trailer must not be taken for a field of the head.
+        reader->trailer_count += begins ? 1 : 0;
+        reader->in_header_value = false;
+        return 0;
+    }
+    if (begins) {
         header_offsets_t header = {.name = reader->header_text->len};
         g_array_append_val(reader->header_offsets, header);
         reader->in_header_value = false;
@@ -75,6 +84,10 @@
 on_header_value(http_parser *parser, const char *at, size_t len)
 {
     response_reader_t *reader = reader_of(parser);
+    if (reader->head_complete) {
+        reader->in_header_value = true;
+        return 0;
+    }
     if (!reader->in_header_value) {
         last_header(reader)->value = reader->header_text->len;
         reader->in_header_value = true;
@@ -168,6 +181,7 @@
         reader->state = RESPONSE_TOO_LARGE;
         return -1;
     }
+    reader->head_complete = true;
     reader->close_delimited =
         !has_no_body(reader) && !has_length && !is_chunked;
     if (reader->close_delimited && !reader->allow_close_delimited) {
@@ -207,6 +221,8 @@
     g_byte_array_set_size(reader->body, 0);
     reader->in_header_value = false;
     reader->close_delimited = false;
+    reader->head_complete = false;
+    reader->trailer_count = 0;
     http_scan_start(&reader->scan, HTTP_LINE_STATUS);
 }
 
--- a/src/ibisfield/io/response_reader.h
+++ b/src/ibisfield/io/response_reader.h
@@ -30,13 +30,15 @@
     bool allow_close_delimited; ///< an orderly close may end a response that
                                 ///< has no length
     response_state_t state;
-    const char *error;      ///< valid in RESPONSE_INVALID; holds no bytes of
-                            ///< the response
-    bool started;           ///< a byte was read
-    bool keep_alive;        ///< valid in RESPONSE_COMPLETE
+    const char *error; ///< valid in RESPONSE_INVALID; holds no bytes of
+                       ///< the response
+    bool started;      ///< a byte was read
+    bool keep_alive;   ///< valid in RESPONSE_COMPLETE
+    bool head_complete;
     bool close_delimited;   ///< the end of the connection ends the body
     bool in_header_value;   ///< the last parsed text was a header value
     uint32_t interim_count; ///< interim responses (1xx) before this one
+    uint32_t trailer_count; ///< fields behind the body, which are dropped
     GString *header_text;   ///< names and values of the headers
     GArray *header_offsets; ///< of header_offsets_t, into header_text
     GByteArray *body;
--- a/test/functional/test_broken_responses.c
+++ b/test/functional/test_broken_responses.c
@@ -414,6 +414,37 @@
     stop_site();
 }
 
+/// Guards against trailers that are taken for fields of the head: one that
+/// says that the request hasn't run would have it sent again.
+static void
+test_trailers_are_no_headers(void)
+{
+    static const raw_response_t refusal_in_trailer = {
+        "refusal in a trailer",
+        RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX-Not-Executed: 1\r\n"
+                          "Content-Type: text/html\r\n\r\n"),
+        RAW_KEEP};
+    static const raw_response_t seal_in_trailer = {
+        "seal in a trailer",
+        RAW_BYTES("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "7\r\nmarker.\r\n0\r\n" SEALED "\r\n"),
+        RAW_KEEP};
+    char id[32];
+    start_site_with_raw_server();
+    server.response = &refusal_in_trailer;
+    GString *response = book(0, id);
+    check_passed(refusal_in_trailer.name, response, 200, "marker.");
+    CU_ASSERT_PTR_NULL(strstr(response->str, "text/html"));
+    CU_ASSERT_EQUAL(raw_server_requests(&server, id), 1);
+    g_string_free(response, TRUE);
+    server.response = &seal_in_trailer;
+    response = book(0, id);
+    check_refused(seal_in_trailer.name, response, id);
+    g_string_free(response, TRUE);
+    raw_server_stop(&server);
+    stop_site();
+}
+
 /// Guards against a reset that looks like an orderly end: a write that fails
 /// takes the error of the reset from the socket.
 static void
@@ -482,6 +513,7 @@
     CU_TestInfo tests[] = {
         {"broken responses of a server", test_broken_responses_of_a_server},
         {"whole responses of a server", test_whole_responses_of_a_server},
+        {"trailers", test_trailers_are_no_headers},
         {"resets during an upload", test_resets_while_an_upload_is_written},
         {"whole responses during an upload",
          test_whole_responses_while_an_upload_is_written},
--- a/test/functional/test_response_reader.c
+++ b/test/functional/test_response_reader.c
@@ -265,12 +265,27 @@
     response_reader_finish(&reader);
 }
 
+/// Guards against trailers among the headers.
+static void
+test_trailers_are_dropped(void)
+{
+    start(false);
+    feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nA: 1\r\n\r\n"
+         "2\r\nok\r\n0\r\nB: 2\r\nContent-Length: 9\r\n\r\n");
+    CU_ASSERT_EQUAL(reader.state, RESPONSE_COMPLETE);
+    CU_ASSERT_EQUAL(response_reader_header_count(&reader), 2);
+    CU_ASSERT_TRUE(slice_equal_string(header("a"), "1"));
+    CU_ASSERT_PTR_NULL(header("b").data);
+    response_reader_finish(&reader);
+}
+
 int
 main(void)
 {
     CU_TestInfo tests[] = {
         {"bytes of headers", test_bytes_of_headers},
         {"status codes", test_status_codes},
+        {"trailers", test_trailers_are_dropped},
         {"number of headers", test_number_of_headers_is_bounded},
         {"extra bytes", test_bytes_after_a_response_are_not_consumed},
         {"single bytes", test_response_in_single_bytes},
