Log and count responses that can't be trusted

Cause: the log had a line without the request's id for a broken response of an upstream, a line with the id but another wording for one of a node, and none for health probes. Which peer sent what kind of response couldn't be found from a request's id.

Change: http_client, which reads all HTTP responses of a node, logs each that is malformed or ended early once, as response_untrusted with the request's id, the peer and the reason, a fixed text without bytes of the response, and counts it in ibisfield_responses_untrusted_total. upstream_answer_lost is now logged only if there was no response. The outcome stays what it was: lost, so unknown.

test_robustness expected upstream_answer_lost for a truncated response. It now expects response_untrusted with the upstream's address and the reason, which is stricter.

--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -99,6 +99,8 @@
       "Requests read before the responses to earlier ones were written.")     \
     X(REQUESTS_TOO_LARGE_TOTAL, "ibisfield_requests_too_large_total",         \
       "counter", "Requests refused because of their size.")                   \
+    X(RESPONSES_UNTRUSTED_TOTAL, "ibisfield_responses_untrusted_total",       \
+      "counter", "Responses dropped as malformed or ended early.")            \
     X(SENDERS_GONE_TOTAL, "ibisfield_senders_gone_total", "counter",          \
       "Requests whose sender closed its connection before the answer.")       \
     X(SERVICE_RETRIES_REFUSED_TOTAL,                                          \
--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -8,6 +8,9 @@
 
 #include <arpa/inet.h>
 
+#include "ibisfield/base/log.h"
+#include "ibisfield/base/metrics.h"
+#include "ibisfield/io/log_limit.h"
 #include "ibisfield/io/socket_options.h"
 
 /// The client closes idle connections after this time. It is below the usual
@@ -20,6 +23,8 @@
 #define SWEEP_INTERVAL_US US_PER_S
 /// A server that sends more responses to earlier requests is faulty.
 #define STALE_RESPONSES_MAX 4
+/// Longest part of a request's id that is logged, in bytes.
+#define LOGGED_ID_MAX ((size_t)128)
 
 typedef struct connection connection_t;
 
@@ -33,6 +38,7 @@
     uint32_t exchanges;          ///< exchanges not ended yet; they keep the
                                  ///< pool alive
     loop_timer_t sweep_timer;
+    log_limit_t untrusted_log_limit;
     bool released;
 };
 
@@ -67,6 +73,7 @@
     http_done_t done;
     void *context;
     char *echoed_value; ///< expected value of echoed_header; NULL: not checked
+    char *id;           ///< for logs; NULL: none
     bool sent;
     bool is_head;
     const char *connect_error;
@@ -205,6 +212,7 @@
     }
     g_clear_pointer(&exchange->body, g_byte_array_unref);
     g_free(exchange->echoed_value);
+    g_free(exchange->id);
     g_free(exchange);
 }
 
@@ -228,10 +236,9 @@
     done(context, response);
 }
 
-/// Ends an exchange that has no complete response.
+/// Ends an exchange and closes its connection.
 static void
-fail_exchange(http_exchange_t *exchange, http_result_t result,
-              const char *error)
+end_exchange(http_exchange_t *exchange, const http_response_t *response)
 {
     http_pool_t *pool = exchange->pool;
     connection_t *connection = exchange->connection;
@@ -239,11 +246,37 @@
         connection->exchange = NULL;
         release_connection(connection, false);
     }
-    deliver_result(exchange,
-                   &(http_response_t){.result = result, .error = error});
+    deliver_result(exchange, response);
     pool_exchange_ended(pool);
 }
 
+/// Ends an exchange that has no complete response.
+static void
+fail_exchange(http_exchange_t *exchange, http_result_t result,
+              const char *error)
+{
+    end_exchange(exchange,
+                 &(http_response_t){.result = result, .error = error});
+}
+
+/// Ends an exchange whose response is malformed or ended early, so that
+/// nothing in it tells whether the request has run.
+static void
+fail_untrusted(http_exchange_t *exchange, const char *reason)
+{
+    http_pool_t *pool = exchange->pool;
+    metric_increment(METRIC_RESPONSES_UNTRUSTED_TOTAL);
+    if (log_limit_allows(&pool->untrusted_log_limit, pool->loop->clock)) {
+        log_warning("response_untrusted", "id=%s peer=%s:%u reason=\"%s\"",
+                    exchange->id == NULL ? "" : exchange->id,
+                    pool->options.endpoint.address,
+                    pool->options.endpoint.port, reason);
+    }
+    end_exchange(exchange, &(http_response_t){.result = HTTP_LOST,
+                                              .error = reason,
+                                              .untrusted = true});
+}
+
 static void
 on_timeout(void *context)
 {
@@ -345,8 +378,12 @@
                       "responses exceed the size limit");
         break;
     default:
-        fail_exchange(connection->exchange, HTTP_LOST,
-                      error == NULL ? "not a complete HTTP response" : error);
+        if (reader->started) {
+            fail_untrusted(connection->exchange, reader->error);
+        }
+        else {
+            fail_exchange(connection->exchange, HTTP_LOST, error);
+        }
         break;
     }
 }
@@ -387,7 +424,7 @@
             break;
         }
         if (++connection->stale_responses > STALE_RESPONSES_MAX) {
-            reader->state = RESPONSE_INVALID;
+            response_reader_reject(reader, "too many responses to others");
             break;
         }
         response_reader_start(reader, connection->exchange->is_head);
@@ -646,6 +683,13 @@
                 ? NULL
                 : g_strndup(echoed_value.data, echoed_value.len);
     }
+    if (pool->options.id_header != NULL) {
+        slice_t id =
+            http_header_find(headers, header_count, pool->options.id_header);
+        exchange->id = id.data == NULL
+                           ? NULL
+                           : g_strndup(id.data, MIN(id.len, LOGGED_ID_MAX));
+    }
     size_t body_len = body == NULL ? 0 : body->len;
     exchange->request =
         build_head(pool, method, path, headers, header_count, body_len);
--- a/src/ibisfield/io/http_client.h
+++ b/src/ibisfield/io/http_client.h
@@ -26,6 +26,9 @@
     size_t header_count;
     slice_t body;
     const char *error; ///< text for logs, NULL when complete
+    /// With HTTP_LOST: the server sent a response that is malformed or ended
+    /// early. The client has logged and counted it.
+    bool untrusted;
 } http_response_t;
 
 typedef struct http_exchange http_exchange_t;
@@ -55,6 +58,9 @@
     /// request, so one that the server writes once more could be taken for
     /// the response to the next one. NULL: none.
     const char *refusal_header;
+    /// Header, in lower case, whose value identifies a request in logs. NULL:
+    /// none.
+    const char *id_header;
     /// An orderly close may end a response that has no length.
     bool allow_close_delimited;
 } http_pool_options_t;
--- a/src/ibisfield/io/node.c
+++ b/src/ibisfield/io/node.c
@@ -13,6 +13,7 @@
 #include "ibisfield/base/log.h"
 #include "ibisfield/base/metrics.h"
 #include "ibisfield/contract/settings.h"
+#include "ibisfield/io/message.h"
 #include "ibisfield/io/operator_server.h"
 
 /// Intervals of tick() with and without calls in flight.
@@ -500,10 +501,12 @@
 {
     const settings_t *settings = node->settings;
     span_source_init(&node->spans, &node->clock, settings->vm, seed);
-    peer_client_init(&node->peers, &node->loop,
-                     (size_t)settings->max_answer_bytes, &node->account);
     const header_names_t *header_names =
         node->adapter == NULL ? NULL : node->adapter->header_names;
+    peer_client_init(&node->peers, &node->loop,
+                     (size_t)settings->max_answer_bytes, &node->account,
+                     header_names == NULL ? HEADER_TRACEPARENT
+                                          : header_names->request_id);
     upstream_client_init(&node->upstream, &node->loop, settings, header_names,
                          &node->account, handle_upstream_draining, node);
     caller_server_init(&node->caller_server,
--- a/src/ibisfield/io/peer_client.c
+++ b/src/ibisfield/io/peer_client.c
@@ -31,12 +31,14 @@
 
 void
 peer_client_init(peer_client_t *client, loop_t *loop,
-                 size_t max_response_bytes, byte_account_t *account)
+                 size_t max_response_bytes, byte_account_t *account,
+                 const char *id_header)
 {
     *client = (peer_client_t){
         .loop = loop,
         .max_response_bytes = max_response_bytes,
         .account = account,
+        .id_header = id_header,
         .pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                        free_peer_pool),
     };
@@ -76,6 +78,7 @@
                           .max_response_bytes = client->max_response_bytes,
                           .account = client->account,
                           .connect_timeout_us = CONNECT_TIMEOUT_US,
+                          .id_header = client->id_header,
                       });
     g_hash_table_replace(client->pools, peer->vm, peer);
     return peer->pool;
--- a/src/ibisfield/io/peer_client.h
+++ b/src/ibisfield/io/peer_client.h
@@ -10,11 +10,13 @@
     loop_t *loop;
     size_t max_response_bytes;
     byte_account_t *account; ///< of responses that are being read
+    const char *id_header;   ///< whose value identifies a request in logs
     GHashTable *pools;       ///< VM name to peer_pool_t
 } peer_client_t;
 
 void peer_client_init(peer_client_t *client, loop_t *loop,
-                      size_t max_response_bytes, byte_account_t *account);
+                      size_t max_response_bytes, byte_account_t *account,
+                      const char *id_header);
 void peer_client_finish(peer_client_t *client);
 http_pool_t *peer_client_pool(peer_client_t *client, const vm_info_t *info);
 void peer_client_remove(peer_client_t *client, const char *vm);
--- a/src/ibisfield/io/response_reader.c
+++ b/src/ibisfield/io/response_reader.c
@@ -357,6 +357,14 @@
                            : "connection reset within the response");
 }
 
+/// Marks a response as invalid, also a complete one; @p error is static.
+void
+response_reader_reject(response_reader_t *reader, const char *error)
+{
+    reader->state = RESPONSE_INVALID;
+    reader->error = error;
+}
+
 /// Returns the bytes of memory that the response takes so far.
 size_t
 response_reader_held_bytes(const response_reader_t *reader)
--- a/src/ibisfield/io/response_reader.h
+++ b/src/ibisfield/io/response_reader.h
@@ -51,6 +51,7 @@
 void response_reader_start(response_reader_t *reader, bool is_head);
 size_t response_reader_feed(response_reader_t *reader, slice_t bytes);
 void response_reader_eof(response_reader_t *reader, bool orderly);
+void response_reader_reject(response_reader_t *reader, const char *error);
 size_t response_reader_held_bytes(const response_reader_t *reader);
 size_t response_reader_header_count(const response_reader_t *reader);
 
--- a/src/ibisfield/io/upstream_client.c
+++ b/src/ibisfield/io/upstream_client.c
@@ -96,6 +96,7 @@
         .connect_timeout_us = CONNECT_TIMEOUT_US,
         .receive_buffer_bytes = RECEIVE_BUFFER_BYTES,
         .refusal_header = HEADER_SHED,
+        .id_header = HEADER_TRACEPARENT,
     };
     if (header_names == NULL) {
         loop_timer_start(loop, &client->health_timer, 0, check_health, client);
@@ -104,6 +105,7 @@
         // No health check: the platform's list says whether the upstream is
         // draining.
         options.echoed_header = header_names->request_id;
+        options.id_header = header_names->request_id;
         options.refusal_header = header_names->not_run;
         options.allow_close_delimited = true;
     }
@@ -208,7 +210,8 @@
         return UPSTREAM_RESPONSE_TOO_LARGE;
     default:
         metric_increment(METRIC_UPSTREAM_ANSWERS_LOST_TOTAL);
-        if (log_limit_allows(&client->response_log_limit, client->loop->clock))
+        if (!response->untrusted &&
+            log_limit_allows(&client->response_log_limit, client->loop->clock))
         {
             log_warning("upstream_answer_lost", "error=\"%s\"",
                         response->error);
--- a/test/functional/test_broken_responses.c
+++ b/test/functional/test_broken_responses.c
@@ -333,6 +333,44 @@
     return response;
 }
 
+static int
+count_text(const char *text, const char *part)
+{
+    int count = 0;
+    for (const char *at = text; (at = strstr(at, part)) != NULL; at++) {
+        count++;
+    }
+    return count;
+}
+
+/// Returns how many lines about untrusted responses to a request the nodes
+/// have logged that name the peer and a reason.
+static int
+count_untrusted_lines(const char *id, const char *peer, uint16_t port)
+{
+    int count = 0;
+    char *line = g_strdup_printf("event=response_untrusted id=%s peer=%s:%u "
+                                 "reason=\"",
+                                 id, peer, port);
+    for (int i = 0; i < site.machine_count; i++) {
+        char *log = process_log(&site.machines[i].node);
+        count += count_text(log, line);
+        CU_ASSERT_PTR_NULL(strstr(log, "marker"));
+        CU_ASSERT_PTR_NULL(strstr(log, "Marker"));
+        g_free(log);
+    }
+    g_free(line);
+    return count;
+}
+
+static int64_t
+untrusted_total(int machine)
+{
+    testbed_vm_t vm = {0};
+    g_strlcpy(vm.address, site.machines[machine].address, sizeof(vm.address));
+    return node_metric(&vm, "ibisfield_responses_untrusted_total");
+}
+
 /// Fails the test unless the client got an error of the node's own, whose
 /// outcome is unknown, and the request was sent once.
 static void
@@ -386,12 +424,19 @@
 {
     char id[32];
     start_site_with_raw_server();
+    int64_t before = untrusted_total(GUARD);
     for (size_t i = 0; i < G_N_ELEMENTS(broken_responses); i++) {
         server.response = &broken_responses[i];
         GString *response = book(0, id);
         check_refused(broken_responses[i].name, response, id);
+        CU_ASSERT_EQUAL(count_untrusted_lines(id, site.machines[GUARD].address,
+                                              PORT_UPSTREAM),
+                        1);
         g_string_free(response, TRUE);
+        g_usleep(60000); // Log lines of one event are limited to 20 a second.
     }
+    CU_ASSERT_EQUAL(untrusted_total(GUARD) - before,
+                    (int64_t)G_N_ELEMENTS(broken_responses));
     raw_server_stop(&server);
     stop_site();
 }
@@ -410,6 +455,7 @@
         CU_ASSERT_EQUAL(raw_server_requests(&server, id), 1);
         g_string_free(response, TRUE);
     }
+    CU_ASSERT_EQUAL(untrusted_total(GUARD), 0);
     raw_server_stop(&server);
     stop_site();
 }
--- a/test/functional/test_robustness.c
+++ b/test/functional/test_robustness.c
@@ -248,7 +248,13 @@
     configure_upstream("/test/half/0");
     CU_ASSERT_TRUE(
         wait_metric("ibisfield_upstream_answers_lost_total", before));
-    CU_ASSERT_TRUE(process_wait_log(&vm->node, "event=upstream_answer_lost"));
+    char *line =
+        g_strdup_printf("peer=%s:%d reason=\"connection closed within "
+                        "the response\"",
+                        vm->address, PORT_UPSTREAM);
+    CU_ASSERT_TRUE(process_wait_log(&vm->node, line));
+    CU_ASSERT_TRUE(process_has_logged(&vm->node, "event=response_untrusted"));
+    g_free(line);
     assert_serves();
 }
 
