Test broken responses of nodes, of the store and to health probes

Also tested: responses that end early outside of uploads, in each of their parts (9 forms). These were refused before, and stay so.

--- a/test/functional/test_broken_responses.c
+++ b/test/functional/test_broken_responses.c
@@ -1,7 +1,8 @@
 /// @file
-/// Servers that respond with bytes that are no response in HTTP/1.1, or break
-/// a response off: nothing of them may be taken for a response. Complete
-/// responses of unusual forms that HTTP/1.1 allows must still pass.
+/// Servers, other nodes, the store and health probes that respond with bytes
+/// that are no response in HTTP/1.1, or break a response off: nothing of them
+/// may be taken for a response. Complete responses of unusual forms that
+/// HTTP/1.1 allows must still pass.
 
 #include <signal.h>
 
@@ -50,8 +51,6 @@
      RAW_BYTES("HTTP/1.1 200 O\0K\r\n" SEALED WITH_LENGTH)},
     {"status line that ends in a carriage return",
      RAW_BYTES("HTTP/1.1 200 OK\rX" SEALED WITH_LENGTH)},
-    {"broken interim status",
-     RAW_BYTES("HTTP/1.1 0100 Continue\r\n\r\n" OK WITH_LENGTH)},
 
     {"blank in a name", RAW_BYTES(OK "X Marker: 1\r\n" WITH_LENGTH)},
     {"blank behind a name", RAW_BYTES(OK "X-Marker : 1\r\n" WITH_LENGTH)},
@@ -83,36 +82,6 @@
      RAW_BYTES(OK "X-Marker:\rab\r\n" WITH_LENGTH)},
     {"head that ends in a carriage return",
      RAW_BYTES(OK "Content-Length: 7\r\n\rXmarker.")},
-    {"broken header in an interim response",
-     RAW_BYTES("HTTP/1.1 103 Hints\r\nX Marker: 1\r\n\r\n" OK WITH_LENGTH)},
-    {"blank in the name of a trailer",
-     RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX Marker: 1\r\n\r\n")},
-    {"control byte in a trailer",
-     RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX-Marker: \1\r\n\r\n")},
-    {"trailer without a colon",
-     RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX-Marker\r\n\r\n")},
-    {"trailers that end in a carriage return",
-     RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\n\rX")},
-
-    {"chunk without its end", RAW_BYTES(CHUNKED "7\r\nmarker.XY0\r\n\r\n")},
-    {"chunk that ends in a line feed",
-     RAW_BYTES(CHUNKED "7\r\nmarker.\n0\r\n\r\n")},
-    {"chunk longer than its size",
-     RAW_BYTES(CHUNKED "5\r\nmarker.\r\n0\r\n\r\n")},
-    {"blank in the size of a chunk",
-     RAW_BYTES(CHUNKED "7 7\r\nmarker.\r\n0\r\n\r\n")},
-    {"size of a chunk with a prefix",
-     RAW_BYTES(CHUNKED "0x7\r\nmarker.\r\n0\r\n\r\n")},
-    {"size of a chunk with a sign",
-     RAW_BYTES(CHUNKED "+7\r\nmarker.\r\n0\r\n\r\n")},
-    {"size of a chunk above the range",
-     RAW_BYTES(CHUNKED "10000000000000007\r\nmarker.\r\n0\r\n\r\n")},
-    {"size that ends in a carriage return",
-     RAW_BYTES(CHUNKED "7\rXmarker.\r\n0\r\n\r\n")},
-    {"size that ends in a line feed",
-     RAW_BYTES(CHUNKED "7;a\nmarker.\r\n0\r\n\r\n")},
-    {"control byte in a chunk extension",
-     RAW_BYTES(CHUNKED "7;a\1b\r\nmarker.\r\n0\r\n\r\n")},
 
     {"empty length", RAW_BYTES(OK "Content-Length:\r\n\r\nmarker.")},
     {"length with a sign", RAW_BYTES(OK "Content-Length: +7\r\n\r\nmarker.")},
@@ -139,6 +108,39 @@
                "\r\n7\r\nmarker.\r\n0\r\n\r\n")},
     {"204 with a body",
      RAW_BYTES("HTTP/1.1 204 No Content\r\n" SEALED WITH_LENGTH)},
+
+    {"chunk without its end", RAW_BYTES(CHUNKED "7\r\nmarker.XY0\r\n\r\n")},
+    {"chunk that ends in a line feed",
+     RAW_BYTES(CHUNKED "7\r\nmarker.\n0\r\n\r\n")},
+    {"chunk longer than its size",
+     RAW_BYTES(CHUNKED "5\r\nmarker.\r\n0\r\n\r\n")},
+    {"blank in the size of a chunk",
+     RAW_BYTES(CHUNKED "7 7\r\nmarker.\r\n0\r\n\r\n")},
+    {"size of a chunk with a prefix",
+     RAW_BYTES(CHUNKED "0x7\r\nmarker.\r\n0\r\n\r\n")},
+    {"size of a chunk with a sign",
+     RAW_BYTES(CHUNKED "+7\r\nmarker.\r\n0\r\n\r\n")},
+    {"size of a chunk above the range",
+     RAW_BYTES(CHUNKED "10000000000000007\r\nmarker.\r\n0\r\n\r\n")},
+    {"size that ends in a carriage return",
+     RAW_BYTES(CHUNKED "7\rXmarker.\r\n0\r\n\r\n")},
+    {"size that ends in a line feed",
+     RAW_BYTES(CHUNKED "7;a\nmarker.\r\n0\r\n\r\n")},
+    {"control byte in a chunk extension",
+     RAW_BYTES(CHUNKED "7;a\1b\r\nmarker.\r\n0\r\n\r\n")},
+    {"blank in the name of a trailer",
+     RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX Marker: 1\r\n\r\n")},
+    {"control byte in a trailer",
+     RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX-Marker: \1\r\n\r\n")},
+    {"trailer without a colon",
+     RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\nX-Marker\r\n\r\n")},
+    {"trailers that end in a carriage return",
+     RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\n\rX")},
+
+    {"broken interim status",
+     RAW_BYTES("HTTP/1.1 0100 Continue\r\n\r\n" OK WITH_LENGTH)},
+    {"broken header in an interim response",
+     RAW_BYTES("HTTP/1.1 103 Hints\r\nX Marker: 1\r\n\r\n" OK WITH_LENGTH)},
     {"interim response with a length",
      RAW_BYTES("HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nabc" OK
                    WITH_LENGTH)},
@@ -151,6 +153,19 @@
     {"change of protocol without its name",
      RAW_BYTES("HTTP/1.1 101 Switching\r\n\r\n" OK WITH_LENGTH)},
     {"interim response only", RAW_BYTES("HTTP/1.1 100 Continue\r\n\r\n")},
+
+    {"end in the status line", RAW_BYTES("HTTP/1.1 200 O")},
+    {"end in the head", RAW_BYTES(OK "X-Marker: 1\r\n")},
+    {"end in the body", RAW_BYTES(OK "Content-Length: 9\r\n\r\nmarker.")},
+    {"end in a chunk", RAW_BYTES(CHUNKED "9\r\nmarker.")},
+    {"end behind a chunk", RAW_BYTES(CHUNKED "7\r\nmarker.\r\n")},
+    {"end before the trailers", RAW_BYTES(CHUNKED "7\r\nmarker.\r\n0\r\n")},
+    {"reset in the head", RAW_BYTES(OK "X-Marker: 1\r\n"), RAW_RESET, false,
+     20000},
+    {"reset in the body", RAW_BYTES(OK "Content-Length: 9\r\n\r\nmarker."),
+     RAW_RESET, false, 20000},
+    {"reset in a body without a length", RAW_BYTES(OK WITHOUT_LENGTH),
+     RAW_RESET, false, 20000},
 };
 
 /// A complete response, and what the client must get of it.
@@ -553,6 +568,172 @@
     stop_site();
 }
 
+#define NODE_HEADERS                                                          \
+    "ibisfield-protocol: 1\r\nibisfield-outcome: answered\r\n" SEALED
+
+/// Guards against broken responses of another node.
+static void
+test_broken_responses_of_a_node(void)
+{
+    static const raw_response_t broken[] = {
+        {"status 000",
+         RAW_BYTES("HTTP/1.1 000 OK\r\n" NODE_HEADERS WITH_LENGTH)},
+        {"blank in a name",
+         RAW_BYTES(
+             "HTTP/1.1 200 OK\r\nX Marker: 1\r\n" NODE_HEADERS WITH_LENGTH)},
+        {"refusal with a blank behind a name",
+         RAW_BYTES("HTTP/1.1 503 Failed\r\nibisfield-outcome: not-run\r\n"
+                   "ibisfield-reason : leaving\r\nContent-Length: 0\r\n\r\n")},
+        {"broken chunk",
+         RAW_BYTES(
+             "HTTP/1.1 200 OK\r\n" NODE_HEADERS
+             "Transfer-Encoding: chunked\r\n\r\n7\r\nmarker.XY0\r\n\r\n")},
+        {"no length",
+         RAW_BYTES("HTTP/1.1 200 OK\r\n" NODE_HEADERS WITHOUT_LENGTH)},
+        {"end in the body", RAW_BYTES("HTTP/1.1 200 OK\r\n" NODE_HEADERS
+                                      "Content-Length: 9\r\n\r\nmarker.")},
+    };
+    static const raw_response_t whole = {
+        "whole", RAW_BYTES("HTTP/1.1 200\r\n" NODE_HEADERS WITH_LENGTH)};
+    const machine_t *peer = &site.machines[GUARD];
+    char id[32];
+    start_site(MACHINES_DEFAULT);
+    publish_site();
+    remove_server_record(&site.machines[GUARD + 1]);
+    wait_nodes_logged("event=vm_removed upstream_vm=i-3");
+    process_stop(&site.machines[GUARD].node, SIGKILL);
+    raw_server_start(&server, peer->address, PORT_PEER, &whole);
+    for (size_t i = 0; i < G_N_ELEMENTS(broken); i++) {
+        server.response = &broken[i];
+        GString *response = book(0, id);
+        check_refused(broken[i].name, response, id);
+        CU_ASSERT_EQUAL(count_untrusted_lines(id, peer->address, PORT_PEER),
+                        1);
+        g_string_free(response, TRUE);
+    }
+    server.response = &whole;
+    GString *response = book(0, id);
+    check_passed(whole.name, response, 200, "marker.");
+    g_string_free(response, TRUE);
+    raw_server_stop(&server);
+    stop_site();
+}
+
+/// A listing of the store with a desired state of version 99.
+#define LISTING                                                               \
+    "{\"at_rev\":5,\"has_more\":false,\"items\":[{\"key\":\"op/config\","     \
+    "\"revision\":4,\"value\":\"eyJ2ZXJzaW9uIjo5OSwicm91dGVzIjpbXSwic2Vydmlj" \
+    "ZXMiOltdfQ==\"}]}"
+#define LISTING_BYTES 139
+
+static void
+read_store_directly(machine_t *machine)
+{
+    if (strcmp(machine->service, "back") == 0) {
+        g_strlcpy(machine->store_address, machine->address,
+                  sizeof(machine->store_address));
+        raw_server_start(&server, machine->address, PORT_STORE,
+                         server.response);
+    }
+}
+
+/// Guards against a configuration that comes from a broken response of the
+/// store.
+static void
+test_broken_responses_of_the_store(void)
+{
+    static const raw_response_t broken[] = {
+        {"status 000",
+         RAW_BYTES("HTTP/1.1 000 OK\r\nContent-Length: " G_STRINGIFY(
+             LISTING_BYTES) "\r\n\r\n" LISTING)},
+        {"blank behind the name of the length",
+         RAW_BYTES("HTTP/1.1 200 OK\r\nContent-Length : " G_STRINGIFY(
+             LISTING_BYTES) "\r\n\r\n" LISTING)},
+        {"blank in a name",
+         RAW_BYTES(
+             "HTTP/1.1 200 OK\r\nX Marker: 1\r\nContent-Length: " G_STRINGIFY(
+                 LISTING_BYTES) "\r\n\r\n" LISTING)},
+        {"chunk without its end",
+         RAW_BYTES("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8b"
+                   "\r\n" LISTING "XY0\r\n\r\n")},
+        {"end in the body",
+         RAW_BYTES("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" LISTING)},
+    };
+    static const raw_response_t whole = {
+        "whole", RAW_BYTES("HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "8B ;a=b\r\n" LISTING "\r\n0\r\nX-Sum: 1\r\n\r\n")};
+    CU_ASSERT_EQUAL(strlen(LISTING), LISTING_BYTES);
+    server.response = &broken[0];
+    start_site_with_addresses(2, read_store_directly);
+    const process_t *node = &site.machines[1].node;
+    for (size_t i = 0; i < G_N_ELEMENTS(broken); i++) {
+        server.response = &broken[i];
+        int64_t before = untrusted_total(1);
+        for (int polls = 0; polls < 1000 && untrusted_total(1) < before + 2;
+             polls++) {
+            g_usleep(10000);
+        }
+        CU_ASSERT_TRUE(untrusted_total(1) >= before + 2);
+        CU_ASSERT_FALSE(process_has_logged(node, "event=contracts_in_force"));
+    }
+    CU_ASSERT_TRUE(
+        count_untrusted_lines("", site.machines[1].address, PORT_STORE) > 0);
+    server.response = &whole;
+    CU_ASSERT_TRUE(
+        process_wait_log(node, "event=contracts_in_force version=99 "));
+    raw_server_stop(&server);
+    stop_site();
+}
+
+#define DRAINING "{\"status\": \"draining\"}"
+
+/// Guards against health probes that believe a broken response.
+static void
+test_broken_responses_to_health_probes(void)
+{
+    static const raw_response_t broken[] = {
+        {"status 000",
+         RAW_BYTES("HTTP/1.1 000 OK\r\nContent-Length: 22\r\n\r\n" DRAINING)},
+        {"blank in a name",
+         RAW_BYTES("HTTP/1.1 200 OK\r\nX Marker: 1\r\nContent-Length: 22\r\n"
+                   "\r\n" DRAINING)},
+        {"chunk without its end",
+         RAW_BYTES("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n16"
+                   "\r\n" DRAINING "XY0\r\n\r\n")},
+    };
+    static const raw_response_t whole = {
+        "whole",
+        RAW_BYTES("HTTP/1.0 200 OK\nContent-Length: 22\n\n" DRAINING)};
+    static const char *const arguments[] = {"--name", "solo", NULL};
+    testbed_t bed;
+    testbed_init(&bed);
+    testbed_vm_t *vm = testbed_add_vm(&bed, "solo", "north", "", arguments);
+    process_stop(&vm->upstream, SIGKILL);
+    raw_server_start(&server, vm->address, PORT_UPSTREAM, &broken[0]);
+    for (size_t i = 0; i < G_N_ELEMENTS(broken); i++) {
+        server.response = &broken[i];
+        int64_t before =
+            node_metric(vm, "ibisfield_responses_untrusted_total");
+        for (int polls = 0;
+             polls < 1000 &&
+             node_metric(vm, "ibisfield_responses_untrusted_total") <
+                 before + 2;
+             polls++)
+        {
+            g_usleep(10000);
+        }
+        CU_ASSERT_TRUE(
+            node_metric(vm, "ibisfield_responses_untrusted_total") >=
+            before + 2);
+        CU_ASSERT_FALSE(process_has_logged(&vm->node, "draining=1"));
+    }
+    server.response = &whole;
+    CU_ASSERT_TRUE(process_wait_log(
+        &vm->node, "event=upstream_health_changed draining=1"));
+    raw_server_stop(&server);
+    testbed_finish(&bed);
+}
+
 int
 main(void)
 {
@@ -563,6 +744,10 @@
         {"resets during an upload", test_resets_while_an_upload_is_written},
         {"whole responses during an upload",
          test_whole_responses_while_an_upload_is_written},
+        {"broken responses of a node", test_broken_responses_of_a_node},
+        {"broken responses of the store", test_broken_responses_of_the_store},
+        {"broken responses to health probes",
+         test_broken_responses_to_health_probes},
         CU_TEST_INFO_NULL,
     };
     return run_suite("broken responses", tests);
