Check the lines of requests like those of responses

What callers saw: nothing was reported. Requests of callers and of other nodes are parsed by the same library. request_reader refused blanks in names, but took a value that begins with a control byte, which it passed on to the server, and any byte for the end of a head, of a request line or of a chunk.

Cause: the same as for responses, http_parser without its strict checks.

Change: request_reader uses http_scan too. Of the request line, only the bytes are checked: none may be a control byte. Such a request gets 400, and nothing of it runs.

--- a/src/ibisfield/io/http_line.c
+++ b/src/ibisfield/io/http_line.c
@@ -138,6 +138,12 @@
     }
 }
 
+static http_line_result_t
+read_request_line(http_line_t *line, char c)
+{
+    return c == '\t' ? HTTP_LINE_INVALID : read_text(line, c);
+}
+
 static http_line_result_t
 read_field_line(http_line_t *line, char c)
 {
@@ -194,7 +200,8 @@
     if (c == '\n') {
         return HTTP_LINE_PARTIAL;
     }
-    return read_status_line(line, c);
+    return line->kind == HTTP_LINE_STATUS ? read_status_line(line, c)
+                                          : read_request_line(line, c);
 }
 
 static http_line_result_t
@@ -219,7 +226,8 @@
     if (line->state == STATE_EMPTY_CR) {
         return c == '\n' ? go_on(line, STATE_START) : HTTP_LINE_INVALID;
     }
-    return read_status_line(line, c);
+    return line->kind == HTTP_LINE_STATUS ? read_status_line(line, c)
+                                          : read_request_line(line, c);
 }
 
 /// Starts a line. It follows the line that was checked before, if any; a field
--- a/src/ibisfield/io/http_line.h
+++ b/src/ibisfield/io/http_line.h
@@ -8,6 +8,7 @@
 
 typedef enum {
     HTTP_LINE_STATUS,    ///< status line; empty lines before it are skipped
+    HTTP_LINE_REQUEST,   ///< request line; the same
     HTTP_LINE_FIELD,     ///< field of a header or trailer section, a
                          ///< continuation of it, or the empty line at the end
     HTTP_LINE_CHUNK,     ///< size and extensions of a chunk
--- a/src/ibisfield/io/http_scan.c
+++ b/src/ibisfield/io/http_scan.c
@@ -122,7 +122,8 @@
 {
     switch (scan->part) {
     case HTTP_PART_START_LINE:
-        return "malformed status line";
+        return scan->start_line == HTTP_LINE_STATUS ? "malformed status line"
+                                                    : "malformed request line";
     case HTTP_PART_HEAD:
         return "malformed header";
     case HTTP_PART_TRAILERS:
--- a/src/ibisfield/io/http_scan.h
+++ b/src/ibisfield/io/http_scan.h
@@ -17,7 +17,7 @@
 /// Check of the lines of HTTP/1.1 messages ahead of a parser, which decides
 /// what follows a head.
 typedef struct {
-    http_line_kind_t start_line; ///< of the first line
+    http_line_kind_t start_line; ///< HTTP_LINE_STATUS or HTTP_LINE_REQUEST
     http_part_t part;
     http_line_t line;    ///< the current line, outside of bodies
     uint64_t chunk_left; ///< bytes of the current chunk that are to come
--- a/src/ibisfield/io/request_reader.c
+++ b/src/ibisfield/io/request_reader.c
@@ -1,7 +1,8 @@
 /// @file
 /// Incremental reader of HTTP/1.1 requests, on top of http_parser. It does no
 /// I/O. It stops at the end of each request, so that what was sent behind it
-/// stays unread until the server wants it.
+/// stays unread until the server wants it. Lines are checked before
+/// http_parser gets them.
 
 #include "ibisfield/io/request_reader.h"
 
@@ -69,9 +70,6 @@
         reader->in_header_value = false;
     }
     for (size_t i = 0; i < len; i++) {
-        if (at[i] == ' ') { // http_parser accepts it.
-            return -1;
-        }
         g_string_append_c(reader->text, g_ascii_tolower(at[i]));
     }
     last_header(reader)->name_len += len;
@@ -126,6 +124,7 @@
         reader->state = REQUEST_TOO_LARGE;
         return -1;
     }
+    http_scan_begin_body(&reader->scan, (parser->flags & F_CHUNKED) != 0);
     bool has_body = (parser->flags & F_CHUNKED) != 0 ||
                     (has_length && parser->content_length > 0);
     for (guint i = 0; has_body && i < reader->offsets->len; i++) {
@@ -167,6 +166,7 @@
 {
     http_parser_init(&reader->parser, HTTP_REQUEST);
     reader->parser.data = reader;
+    http_scan_start(&reader->scan, HTTP_LINE_REQUEST);
     reader->state = REQUEST_PARTIAL;
     reader->head_complete = false;
     reader->in_header_value = false;
@@ -198,10 +198,9 @@
     g_byte_array_unref(reader->body);
 }
 
-/// Parses @p bytes up to the end of a request and updates the state. Returns
-/// the number of bytes that belong to the request.
-size_t
-request_reader_feed(request_reader_t *reader, slice_t bytes)
+/// Passes bytes that have been checked to http_parser.
+static size_t
+parse(request_reader_t *reader, slice_t bytes)
 {
     static const http_parser_settings settings = {
         .on_message_begin = on_message_begin,
@@ -212,9 +211,6 @@
         .on_body = on_body,
         .on_message_complete = on_message_complete,
     };
-    if (reader->state != REQUEST_PARTIAL || bytes.len == 0) {
-        return 0;
-    }
     size_t used =
         http_parser_execute(&reader->parser, &settings, bytes.data, bytes.len);
     if (reader->state == REQUEST_PARTIAL &&
@@ -225,6 +221,26 @@
     return used;
 }
 
+/// Parses @p bytes up to the end of a request and updates the state. Returns
+/// the number of bytes that belong to the request.
+size_t
+request_reader_feed(request_reader_t *reader, slice_t bytes)
+{
+    size_t used = 0;
+    while (reader->state == REQUEST_PARTIAL && used < bytes.len) {
+        slice_t checked;
+        if (!http_scan_next(&reader->scan,
+                            (slice_t){bytes.data + used, bytes.len - used},
+                            &checked))
+        {
+            reader->state = REQUEST_MALFORMED;
+            break;
+        }
+        used += parse(reader, checked);
+    }
+    return used;
+}
+
 /// Returns whether a header with this name (lower case) was read, also in a
 /// request that is incomplete or malformed.
 bool
--- a/src/ibisfield/io/request_reader.h
+++ b/src/ibisfield/io/request_reader.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 
 #include "ibisfield/base/slice.h"
+#include "ibisfield/io/http_scan.h"
 #include "ibisfield/io/response_reader.h"
 
 /// Headers of one request; one with more is malformed.
@@ -38,6 +39,7 @@
 /// Incremental reader of HTTP/1.1 requests.
 typedef struct {
     http_parser parser;
+    http_scan_t scan;
     size_t max_body_bytes;
     request_state_t state;
     bool head_complete;
--- a/test/functional/test_http_server.c
+++ b/test/functional/test_http_server.c
@@ -571,6 +571,19 @@
         "GET /\r\n\r\n",
         "CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n",
         "GET / HTTP/1.1\r\nhost : a\r\n\r\n",
+        "GET /\t HTTP/1.1\r\nhost: a\r\n\r\n",
+        "GET / HTTP/1.1\rXhost: a\r\n\r\n",
+        "GET / HTTP/1.1\r\n x: 1\r\nhost: a\r\n\r\n",
+        "GET / HTTP/1.1\r\nhost: a\r\nx: \1\r\n\r\n",
+        "GET / HTTP/1.1\r\nhost: a\r\n\rX",
+        "PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        "2\r\nokXY0\r\n\r\n",
+        "PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        "2 2\r\nok\r\n0\r\n\r\n",
+        "PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        "2;a\nb\r\nok\r\n0\r\n\r\n",
+        "PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        "2\r\nok\r\n0\r\nx y: 1\r\n\r\n",
     };
     for (size_t i = 0; i < G_N_ELEMENTS(refused); i++) {
         request_reader_t reader;
@@ -583,6 +596,33 @@
     }
 }
 
+/// Guards against refusing requests of unusual forms that HTTP/1.1 allows.
+static void
+test_unusual_requests(void)
+{
+    static const char *const requests[] = {
+        "\r\nPUT / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok",
+        "PUT / HTTP/1.1\nhost: a\ncontent-length:2\n\nok",
+        "PUT / HTTP/1.1\r\nhost: a\r\nx: b\r\n c\r\nempty:\r\n"
+        "!#$%&'*+-.^_`|~: \tt\303\251\r\ncontent-length: 2 \r\n\r\nok",
+        "PUT / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        "1;a=\"b\"\r\no\r\n01 ; c\r\nk\r\n00\r\nx: 1\r\n\r\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+        for (size_t cut = 0; cut < strlen(requests[i]); cut++) {
+            request_reader_t reader;
+            request_message_t message;
+            request_reader_init(&reader, BODY_MAX);
+            CU_ASSERT_EQUAL_FATAL(feed_pieces(&reader, requests[i], cut),
+                                  REQUEST_COMPLETE);
+            CU_ASSERT_TRUE_FATAL(request_reader_take(&reader, &message));
+            CU_ASSERT_TRUE(slice_equal_string(message.body, "ok"));
+            request_message_finish(&message);
+            request_reader_finish(&reader);
+        }
+    }
+}
+
 int
 main(void)
 {
@@ -599,6 +639,7 @@
         {"nothing behind a close", test_nothing_runs_behind_a_close},
         {"bodies", test_bodies},
         {"request reader", test_request_reader},
+        {"unusual requests", test_unusual_requests},
         CU_TEST_INFO_NULL,
     };
     return run_suite("http_server", tests);
