Wait for a server to get the upload before its close ends a response

What callers saw: a further form of the reset during an upload. A server that has read all that has arrived closes or crashes while the rest of the upload is on its way. Its kernel closes in order, and resets the connection when the rest arrives. The client got the part of the response that was sent as a complete 200.

Cause: a write ends when the kernel has taken its bytes.

Change: the end of the stream ends a response without a length once the server has acknowledged all of the request (SIOCOUTQ). Until then the client waits for that, for a reset (the state in TCP_INFO) or for the exchange's timeout, and asks each 2 ms. A response to a request that has been read, as nearly all are, is complete at once.

Why it works: a peer that has got all bytes and closes in order has read them, since unread ones would make its kernel reset the connection.

--- a/src/ibisfield/io/http_client.c
+++ b/src/ibisfield/io/http_client.c
@@ -23,6 +23,8 @@
 #define SWEEP_INTERVAL_US US_PER_S
 /// A server that sends more responses to earlier requests is faulty.
 #define STALE_RESPONSES_MAX 4
+/// Interval of the question whether the server has got all of a request.
+#define DELIVERY_POLL_US (2 * US_PER_MS)
 /// Longest part of a request's id that is logged, in bytes.
 #define LOGGED_ID_MAX ((size_t)128)
 
@@ -51,11 +53,12 @@
     GByteArray *body; ///< that is being written; NULL: none
     bool writing;
     bool write_failed;
-    bool read_ended;       ///< the server has closed its side, which ends the
-                           ///< response unless the write fails
-    bool delivering;       ///< the callback of its last exchange is running
-    bool broken;           ///< must not be reused
-    size_t buffered_bytes; ///< part of the pool's
+    bool read_ended; ///< the server has closed its side, which ends the
+                     ///< response if it has got the request
+    loop_timer_t delivery_timer; ///< while it hasn't got all of it
+    bool delivering;          ///< the callback of its last exchange is running
+    bool broken;              ///< must not be reused
+    size_t buffered_bytes;    ///< part of the pool's
     uint32_t stale_responses; ///< responses to other requests that arrived
     int64_t idle_until_us;
     GList idle_link;
@@ -100,6 +103,7 @@
         connection->socket->data = NULL;
         h2o_socket_close(connection->socket);
     }
+    loop_timer_stop(connection->pool->loop, &connection->delivery_timer);
     response_reader_finish(&connection->reader);
     if (connection->request != NULL) {
         g_string_free(connection->request, TRUE);
@@ -388,6 +392,40 @@
     }
 }
 
+static void on_delivery_timer(void *context);
+
+/// Ends a response without a length, behind which the server has closed its
+/// side, once it is known whether it closed in order: after it has got the
+/// request. A server that closes before resets the connection when the rest
+/// arrives, and the end of the stream may have come first; and a write that
+/// fails takes the error of the reset from the socket, so that reads return
+/// the end of the stream instead.
+static void
+settle_read_end(connection_t *connection)
+{
+    if (connection->writing) {
+        return; // on_written() settles it.
+    }
+    socket_delivery_t delivery =
+        connection->write_failed
+            ? SOCKET_RESET
+            : socket_delivery(h2o_socket_get_fd(connection->socket));
+    if (delivery == SOCKET_PENDING) {
+        loop_timer_start(connection->pool->loop, &connection->delivery_timer,
+                         DELIVERY_POLL_US, on_delivery_timer, connection);
+        return;
+    }
+    response_reader_eof(&connection->reader, delivery == SOCKET_DELIVERED);
+}
+
+static void
+on_delivery_timer(void *context)
+{
+    connection_t *connection = context;
+    settle_read_end(connection);
+    end_exchange_if_read(connection, NULL);
+}
+
 /// Handles the end of what the server sends.
 static void
 handle_read_end(connection_t *connection, const char *error)
@@ -395,12 +433,10 @@
     response_reader_t *reader = &connection->reader;
     bool closed = error == h2o_socket_error_closed;
     connection->broken = true;
-    if (closed && connection->writing && reader->close_delimited) {
-        // A write that fails takes the error of a reset from the socket, and
-        // reads then return the end of the stream. Whether the server closed
-        // the connection is known only once the write has ended.
+    if (closed && reader->close_delimited) {
         connection->read_ended = true;
         h2o_socket_read_stop(connection->socket);
+        settle_read_end(connection);
         return;
     }
     response_reader_eof(reader, closed && !connection->write_failed);
@@ -472,8 +508,8 @@
         connection->broken = true;
         connection->write_failed = true;
     }
-    if (connection->read_ended && connection->exchange != NULL) {
-        response_reader_eof(&connection->reader, error == NULL);
+    if (connection->read_ended) {
+        settle_read_end(connection);
         end_exchange_if_read(connection, error);
     }
 }
--- a/src/ibisfield/io/socket_options.c
+++ b/src/ibisfield/io/socket_options.c
@@ -3,9 +3,11 @@
 
 #include "ibisfield/io/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /// A connection fails if sent data stays unacknowledged for this time. Nodes
@@ -68,6 +70,23 @@
             info.tcpi_probes >= UNANSWERED_MAX);
 }
 
+/// Returns whether the peer has got the bytes that were written to @p fd. A
+/// peer that closes a connection with bytes in it that it hasn't read resets
+/// it, so one that has got all and closes in order has read all.
+socket_delivery_t
+socket_delivery(int fd)
+{
+    int unacknowledged = 0;
+    struct tcp_info info = {0};
+    socklen_t size = sizeof(info);
+    if (ioctl(fd, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0) {
+        return SOCKET_DELIVERED;
+    }
+    bool reset = getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+                 info.tcpi_state == TCP_CLOSE;
+    return reset ? SOCKET_RESET : SOCKET_PENDING;
+}
+
 /// Limits the bytes that the kernel holds for a connection until they are
 /// read.
 void
--- a/test/functional/common/raw_server.c
+++ b/test/functional/common/raw_server.c
@@ -122,10 +122,27 @@
     g_mutex_unlock(&server->mutex);
 }
 
+/// Reads all that has arrived, so that the kernel closes the connection in
+/// order.
 static void
-end_connection(int fd, raw_end_t end)
+read_arrived(raw_server_t *server, int fd)
 {
     char buffer[BUFFER_BYTES];
+    ssize_t got;
+    size_t total = 0;
+    while ((got = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
+        total += (size_t)got;
+    }
+    server->read_bytes = total;
+}
+
+static void
+end_connection(raw_server_t *server, int fd, raw_end_t end)
+{
+    char buffer[BUFFER_BYTES];
+    if (end == RAW_CLOSE_READ) {
+        read_arrived(server, fd);
+    }
     if (end == RAW_RESET) {
         const struct linger reset = {.l_onoff = 1};
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -163,7 +180,7 @@
             g_free(id);
         }
     }
-    end_connection(fd, end);
+    end_connection(server, fd, end);
     g_string_free(head, TRUE);
     return NULL;
 }
--- a/test/functional/common/raw_server.h
+++ b/test/functional/common/raw_server.h
@@ -7,10 +7,11 @@
 
 /// What a raw server does behind its response.
 typedef enum {
-    RAW_CLOSE, ///< closes the connection
-    RAW_RESET, ///< resets it
-    RAW_KEEP,  ///< reads the next request
-    RAW_DRAIN, ///< closes its side, and reads until the client closes
+    RAW_CLOSE,      ///< closes the connection
+    RAW_CLOSE_READ, ///< reads what has arrived and closes the connection
+    RAW_RESET,      ///< resets it
+    RAW_KEEP,       ///< reads the next request
+    RAW_DRAIN,      ///< closes its side, and reads until the client closes
 } raw_end_t;
 
 /// Bytes that a raw server sends for a request, in which "@ID" stands for the
@@ -33,6 +34,7 @@
     int listen_fd;
     GThread *thread;
     const raw_response_t *_Atomic response;
+    _Atomic size_t read_bytes; ///< by the last RAW_CLOSE_READ
     GMutex mutex;
     GHashTable *requests_by_id; ///< guarded by mutex
 } raw_server_t;
--- a/test/functional/test_broken_responses.c
+++ b/test/functional/test_broken_responses.c
@@ -540,6 +540,38 @@
     stop_site();
 }
 
+/// Guards against an end of the stream that comes before the reset: a server
+/// that has read all that had arrived, and closes or crashes while the kernel
+/// of the node still holds a part of the upload.
+static void
+test_closes_while_an_upload_is_on_its_way(void)
+{
+    static const raw_response_t early = {"close", RAW_BYTES(OK WITHOUT_LENGTH),
+                                         RAW_CLOSE_READ, true, 2000};
+    static const size_t sizes[] = {500000, 2000000, 4000000, UPLOAD_BYTES};
+    int incomplete = 0;
+    char id[32];
+    start_site_with_raw_server();
+    server.response = &early;
+    for (int round = 0; round < UPLOAD_ROUNDS; round++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+            GString *response = book(sizes[i], id);
+            if (server.read_bytes < sizes[i]) {
+                incomplete++;
+                check_refused(early.name, response, id);
+            }
+            else {
+                check_passed(early.name, response, 200, "marker.");
+            }
+            g_string_free(response, TRUE);
+        }
+    }
+    printf("  %d of %d uploads were read in part\n", incomplete,
+           UPLOAD_ROUNDS * (int)G_N_ELEMENTS(sizes));
+    raw_server_stop(&server);
+    stop_site();
+}
+
 /// Guards against refusing complete responses to an upload that is still being
 /// written.
 static void
@@ -742,6 +774,7 @@
         {"whole responses of a server", test_whole_responses_of_a_server},
         {"trailers", test_trailers_are_no_headers},
         {"resets during an upload", test_resets_while_an_upload_is_written},
+        {"closes during an upload", test_closes_while_an_upload_is_on_its_way},
         {"whole responses during an upload",
          test_whole_responses_while_an_upload_is_written},
         {"broken responses of a node", test_broken_responses_of_a_node},
