Read the headers before a malformed line of a request

A refusal of a request that can't be read says "unknown" if the request has a key, since an earlier request with that key may have run. With the check ahead of http_parser, a malformed line hid the key before it, and the refusal said "not-run".

Change: http_scan_next() passes on the lines before a malformed one, and request_reader has them parsed.

--- a/src/ibisfield/io/http_scan.c
+++ b/src/ibisfield/io/http_scan.c
@@ -84,10 +84,11 @@
 
 /// Checks @p bytes, at most up to the end of a head or of a message in chunks.
 /// Sets @p checked to what a parser may get; it has to get all of that before
-/// the next call. Returns false if there is a malformed line.
+/// the next call. Returns false if there is a malformed line behind that.
 bool
 http_scan_next(http_scan_t *scan, slice_t bytes, slice_t *checked)
 {
+    bool valid = true;
     bool goes_on = true;
     size_t used = 0;
     size_t line_bytes = 0;
@@ -103,17 +104,16 @@
             size_t len = 0;
             http_line_result_t result =
                 http_line_feed(&scan->line, rest, &len);
-            if (result == HTTP_LINE_INVALID) {
-                return false;
-            }
-            used += len;
+            valid = result != HTTP_LINE_INVALID;
+            used += valid ? len : 0;
             line_bytes += len;
             goes_on =
-                result == HTTP_LINE_PARTIAL || enter_part_behind_line(scan);
+                result == HTTP_LINE_PARTIAL ||
+                (result == HTTP_LINE_END && enter_part_behind_line(scan));
         }
     }
     *checked = (slice_t){bytes.data, used};
-    return true;
+    return valid;
 }
 
 /// Returns what is malformed after http_scan_next() has returned false.
--- a/src/ibisfield/io/request_reader.c
+++ b/src/ibisfield/io/request_reader.c
@@ -229,14 +229,15 @@
     size_t used = 0;
     while (reader->state == REQUEST_PARTIAL && used < bytes.len) {
         slice_t checked;
-        if (!http_scan_next(&reader->scan,
-                            (slice_t){bytes.data + used, bytes.len - used},
-                            &checked))
-        {
+        bool valid = http_scan_next(
+            &reader->scan, (slice_t){bytes.data + used, bytes.len - used},
+            &checked);
+        // The headers before a malformed line tell how to refuse the request.
+        used += checked.len > 0 ? parse(reader, checked) : 0;
+        if (!valid && reader->state == REQUEST_PARTIAL) {
             reader->state = REQUEST_MALFORMED;
-            break;
+            reader->started = true;
         }
-        used += parse(reader, checked);
     }
     return used;
 }
--- a/test/functional/test_http_server.c
+++ b/test/functional/test_http_server.c
@@ -437,6 +437,31 @@
     finish_bed();
 }
 
+/// Guards against a refusal that says that a request with a key hasn't run: an
+/// earlier one may have.
+static void
+test_malformed_request_with_a_key(void)
+{
+    static const char *const requests[] = {
+        "PUT /c/1 HTTP/1.1\r\nhost: a\r\nibisfield-key: k\r\nx y: 1\r\n\r\n",
+        "PUT /c/1 HTTP/1.1\r\nhost: a\r\nibisfield-key: k\r\nx: \1\r\n\r\n",
+        "PUT /c/1 HTTP/1.1\r\nhost: a\r\nibisfield-key: k\r\n"
+        "transfer-encoding: chunked\r\n\r\n2 2\r\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+        start_bed();
+        sender_t sender;
+        sender_open(&sender);
+        sender_write(&sender, requests[i]);
+        expect_closed(&sender);
+        CU_ASSERT_EQUAL(count_text(&sender, "HTTP/1.1 400 "), 1);
+        CU_ASSERT_EQUAL(count_text(&sender, "ibisfield-outcome: unknown"), 1);
+        CU_ASSERT_EQUAL(bed.started_count, 0);
+        sender_close(&sender);
+        finish_bed();
+    }
+}
+
 /// Guards against a malformed request that ends the connection before the
 /// responses to the requests sent before it.
 static void
@@ -636,6 +661,7 @@
         {"draining", test_draining_with_several_requests},
         {"sender leaves midway", test_sender_leaves_midway},
         {"malformed request", test_malformed_request_behind_another},
+        {"malformed request with a key", test_malformed_request_with_a_key},
         {"nothing behind a close", test_nothing_runs_behind_a_close},
         {"bodies", test_bodies},
         {"request reader", test_request_reader},
