Parenthesise a text of two literals in a list of texts

clang, which builds the tests for the fuzz stage, takes the two literals for a forgotten comma and stops.

--- a/test/functional/test_http_server.c
+++ b/test/functional/test_http_server.c
@@ -445,8 +445,8 @@
     static const char *const requests[] = {
         "PUT /c/1 HTTP/1.1\r\nhost: a\r\nibisfield-key: k\r\nx y: 1\r\n\r\n",
         "PUT /c/1 HTTP/1.1\r\nhost: a\r\nibisfield-key: k\r\nx: \1\r\n\r\n",
-        "PUT /c/1 HTTP/1.1\r\nhost: a\r\nibisfield-key: k\r\n"
-        "transfer-encoding: chunked\r\n\r\n2 2\r\n",
+        ("PUT /c/1 HTTP/1.1\r\nhost: a\r\nibisfield-key: k\r\n"
+         "transfer-encoding: chunked\r\n\r\n2 2\r\n"),
     };
     for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
         start_bed();
