Refuse malformed messages the same way whole and in pieces

Cause: two differences that fuzz_http_reader found in longer runs, both from the check ahead of http_parser. A request refused at its first byte counted as started or not, depending on the pieces it came in. A response that is too large and has a malformed line behind that was "malformed" whole and "too large" in pieces. Neither reached a client.

Change: a malformed request counts as started. response_reader, like request_reader, has what precedes a malformed line parsed first.

--- a/src/ibisfield/io/request_reader.c
+++ b/src/ibisfield/io/request_reader.c
@@ -236,9 +236,10 @@
         used += checked.len > 0 ? parse(reader, checked) : 0;
         if (!valid && reader->state == REQUEST_PARTIAL) {
             reader->state = REQUEST_MALFORMED;
-            reader->started = true;
         }
     }
+    // Also if http_parser refused the first byte, or didn't get it.
+    reader->started |= reader->state == REQUEST_MALFORMED;
     return used;
 }
 
--- a/src/ibisfield/io/response_reader.c
+++ b/src/ibisfield/io/response_reader.c
@@ -327,14 +327,13 @@
     while (reader->state == RESPONSE_PARTIAL && used < bytes.len) {
         slice_t checked;
         reader->started = true;
-        if (!http_scan_next(&reader->scan,
-                            (slice_t){bytes.data + used, bytes.len - used},
-                            &checked))
-        {
+        bool valid = http_scan_next(
+            &reader->scan, (slice_t){bytes.data + used, bytes.len - used},
+            &checked);
+        used += checked.len > 0 ? parse(reader, checked) : 0;
+        if (!valid) {
             reject(reader, http_scan_error(&reader->scan));
-            break;
         }
-        used += parse(reader, checked);
     }
     return used;
 }
