--- a/test/functional/test_robustness.c
+++ b/test/functional/test_robustness.c
@@ -258,6 +258,24 @@
     assert_serves();
 }
 
+/// Guards against reporting a request as not run whose connection was reset
+/// without a response, and against a loss that isn't logged.
+static void
+test_upstream_sends_no_response(void)
+{
+    int64_t before = node_metric(vm, "ibisfield_upstream_answers_lost_total");
+    int64_t untrusted = node_metric(vm, "ibisfield_responses_untrusted_total");
+    configure_upstream("/test/reset/1");
+    assert_response(send_look_request(), 502, "ibisfield-outcome: unknown\n");
+    configure_upstream("/test/reset/0");
+    CU_ASSERT_TRUE(
+        wait_metric("ibisfield_upstream_answers_lost_total", before));
+    CU_ASSERT_TRUE(process_wait_log(&vm->node, "event=upstream_answer_lost"));
+    CU_ASSERT_EQUAL(node_metric(vm, "ibisfield_responses_untrusted_total"),
+                    untrusted);
+    assert_serves();
+}
+
 /// Guards against reporting the outcome of a shed request as unknown.
 static void
 test_upstream_sheds(void)
@@ -361,6 +379,7 @@
          test_peer_request_without_required_headers},
         {"full connection table", test_full_connection_table},
         {"truncated response", test_truncated_response_of_the_upstream},
+        {"no response", test_upstream_sends_no_response},
         {"upstream sheds", test_upstream_sheds},
         {"disconnected caller",
          test_disconnected_caller_cancels_upstream_request},
