Hold names of contracts in strings of any length

Cause: the decoder copied names into arrays of 64 bytes (prefixes: 255) and refused the whole state for one that is longer. The nodes' logs say so: desired_state_refused, first="op/config: routes[1]: host: expected a string of 1 to 63 bytes". customers_find_host() and the copies of names in calls, guards and request contexts had the same limit, so accepting the state alone would not have routed a request.

Names, hosts and paths of contracts, services of a traffic split and names of workspaces are now strings on the heap, and calls and requests own copies. Nothing in the decoder bounds a name any more. Hosts in contracts that operators write may have the 253 bytes of DNS. Log lines carry the first 63 bytes of the names of kinds and workspaces.

--- a/bench/common/sim.c
+++ b/bench/common/sim.c
@@ -190,8 +190,7 @@
 {
     const deployment_t *deployment = sim->deployment;
     contract_t *contract = &sim->contract;
-    g_strlcpy(contract->customer, deployment->name,
-              sizeof(contract->customer));
+    contract->customer = g_strdup(deployment->name);
     contract->retries = (int32_t)deployment->retries;
     contract->client_retry_percent = CLIENT_RETRY_PERCENT;
     contract->kinds = sim->kinds;
@@ -205,10 +204,9 @@
                      .deadline_ms = spec->deadline_ms,
                      .resend_s = 60,
                      .run = spec->at_most_once ? RUN_ONCE : RUN_IDEMPOTENT};
-        g_strlcpy(kind->name, spec->name, sizeof(kind->name));
-        g_strlcpy(kind->service, deployment->services[spec->service].name,
-                  sizeof(kind->service));
-        snprintf(kind->path, sizeof(kind->path), "/%s", spec->name);
+        kind->name = g_strdup(spec->name);
+        kind->service = g_strdup(deployment->services[spec->service].name);
+        kind->path = g_strdup_printf("/%s", spec->name);
     }
 }
 
@@ -283,6 +281,10 @@
     for (uint32_t i = 0; i < sim->deployment->kind_count; i++) {
         g_rand_free(sim->arrival_random[i]);
     }
+    for (uint32_t i = 0; i < sim->contract.kind_count; i++) {
+        kind_finish(&sim->kinds[i]);
+    }
+    g_free(sim->contract.customer);
     g_rand_free(sim->random);
     g_free(sim->servers);
     event_queue_finish(&sim->events);
--- a/src/ibisfield/base/log.h
+++ b/src/ibisfield/base/log.h
@@ -3,6 +3,10 @@
 
 #include <glib.h>
 
+/// Longest part of a name that is logged, in bytes, where the name may be so
+/// long that it would displace the rest of the line.
+#define LOGGED_NAME_MAX 63
+
 void log_init(void);
 void log_set_level(const char *name);
 void log_event(GLogLevelFlags level, const char *event, const char *format,
--- a/src/ibisfield/call/entry.c
+++ b/src/ibisfield/call/entry.c
@@ -28,6 +28,9 @@
 void
 entry_finish(entry_t *entry)
 {
+    while (entry->slots.count > 0) {
+        entry_end_call(entry, &entry->calls[slot_table_at(&entry->slots, 0)]);
+    }
     g_rand_free(entry->random);
     g_free(entry->calls);
     slot_table_finish(&entry->slots);
@@ -229,16 +232,13 @@
                             : call->worth;
     call->wait_end_us =
         call->deadline_us + (call->has_key ? LATE_RESPONSE_WAIT_US : 0);
-    g_strlcpy(call->customer, incoming->contract->customer,
-              sizeof(call->customer));
-    g_strlcpy(call->kind, incoming->kind->name, sizeof(call->kind));
-    g_strlcpy(call->service, traffic_split_next(incoming->kind),
-              sizeof(call->service));
-    if (incoming->workspace != NULL) {
-        g_strlcpy(call->workspace, incoming->workspace->workspace.name,
-                  sizeof(call->workspace));
-        call->workspace_id = incoming->counted_workspace;
-    }
+    call->customer = g_strdup(incoming->contract->customer);
+    call->kind = g_strdup(incoming->kind->name);
+    call->service = g_strdup(traffic_split_next(incoming->kind));
+    call->workspace = g_strdup(incoming->workspace == NULL
+                                   ? ""
+                                   : incoming->workspace->workspace.name);
+    call->workspace_id = incoming->counted_workspace;
     if (incoming->parent != NULL && entry->options.depths != NULL) {
         call_depths_record_call(entry->options.depths, call->service);
     }
--- a/src/ibisfield/call/entry.h
+++ b/src/ibisfield/call/entry.h
@@ -211,10 +211,11 @@
     int64_t key_ttl_us;   ///< of a fresh key; 0: the kind needs no key
     reason_t reason;      ///< of the last attempt
     int32_t retry_after_ms;
-    char customer[CONTRACT_NAME_MAX + 1];
-    char kind[CONTRACT_NAME_MAX + 1];
-    char service[CONTRACT_NAME_MAX + 1];
-    char workspace[CONTRACT_NAME_MAX + 1]; ///< "": none
+    char *customer; ///< this name and those below are copies: a change of the
+                    ///< contract may release its own
+    char *kind;
+    char *service;
+    char *workspace;       ///< "": none
     uint64_t workspace_id; ///< counted against its cap; 0: not counted
     uint32_t attempt_count;
     entry_attempt_t attempts[1 + CONTRACT_RETRIES_MAX];
--- a/src/ibisfield/call/entry_attempts.c
+++ b/src/ibisfield/call/entry_attempts.c
@@ -117,6 +117,10 @@
 void
 entry_end_call(entry_t *entry, entry_call_t *call)
 {
+    g_clear_pointer(&call->customer, g_free);
+    g_clear_pointer(&call->kind, g_free);
+    g_clear_pointer(&call->service, g_free);
+    g_clear_pointer(&call->workspace, g_free);
     slot_table_release(&entry->slots, call->handle);
     metric_set(METRIC_CALLS_IN_FLIGHT, entry->slots.count);
 }
--- a/src/ibisfield/call/guard.c
+++ b/src/ibisfield/call/guard.c
@@ -42,12 +42,24 @@
     guard->requests = g_new0(guarded_request_t, capacity);
 }
 
+static void
+release_request(guard_t *guard, guarded_request_t *request)
+{
+    g_clear_pointer(&request->customer, g_free);
+    slot_table_release(&guard->slots, request->handle);
+}
+
 /// Releases the guard. Requests that it holds get no response.
 void
 guard_finish(guard_t *guard)
 {
     admission_finish(&guard->admission);
+    while (guard->slots.count > 0) {
+        release_request(guard,
+                        &guard->requests[slot_table_at(&guard->slots, 0)]);
+    }
     g_free(guard->requests);
+    g_free(guard->service);
     slot_table_finish(&guard->slots);
 }
 
@@ -55,7 +67,8 @@
 void
 guard_set_service(guard_t *guard, const char *service)
 {
-    g_strlcpy(guard->service, service, sizeof(guard->service));
+    g_free(guard->service);
+    guard->service = g_strdup(service);
 }
 
 /// Sets the depth of the call graph below the upstream, which load reports
@@ -85,7 +98,7 @@
 static bool
 is_for_other_service(const guard_t *guard, const guard_request_t *request)
 {
-    return request->service.len > 0 && guard->service[0] != '\0' &&
+    return request->service.len > 0 && guard->service != NULL &&
            !slice_equal_string(request->service, guard->service);
 }
 
@@ -165,7 +178,7 @@
     call_handle_t handle = request->handle;
     void *user = request->user;
     bool sender_disconnected = request->sender_disconnected;
-    slot_table_release(&guard->slots, handle);
+    release_request(guard, request);
     if (!sender_disconnected) {
         send_response(guard, handle, user, reason, outcome, tokens, &context);
     }
@@ -176,6 +189,7 @@
 {
     int64_t now_us = clock_now_us(guard->clock);
     request_context_t context = {
+        .customer = request->customer,
         .worth = request->worth,
         .deadline_us = request->deadline_us,
         .retry_tokens = request->retry_tokens,
@@ -184,7 +198,6 @@
         .calls_above = request->calls_remaining,
     };
     retry_ratio_record_attempt(&guard->retry_ratio, request->is_retry);
-    g_strlcpy(context.customer, request->customer, sizeof(context.customer));
     request->running = true;
     request->started_us = now_us;
     request->started_in_flight = guard->admission.in_flight;
@@ -275,10 +288,9 @@
                             : added->deadline_us;
     added->wait_end_us = added->deadline_us +
                          (request->at_most_once ? LATE_RESPONSE_WAIT_US : 0);
-    size_t len = MIN(request->customer.len, sizeof(added->customer) - 1);
-    if (len > 0) {
-        memcpy(added->customer, request->customer.data, len);
-    }
+    added->customer =
+        g_strndup(request->customer.len == 0 ? "" : request->customer.data,
+                  request->customer.len);
     return added;
 }
 
--- a/src/ibisfield/call/guard.h
+++ b/src/ibisfield/call/guard.h
@@ -94,7 +94,7 @@
     int64_t run_end_us;  ///< upstream's deadline, at or before deadline_us
     int64_t wait_end_us; ///< until when the upstream's response is awaited
     int64_t started_us;
-    char customer[64]; ///< with CONTRACT_NAME_MAX bytes at most
+    char *customer;
 } guarded_request_t;
 
 typedef struct {
@@ -102,7 +102,7 @@
     guard_io_t *io;
     request_contexts_t *contexts;
     admission_t admission;
-    char service[64]; ///< of the upstream; "": any service is accepted
+    char *service; ///< of the upstream; NULL: any service is accepted
     slot_table_t slots;
     guarded_request_t *requests;
     bool draining;
--- a/src/ibisfield/contract/contract.c
+++ b/src/ibisfield/contract/contract.c
@@ -17,6 +17,9 @@
 
 #define NAME_EXPECTED "a name of at most 63 lower-case letters, digits and '-'"
 
+static void read_name(json_reader_t *reader, const json_field_t *field,
+                      const char *field_path, struct json_object *value,
+                      void *out);
 static void read_method(json_reader_t *reader, const json_field_t *field,
                         const char *field_path, struct json_object *value,
                         void *out);
@@ -44,8 +47,7 @@
 
 #define NAME_FIELD(type, member)                                              \
     {                                                                         \
-        .name = #member, .read = json_read_name,                              \
-        .offset = offsetof(type, member), .size = CONTRACT_NAME_MAX + 1,      \
+        .name = #member, .read = read_name, .offset = offsetof(type, member), \
         .required = true, .expected = NAME_EXPECTED                           \
     }
 #define INT_FIELD(type, member, low, high, is_required)                       \
@@ -100,7 +102,7 @@
     NAME_FIELD(contract_t, customer),
     {.name = "hosts",
      .read = read_hosts,
-     .expected = "an array of at most 16 host names of at most 63 lower-case "
+     .expected = "an array of at most 16 host names of at most 253 lower-case "
                  "letters, digits, '-' and '.'"},
     INT_FIELD(contract_t, retries, 0, CONTRACT_RETRIES_MAX, true),
     INT_FIELD(contract_t, client_retry_percent, 0, 100, true),
@@ -113,6 +115,20 @@
      .expected = "an array of at most 1024 workspaces"},
 };
 
+/// Reads a name into the member (char *) that the field describes.
+static void
+read_name(json_reader_t *reader, const json_field_t *field,
+          const char *field_path, struct json_object *value, void *out)
+{
+    char name[CONTRACT_NAME_MAX + 1] = "";
+    const json_field_t buffer = {.size = sizeof(name),
+                                 .expected = field->expected};
+    json_read_name(reader, &buffer, field_path, value, name);
+    if (name[0] != '\0') {
+        *(char **)(void *)((char *)out + field->offset) = g_strdup(name);
+    }
+}
+
 static void
 read_method(json_reader_t *reader, const json_field_t *field,
             const char *field_path, struct json_object *value, void *out)
@@ -154,7 +170,7 @@
         json_add_invalid_value(reader, field_path, value, field->expected);
         return;
     }
-    g_strlcpy(kind->path, text, sizeof(kind->path));
+    kind->path = g_strdup(text);
 }
 
 static void
@@ -178,7 +194,7 @@
 host_is_valid(const char *text)
 {
     size_t len = strspn(text, "abcdefghijklmnopqrstuvwxyz0123456789-.");
-    return len > 0 && text[len] == '\0' && len <= CONTRACT_NAME_MAX &&
+    return len > 0 && text[len] == '\0' && len <= CONTRACT_HOST_MAX &&
            text[0] != '.' && text[0] != '-';
 }
 
@@ -193,6 +209,7 @@
         json_add_invalid_value(reader, field_path, value, field->expected);
         return;
     }
+    contract->hosts = g_new0(char *, json_object_array_length(value) + 1);
     for (size_t i = 0; i < json_object_array_length(value); i++) {
         struct json_object *host = json_object_array_get_idx(value, i);
         const char *text = json_string(host);
@@ -200,15 +217,14 @@
         if (text == NULL || !host_is_valid(text)) {
             json_add_invalid_value(
                 reader, child, host,
-                "a host name of at most 63 lower-case letters, "
+                "a host name of at most 253 lower-case letters, "
                 "digits, '-' and '.'");
         }
         else if (contract_has_host(contract, slice_from_string(text))) {
             json_add_invalid_value(reader, child, host, "each host once");
         }
         else {
-            g_strlcpy(contract->hosts[contract->host_count++], text,
-                      sizeof(contract->hosts[0]));
+            contract->hosts[contract->host_count++] = g_strdup(text);
         }
         g_free(child);
     }
@@ -256,14 +272,18 @@
 }
 
 /// Returns whether @p earlier matches every path that @p later matches.
+/// Either is NULL if it was invalid, and then covers and is covered by none.
 static bool
 path_covers(const char *earlier, const char *later)
 {
+    if (earlier == NULL || later == NULL) {
+        return false;
+    }
     size_t len = strlen(earlier);
-    if (len > 0 && earlier[len - 1] == '*') {
+    if (earlier[len - 1] == '*') {
         return strncmp(earlier, later, len - 1) == 0;
     }
-    return len > 0 && strcmp(earlier, later) == 0;
+    return strcmp(earlier, later) == 0;
 }
 
 /// Reports a kind whose name is taken, or that an earlier kind shadows.
@@ -272,13 +292,13 @@
                  const contract_t *contract, const kind_t *kind)
 {
     for (const kind_t *earlier = contract->kinds; earlier < kind; earlier++) {
-        if (kind->name[0] != '\0' && strcmp(earlier->name, kind->name) == 0) {
+        if (kind->name != NULL && g_strcmp0(earlier->name, kind->name) == 0) {
             json_add_problem(reader, field_path,
                              "found a second kind named \"%s\", expected "
                              "unique names",
                              kind->name);
         }
-        if (kind->method[0] != '\0' && kind->path[0] != '\0' &&
+        if (kind->method[0] != '\0' &&
             strcmp(earlier->method, kind->method) == 0 &&
             path_covers(earlier->path, kind->path))
         {
@@ -287,7 +307,8 @@
                 "%s %s is already matched by %s of kind \"%s\", "
                 "which comes before it, expected the more specific "
                 "path first",
-                kind->method, kind->path, earlier->path, earlier->name);
+                kind->method, kind->path, earlier->path,
+                earlier->name == NULL ? "" : earlier->name);
             return;
         }
     }
@@ -362,8 +383,8 @@
     for (uint32_t i = 0; i < contract->workspace_count; i++) {
         for (uint32_t j = 0; j < i; j++) {
             const char *name = contract->workspaces[i].name;
-            if (name[0] != '\0' &&
-                strcmp(contract->workspaces[j].name, name) == 0) {
+            if (name != NULL &&
+                g_strcmp0(contract->workspaces[j].name, name) == 0) {
                 json_add_problem(reader, field_path,
                                  "found a second workspace named \"%s\", "
                                  "expected unique names",
@@ -428,12 +449,31 @@
     return valid;
 }
 
+/// Releases the memory of a kind.
+void
+kind_finish(kind_t *kind)
+{
+    for (uint32_t i = 0; i < kind->split_target_count; i++) {
+        g_free(kind->split_targets[i].service);
+    }
+    g_free(kind->split_targets);
+    g_free(kind->name);
+    g_free(kind->service);
+    g_free(kind->path);
+    *kind = (kind_t){0};
+}
+
 /// Releases the memory of a parsed contract.
 void
 contract_finish(contract_t *contract)
 {
+    g_free(contract->customer);
+    for (uint32_t i = 0; i < contract->host_count; i++) {
+        g_free(contract->hosts[i]);
+    }
+    g_free(contract->hosts);
     for (uint32_t i = 0; i < contract->kind_count; i++) {
-        g_free(contract->kinds[i].split_targets);
+        kind_finish(&contract->kinds[i]);
     }
     g_free(contract->kinds);
     for (uint32_t i = 0; i < contract->workspace_count; i++) {
@@ -446,13 +486,13 @@
 static bool
 kind_matches(const kind_t *kind, slice_t method, slice_t path)
 {
-    slice_t pattern = slice_from_string(kind->path);
-    if (pattern.len == 0 ||
+    if (kind->path == NULL ||
         (kind->method[0] != '\0' && !slice_equal_string(method, kind->method)))
     {
         return false;
     }
-    if (pattern.data[pattern.len - 1] == '*') {
+    slice_t pattern = slice_from_string(kind->path);
+    if (pattern.len > 0 && pattern.data[pattern.len - 1] == '*') {
         pattern.len--;
         return slice_starts_with(path, pattern);
     }
@@ -487,8 +527,9 @@
         host.len = (size_t)(port - host.data);
     }
     for (uint32_t i = 0; i < contract->host_count; i++) {
-        if (strlen(contract->hosts[i]) == host.len &&
-            g_ascii_strncasecmp(contract->hosts[i], host.data, host.len) == 0)
+        slice_t listed = slice_from_string(contract->hosts[i]);
+        if (listed.len == host.len &&
+            g_ascii_strncasecmp(listed.data, host.data, host.len) == 0)
         {
             return true;
         }
--- a/src/ibisfield/contract/contract.h
+++ b/src/ibisfield/contract/contract.h
@@ -11,6 +11,7 @@
 bool contract_parse(contract_t *contract, const char *file, slice_t text,
                     GPtrArray *problems);
 void contract_finish(contract_t *contract);
+void kind_finish(kind_t *kind);
 const kind_t *contract_match(const contract_t *contract, slice_t method,
                              slice_t path);
 bool contract_has_host(const contract_t *contract, slice_t host);
--- a/src/ibisfield/contract/contract_defs.h
+++ b/src/ibisfield/contract/contract_defs.h
@@ -4,8 +4,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/// Longest name and path, in bytes.
+/// Longest name, host and path of a contract that an operator writes, in
+/// bytes. Those that the adapter to a platform decodes may be longer.
 #define CONTRACT_NAME_MAX 63
+#define CONTRACT_HOST_MAX 253
 #define CONTRACT_PATH_MAX 255
 /// Kinds and hosts of one contract.
 #define CONTRACT_KINDS_MAX 256
@@ -25,18 +27,19 @@
 
 /// A service that gets a fraction of a kind's requests.
 typedef struct {
-    char service[CONTRACT_NAME_MAX + 1];
+    char *service;
     int32_t weight; ///< relative to the weights of the other targets
     double credit;  ///< requests owed to this target; see traffic_split.h
 } split_target_t;
 
-/// One kind of request, as the contract declares it.
+/// One kind of request, as the contract declares it. Released by
+/// kind_finish().
 typedef struct {
-    char name[CONTRACT_NAME_MAX + 1];
-    char service[CONTRACT_NAME_MAX + 1];
+    char *name;
+    char *service;
     char method[16]; ///< "" matches every method
     /// Path without the query; a '*' at the end matches any rest of a path.
-    char path[CONTRACT_PATH_MAX + 1];
+    char *path;
     int32_t worth;       ///< 1 to CONTRACT_WORTH_MAX; lowest is refused first
     int32_t deadline_ms; ///< from the arrival at the entry
     int32_t resend_s;    ///< how long a key stays valid; RUN_ONCE only
@@ -48,10 +51,10 @@
     bool anonymous; ///< needs no access key, also where workspaces exist
 } kind_t;
 
-/// One customer's contract.
+/// One customer's contract. Released by contract_finish().
 typedef struct {
-    char customer[CONTRACT_NAME_MAX + 1];
-    char hosts[CONTRACT_HOSTS_MAX][CONTRACT_NAME_MAX + 1];
+    char *customer;
+    char **hosts;
     uint32_t host_count;
     int32_t retries;              ///< retries and hedges of one caller request
     int32_t client_retry_percent; ///< client retries per 100 first requests
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -25,7 +25,7 @@
     http_request_t *request; ///< NULL: responded to or disconnected
     call_handle_t handle;
     span_t span;
-    char kind[CONTRACT_NAME_MAX + 1];
+    char kind[LOGGED_NAME_MAX + 1]; ///< beginning of its name
     uint32_t references;
     caller_attempt_t *attempts[ATTEMPTS_MAX + 1]; ///< by number
 } caller_call_t;
@@ -173,16 +173,17 @@
     }
     slice_t id = logged_id(call);
     log_info("call_refused",
-             "id=%.*s kind=\"%s\" path=\"%.*s\" reason=%s outcome=%s "
+             "id=%.*s kind=\"%.*s\" path=\"%.*s\" reason=%s outcome=%s "
              "status=%d age_ms=%" PRId64 " attempts=%u pressure=%u "
-             "retry_after_ms=%d contracts=%" PRIu64 " workspace=%s",
-             (int)id.len, id.data == NULL ? "" : id.data,
+             "retry_after_ms=%d contracts=%" PRIu64 " workspace=%.*s",
+             (int)id.len, id.data == NULL ? "" : id.data, LOGGED_NAME_MAX,
              response->kind == NULL ? call->kind : response->kind,
              (int)MIN(call->request->path.len, LOGGED_PATH_MAX),
              call->request->path.data, reason_token(response->reason),
              outcome_token(response->outcome), status, request_age_ms(call),
              response->attempt_count, response->pressure,
              response->retry_after_ms, server->options.customers->version,
+             LOGGED_NAME_MAX,
              response->workspace == NULL ? "" : response->workspace);
 }
 
--- a/src/ibisfield/io/customers.c
+++ b/src/ibisfield/io/customers.c
@@ -152,23 +152,15 @@
     index_workspaces(customers);
 }
 
-static const contract_t *
-find_contract(GHashTable *table, slice_t name)
-{
-    char text[CONTRACT_NAME_MAX + 1];
-    if (name.len == 0 || name.len >= sizeof(text)) {
-        return NULL;
-    }
-    memcpy(text, name.data, name.len);
-    text[name.len] = '\0';
-    return g_hash_table_lookup(table, text);
-}
-
 /// Returns the contract of a customer; NULL if none is in force.
 const contract_t *
 customers_find(const customers_t *customers, slice_t name)
 {
-    return find_contract(customers->contracts, name);
+    char *text = g_strndup(name.data == NULL ? "" : name.data, name.len);
+    const contract_t *contract =
+        g_hash_table_lookup(customers->contracts, text);
+    g_free(text);
+    return contract;
 }
 
 /// Returns the contract that names @p host, which may have a port; NULL if
@@ -184,7 +176,7 @@
     char *lower =
         g_ascii_strdown(host.data == NULL ? "" : host.data, (gssize)host.len);
     const contract_t *contract =
-        find_contract(customers->by_host, slice_from_string(lower));
+        g_hash_table_lookup(customers->by_host, lower);
     g_free(lower);
     return contract;
 }
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -21,7 +21,7 @@
     call_handle_t handle;
     http_exchange_t *exchange;
     span_t span;
-    char kind[CONTRACT_NAME_MAX + 1];
+    char kind[LOGGED_NAME_MAX + 1]; ///< beginning of its name
     uint32_t references;
 } peer_call_t;
 
--- a/src/ibisfield/io/usage_link.c
+++ b/src/ibisfield/io/usage_link.c
@@ -385,9 +385,9 @@
     usage_link_t *link = context;
     if (log_limit_allows(&link->log_limit, link->loop->clock)) {
         log_info("usage_cap_binding",
-                 "workspace=%s binding=%d demand_per_s=%.1f "
+                 "workspace=%.*s binding=%d demand_per_s=%.1f "
                  "admitted_per_s=%.1f cap_per_s=%.1f nodes=%u",
-                 change->workspace->name, change->binding,
+                 LOGGED_NAME_MAX, change->workspace->name, change->binding,
                  change->demand_per_s, change->admitted_per_s,
                  change->workspace->rate_per_s, change->nodes);
     }
--- a/src/ibisfield/retry/request_context.c
+++ b/src/ibisfield/retry/request_context.c
@@ -28,6 +28,12 @@
 void
 request_contexts_finish(request_contexts_t *contexts)
 {
+    GHashTableIter iter;
+    void *slot = NULL;
+    g_hash_table_iter_init(&iter, contexts->index);
+    while (g_hash_table_iter_next(&iter, NULL, &slot)) {
+        g_free(((request_context_slot_t *)slot)->context.customer);
+    }
     g_hash_table_destroy(contexts->index);
     g_array_free(contexts->calls_by_kind, TRUE);
     g_rand_free(contexts->random);
@@ -77,7 +83,8 @@
     }
 }
 
-/// Adds a context under a random id. Returns the id, 0 if the table is full.
+/// Adds a copy of a context under a random id. Returns the id, 0 if the table
+/// is full.
 uint64_t
 request_contexts_add(request_contexts_t *contexts,
                      const request_context_t *context)
@@ -86,8 +93,8 @@
                                         context);
 }
 
-/// Adds a context under an id that the upstream's calls for the request will
-/// carry. Returns the id, 0 if it is in use or the table is full.
+/// Adds a copy of a context under an id that the upstream's calls for the
+/// request will carry. Returns the id, 0 if it is in use or the table is full.
 uint64_t
 request_contexts_add_with_id(request_contexts_t *contexts, uint64_t id,
                              const request_context_t *context)
@@ -103,6 +110,7 @@
     slot->id = id;
     slot->handle = handle;
     slot->context = *context;
+    slot->context.customer = g_strdup(context->customer);
     slot->context.calls_expected =
         (uint32_t)lround(*mean_calls(contexts, context->kind));
     g_hash_table_insert(contexts->index, &slot->id, slot);
@@ -119,6 +127,7 @@
         return 0;
     }
     learn_calls(contexts, &slot->context);
+    g_clear_pointer(&slot->context.customer, g_free);
     g_hash_table_remove(contexts->index, &id);
     slot_table_release(&contexts->slots, slot->handle);
     return slot->context.retry_tokens;
--- a/src/ibisfield/retry/request_context.h
+++ b/src/ibisfield/retry/request_context.h
@@ -11,7 +11,7 @@
 /// State of a request that runs at this VM's upstream, which applies to the
 /// calls that the upstream makes for it.
 typedef struct {
-    char customer[64];       ///< with CONTRACT_NAME_MAX bytes at most
+    char *customer;          ///< name
     int32_t worth;           ///< of the root request
     int64_t deadline_us;     ///< absolute, on this node's clock
     uint32_t retry_tokens;   ///< retries that are left
--- a/src/ibisfield/workspace/workspace_defs.h
+++ b/src/ibisfield/workspace/workspace_defs.h
@@ -19,8 +19,9 @@
 } access_key_t;
 
 /// A part of a customer with access keys, a rank and a usage cap of its own.
+/// Released by workspace_finish().
 typedef struct workspace {
-    char name[CONTRACT_NAME_MAX + 1];
+    char *name;
     int32_t rank;      ///< goes before the worth of a kind
     double rate_per_s; ///< requests that may run; 0: no cap
     double burst;      ///< requests beyond the rate, after a time without any
--- a/src/ibisfield/workspace/workspaces.c
+++ b/src/ibisfield/workspace/workspaces.c
@@ -41,10 +41,11 @@
     return difference == 0;
 }
 
-/// Releases the keys of a workspace.
+/// Releases the name and the keys of a workspace.
 void
 workspace_finish(workspace_t *workspace)
 {
+    g_clear_pointer(&workspace->name, g_free);
     if (workspace->keys != NULL) {
         g_array_free(workspace->keys, TRUE);
         workspace->keys = NULL;
@@ -75,7 +76,7 @@
 
 /// Returns the name of a workspace that has a key which an earlier one of the
 /// list has too; NULL if there is none. Nobody could say whose request such a
-/// key belongs to.
+/// key belongs to. Names may be missing (NULL).
 const char *
 workspace_list_find_shared_key(const workspace_t *workspaces, uint32_t count)
 {
@@ -159,12 +160,20 @@
            digests_equal(&left->digest, &right->digest);
 }
 
+static void
+free_entry(void *pointer)
+{
+    workspace_entry_t *entry = pointer;
+    workspace_finish(&entry->workspace);
+    g_free(entry);
+}
+
 void
 workspaces_init(workspaces_t *workspaces)
 {
     *workspaces = (workspaces_t){
-        .by_id =
-            g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free),
+        .by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                       free_entry),
         .by_key = g_hash_table_new_full(hash_scoped_key, scoped_keys_equal,
                                         g_free, NULL),
         .scopes =
@@ -199,10 +208,11 @@
     g_hash_table_add(workspaces->scopes, g_memdup2(&scope, sizeof(scope)));
     for (uint32_t i = 0; i < count; i++) {
         workspace_entry_t *entry = g_new0(workspace_entry_t, 1);
+        const char *name = list[i].name == NULL ? "" : list[i].name;
         entry->workspace = list[i];
+        entry->workspace.name = g_strdup(name);
         entry->workspace.keys = NULL;
-        entry->id =
-            XXH3_64bits_withSeed(list[i].name, strlen(list[i].name), scope);
+        entry->id = XXH3_64bits_withSeed(name, strlen(name), scope);
         g_hash_table_replace(workspaces->by_id, &entry->id, entry);
         guint keys = list[i].keys == NULL ? 0 : list[i].keys->len;
         for (guint j = 0; j < keys; j++) {
--- a/test/functional/test_customers.c
+++ b/test/functional/test_customers.c
@@ -60,12 +60,38 @@
     customers_finish(&customers);
 }
 
+/// Guards against a contract in force whose long host is never found.
+static void
+test_long_host(void)
+{
+    customers_t customers;
+    customers_init(&customers);
+    char *host = g_strnfill(253, 'h');
+    char *text = g_strdup_printf(
+        "{\"customer\":\"a\",\"hosts\":[\"%s\"],\"retries\":0,"
+        "\"client_retry_percent\":0,\"kinds\":[{\"name\":\"k\",\"service\":"
+        "\"s\",\"method\":\"GET\",\"path\":\"/\",\"worth\":1,"
+        "\"deadline_ms\":100,\"run\":\"repeatable\"}]}",
+        host);
+    CU_ASSERT_TRUE(customers_set(&customers, "a", slice_from_string(text)));
+    char *with_port = g_strconcat(host, ":8080", NULL);
+    CU_ASSERT_PTR_NOT_NULL(
+        customers_find_host(&customers, slice_from_string(with_port)));
+    CU_ASSERT_PTR_NULL(
+        customers_find_host(&customers, slice_from_string(host + 1)));
+    g_free(with_port);
+    g_free(text);
+    g_free(host);
+    customers_finish(&customers);
+}
+
 int
 main(void)
 {
     CU_TestInfo tests[] = {
         {"shared host", test_shared_host_does_not_depend_on_order},
         {"invalid contract", test_invalid_contract_leaves_the_previous_one},
+        {"long host", test_long_host},
         CU_TEST_INFO_NULL,
     };
     return run_suite("customers", tests);
--- a/test/fuzz/common/call_sim.c
+++ b/test/fuzz/common/call_sim.c
@@ -41,11 +41,10 @@
             .resend_s = non_idempotent ? KEY_TTL_S : 0,
             .run = non_idempotent ? RUN_ONCE : RUN_IDEMPOTENT,
         };
-        snprintf(kind->name, sizeof(kind->name), "k%u", i);
-        snprintf(kind->service, sizeof(kind->service), "s%u",
-                 i / KINDS_PER_SERVICE);
+        kind->name = g_strdup_printf("k%u", i);
+        kind->service = g_strdup_printf("s%u", i / KINDS_PER_SERVICE);
         snprintf(kind->method, sizeof(kind->method), "GET");
-        snprintf(kind->path, sizeof(kind->path), "/k%u", i);
+        kind->path = g_strdup_printf("/k%u", i);
     }
 }
 
@@ -135,8 +134,7 @@
             .kinds = sim->kinds,
             .kind_count = G_N_ELEMENTS(sim->kinds),
         };
-        snprintf(sim->contracts[i].customer,
-                 sizeof(sim->contracts[i].customer), "c%u", i);
+        sim->contracts[i].customer = g_strdup_printf("c%u", i);
     }
     sim->submissions = g_ptr_array_new_with_free_func(g_free);
     sim->exchanges = g_ptr_array_new_with_free_func(g_free);
@@ -156,6 +154,12 @@
     for (uint32_t i = 0; i < NODES; i++) {
         finish_node(&sim->nodes[i]);
     }
+    for (uint32_t i = 0; i < G_N_ELEMENTS(sim->kinds); i++) {
+        kind_finish(&sim->kinds[i]);
+    }
+    for (uint32_t i = 0; i < CUSTOMERS; i++) {
+        g_free(sim->contracts[i].customer);
+    }
     g_ptr_array_free(sim->submissions, TRUE);
     g_ptr_array_free(sim->exchanges, TRUE);
     g_ptr_array_free(sim->runs, TRUE);
--- a/test/platform/test_decoders.c
+++ b/test/platform/test_decoders.c
@@ -3,6 +3,7 @@
 /// malformed input.
 
 #include "ibisfield/contract/contract.h"
+#include "ibisfield/workspace/workspaces.h"
 #include "platform/desired_state.h"
 #include "platform/server_record.h"
 
@@ -34,6 +35,16 @@
                           slice_from_string(path));
 }
 
+/// Returns a kind without fields, and fails the test, if none matches.
+static const kind_t *
+match_one(const char *path)
+{
+    static const kind_t none = {.name = "", .service = ""};
+    const kind_t *kind = match(path);
+    CU_ASSERT_PTR_NOT_NULL(kind);
+    return kind == NULL ? &none : kind;
+}
+
 /// Guards against fields of routes that are decoded into wrong values.
 static void
 test_desired_state(void)
@@ -50,15 +61,13 @@
         "}"));
     CU_ASSERT_EQUAL(state.version, 7);
     CU_ASSERT_EQUAL_FATAL(state.contracts->len, 1);
-    const kind_t *kind = match("/a/x?q=1");
-    CU_ASSERT_PTR_NOT_NULL_FATAL(kind);
+    const kind_t *kind = match_one("/a/x?q=1");
     CU_ASSERT_STRING_EQUAL(kind->name, "r1");
     CU_ASSERT_EQUAL(kind->run, RUN_IDEMPOTENT);
     CU_ASSERT_EQUAL(kind->deadline_ms, 800);
     CU_ASSERT_EQUAL(kind->target_latency_ms, 1500);
     CU_ASSERT_EQUAL(kind->attempts_max, 2);
-    const kind_t *longer_prefix = match("/a/b/x");
-    CU_ASSERT_PTR_NOT_NULL_FATAL(longer_prefix);
+    const kind_t *longer_prefix = match_one("/a/b/x");
     CU_ASSERT_STRING_EQUAL(longer_prefix->name, "r2");
     CU_ASSERT_EQUAL(longer_prefix->run, RUN_ONCE_UNKEYED);
     CU_ASSERT_EQUAL(longer_prefix->split_target_count, 2);
@@ -103,6 +112,43 @@
     release();
 }
 
+/// Guards against a desired state that is refused because of the length of a
+/// name, which the platform's pages don't bound.
+static void
+test_long_names(void)
+{
+    char *host = g_strnfill(253, 'h');
+    char *name = g_strnfill(300, 'n');
+    char *text = g_strdup_printf(
+        "{\"version\":1,\"routes\":[{\"name\":\"%s\",\"host\":\"%s\","
+        "\"prefix\":\"/%s/\",\"kind\":\"idempotent\",\"service\":\"%s\"},"
+        "{\"name\":\"r\",\"host\":\"%s\",\"prefix\":\"/\","
+        "\"kind\":\"idempotent\",\"traffic_split\":[{\"service\":\"%s\","
+        "\"weight\":1}]}],\"services\":[{\"name\":\"%s\"}],"
+        "\"tenants\":[{\"name\":\"%s\",\"api_keys\":[\"k\"]}]}",
+        name, host, name, name, host, name, name, name);
+    CU_ASSERT_TRUE_FATAL(parse(text));
+    const contract_t *contract = state.contracts->pdata[0];
+    CU_ASSERT_STRING_EQUAL(contract->customer, host);
+    CU_ASSERT_TRUE(contract_has_host(contract, slice_from_string(host)));
+    char *path = g_strdup_printf("/%s/x", name);
+    const kind_t *kind = match_one(path);
+    CU_ASSERT_STRING_EQUAL(kind->name, name);
+    CU_ASSERT_STRING_EQUAL(kind->service, name);
+    kind = match_one("/x");
+    CU_ASSERT_EQUAL(kind->split_target_count, 1);
+    if (kind->split_targets != NULL) {
+        CU_ASSERT_STRING_EQUAL(kind->split_targets[0].service, name);
+    }
+    CU_ASSERT_STRING_EQUAL(
+        g_array_index(state.workspaces, workspace_t, 0).name, name);
+    release();
+    g_free(path);
+    g_free(text);
+    g_free(name);
+    g_free(host);
+}
+
 static bool
 parse_record(vm_info_t *info, const char *key, const char *text)
 {
@@ -153,6 +199,7 @@
     CU_TestInfo tests[] = {
         {"desired state", test_desired_state},
         {"malformed desired states", test_malformed_desired_states},
+        {"long names", test_long_names},
         {"server records", test_server_records},
         CU_TEST_INFO_NULL,
     };
--- a/test/unit/test_contract.c
+++ b/test/unit/test_contract.c
@@ -107,6 +107,21 @@
     contract_finish(&contract);
 }
 
+/// Guards against a limit on hosts below that of DNS.
+static void
+test_long_hosts(void)
+{
+    for (size_t len = 253; len <= 254; len++) {
+        char *host = g_strnfill(len, 'h');
+        char *text = g_strdup_printf("{\"hosts\":[\"%s\"]}", host);
+        char *problems = problems_of(text);
+        CU_ASSERT_EQUAL(strstr(problems, "hosts[0]") != NULL, len > 253);
+        g_free(problems);
+        g_free(text);
+        g_free(host);
+    }
+}
+
 /// Guards against a customer that isn't found because the Host header has a
 /// port or upper-case letters.
 static void
@@ -248,6 +263,7 @@
     CU_TestInfo tests[] = {
         {"fields", test_every_field_is_read},
         {"match", test_requests_match_by_method_and_path},
+        {"long hosts", test_long_hosts},
         {"hosts", test_hosts_match_without_port_and_case},
         {"limits", test_limits_follow_from_the_contract},
         {"explain", test_explanation_has_every_figure},
--- a/test/unit/test_fair_shares.c
+++ b/test/unit/test_fair_shares.c
@@ -70,8 +70,9 @@
         sim.usual[i] = usual_load * CAPACITY / sum / (i + 1);
         workspace_t workspace = {.rate_per_s = CAP_FACTOR * sim.usual[i],
                                  .burst = CAP_FACTOR * sim.usual[i]};
-        g_snprintf(workspace.name, sizeof(workspace.name), "%d", i);
+        workspace.name = g_strdup_printf("%d", i);
         workspaces_put(&sim.workspaces, "", &workspace, 1);
+        workspace_finish(&workspace);
     }
     GHashTableIter iter;
     void *pointer = NULL;
--- a/test/unit/test_usage.c
+++ b/test/unit/test_usage.c
@@ -54,8 +54,9 @@
     for (size_t i = 0; i < WORKSPACES; i++) {
         workspace_t workspace = {.rate_per_s = rates[i] * factor,
                                  .burst = rates[i] * factor};
-        g_snprintf(workspace.name, sizeof(workspace.name), "w%zu", i);
+        workspace.name = g_strdup_printf("w%zu", i);
         workspaces_put(&sim.workspaces, "", &workspace, 1);
+        workspace_finish(&workspace);
     }
     GHashTableIter iter;
     void *pointer = NULL;
--- a/test/unit/test_workspaces.c
+++ b/test/unit/test_workspaces.c
@@ -13,8 +13,7 @@
 static void
 add(const char *customer, const char *name, const char *key)
 {
-    workspace_t workspace = {0};
-    g_strlcpy(workspace.name, name, sizeof(workspace.name));
+    workspace_t workspace = {.name = g_strdup(name)};
     CU_ASSERT_TRUE(workspace_add_key(&workspace, slice_from_string(key)));
     workspaces_put(&workspaces, customer, &workspace, 1);
     workspace_finish(&workspace);
