Take ids, services and zones of servers of any length

A server with a longer id was never used (server_entry_refused; keys of the store have up to 200 bytes), a node whose service, zone or name is longer didn't start, and followers didn't get changes of servers with ids above 119 bytes from their readers, since the change feed leaves out items with names above 127 bytes.

The names of a listed VM (vm_info_t) are strings on the heap, settings take names of up to 255 bytes, and items in the feed too. Nodes without a store keep the limit of 63, which their keys and control messages need; settings say so.

Test: functional_test_long_names (12 nodes; ids of 192 bytes, a service of 205, a zone of 200), test_decoders, test_settings.

--- a/src/ibisfield/call/call_defs.h
+++ b/src/ibisfield/call/call_defs.h
@@ -7,6 +7,7 @@
 #include "ibisfield/base/slice.h"
 
 #define KEY_TEXT_MAX 159
+/// Longest name of a VM in keys and in control messages, in bytes.
 #define VM_NAME_MAX 63
 
 /// What the caller is told about whether its request ran.
--- a/src/ibisfield/config/item_store.h
+++ b/src/ibisfield/config/item_store.h
@@ -11,7 +11,9 @@
 /// divided by the hash of their names into this many buckets, a power of two.
 /// Nodes exchange versions only for the buckets whose digests differ.
 #define ITEM_BUCKETS 32
-#define ITEM_NAME_MAX 127
+/// Longest name of an item, in bytes. Exceeds the longest key of the users'
+/// platform, 200.
+#define ITEM_NAME_MAX 255
 #define ITEM_VALUE_MAX_BYTES (1 << 20)
 
 /// One configuration item. The value is JSON text; its length is 0 if the item
--- a/src/ibisfield/config/published_list.c
+++ b/src/ibisfield/config/published_list.c
@@ -17,11 +17,19 @@
 #define EXPIRY_OUTAGE_MIN_US US_PER_S
 
 typedef struct {
-    vm_info_t info;
+    vm_info_t *info;
     uint64_t revision;        ///< of the last change, or of a pending removal
     uint64_t list_generation; ///< number of the last full listing with it
 } published_record_t;
 
+static void
+free_record(void *pointer)
+{
+    published_record_t *record = pointer;
+    vm_info_free(record->info);
+    g_free(record);
+}
+
 /// Initialises an empty list.
 void
 published_list_init(published_list_t *list, const clock_source_t *clock,
@@ -31,7 +39,8 @@
         .clock = clock,
         .hooks = *hooks,
         .context = context,
-        .vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free),
+        .vms =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_record),
     };
 }
 
@@ -51,8 +60,8 @@
         return source_record_is_outdated(list->revision, revision,
                                          read_revision);
     }
-    return record->info.removal_pending ? revision <= record->revision
-                                        : revision < record->revision;
+    return record->info->removal_pending ? revision <= record->revision
+                                         : revision < record->revision;
 }
 
 /// Adds or updates a VM whose record was written at @p revision. The record is
@@ -71,18 +80,17 @@
                  record == NULL ? list->revision : record->revision);
         return;
     }
-    if (record == NULL) {
-        record = g_new0(published_record_t, 1);
-        record->info = *info;
-        g_hash_table_insert(list->vms, record->info.vm, record);
+    bool changed = record == NULL || !vm_info_equal(record->info, info);
+    if (changed) {
+        published_record_t *replacement = g_new0(published_record_t, 1);
+        replacement->info = vm_info_copy(info);
+        g_hash_table_replace(list->vms, replacement->info->vm, replacement);
+        record = replacement;
     }
-    bool changed =
-        record->revision == 0 || !vm_info_equal(&record->info, info);
-    record->info = *info;
     record->revision = revision;
     record->list_generation = list->list_generation;
     if (changed) {
-        list->hooks.listed(list->context, &record->info);
+        list->hooks.listed(list->context, record->info);
     }
 }
 
@@ -96,10 +104,10 @@
 static void
 remove_record(published_list_t *list, published_record_t *record)
 {
-    char vm[VM_NAME_MAX + 1];
-    g_strlcpy(vm, record->info.vm, sizeof(vm));
+    char *vm = g_strdup(record->info->vm);
     g_hash_table_remove(list->vms, vm);
     list->hooks.removed(list->context, vm);
+    g_free(vm);
 }
 
 /// Removes a VM. While removals aren't final a VM that isn't draining stays in
@@ -113,14 +121,14 @@
     if (record == NULL || revision < record->revision) {
         return;
     }
-    if (are_removals_final(list) || record->info.draining) {
+    if (are_removals_final(list) || record->info->draining) {
         remove_record(list, record);
     }
     else {
         record->revision = revision;
-        if (!record->info.removal_pending) {
-            record->info.removal_pending = true;
-            list->hooks.listed(list->context, &record->info);
+        if (!record->info->removal_pending) {
+            record->info->removal_pending = true;
+            list->hooks.listed(list->context, record->info);
         }
     }
 }
@@ -145,7 +153,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
         const published_record_t *record = pointer;
         if (record->list_generation != list->list_generation) {
-            g_ptr_array_add(absent, g_strdup(record->info.vm));
+            g_ptr_array_add(absent, g_strdup(record->info->vm));
         }
     }
     for (guint i = 0; i < absent->len; i++) {
@@ -222,7 +230,7 @@
     void *pointer = NULL;
     g_hash_table_iter_init(&iter, list->vms);
     while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
-        if (((published_record_t *)pointer)->info.removal_pending) {
+        if (((published_record_t *)pointer)->info->removal_pending) {
             g_ptr_array_add(removed, pointer);
         }
     }
--- a/src/ibisfield/config/replicator.c
+++ b/src/ibisfield/config/replicator.c
@@ -30,6 +30,7 @@
 {
     replicator_t *replicator = context;
     if (item_is_vm(item->name)) {
+        vm_info_finish(&replicator->parsed_vm);
         return vm_info_parse(&replicator->parsed_vm, item, problems);
     }
     return replicator->io->vtable->check(replicator->io, item, problems);
@@ -166,6 +167,7 @@
     g_hash_table_destroy(replicator->probed_endpoints);
     relay_plan_finish(&replicator->plan);
     vm_view_finish(&replicator->view);
+    vm_info_finish(&replicator->parsed_vm);
     item_store_finish(&replicator->store);
     g_rand_free(replicator->random);
 }
--- a/src/ibisfield/config/vm_view.c
+++ b/src/ibisfield/config/vm_view.c
@@ -22,20 +22,21 @@
                                               item->name, field, expected));
 }
 
-static bool
-read_text(char *text, size_t size, struct json_object *value,
-          const config_item_t *item, const char *field, GPtrArray *problems)
+/// Returns a name of the item, or NULL after adding a problem.
+static const char *
+read_text(struct json_object *value, const config_item_t *item,
+          const char *field, GPtrArray *problems)
 {
     struct json_object *member = NULL;
-    if (!json_object_object_get_ex(value, field, &member) ||
-        !json_object_is_type(member, json_type_string) ||
-        json_object_get_string_len(member) == 0 ||
-        g_strlcpy(text, json_object_get_string(member), size) >= size)
-    {
+    json_object_object_get_ex(value, field, &member);
+    const char *text = json_object_is_type(member, json_type_string)
+                           ? json_object_get_string(member)
+                           : "";
+    if (text[0] == '\0' || strlen(text) > VM_NAME_MAX) {
         add_problem(problems, item, field, "a name of 1 to 63 bytes");
-        return false;
+        return NULL;
     }
-    return true;
+    return text;
 }
 
 static bool
@@ -60,8 +61,8 @@
              const config_item_t *item, GPtrArray *problems)
 {
     struct in_addr parsed;
-    char text[VM_NAME_MAX + 1];
-    if (!read_text(text, sizeof(text), value, item, "address", problems)) {
+    const char *text = read_text(value, item, "address", problems);
+    if (text == NULL) {
         return false;
     }
     if (inet_pton(AF_INET, text, &parsed) != 1) {
@@ -76,8 +77,8 @@
 read_state(vm_info_t *info, struct json_object *value,
            const config_item_t *item, GPtrArray *problems)
 {
-    char text[VM_NAME_MAX + 1];
-    if (!read_text(text, sizeof(text), value, item, "state", problems)) {
+    const char *text = read_text(value, item, "state", problems);
+    if (text == NULL) {
         return false;
     }
     info->draining = strcmp(text, "leaving") == 0;
@@ -92,10 +93,12 @@
 read_fields(vm_info_t *info, struct json_object *value,
             const config_item_t *item, GPtrArray *problems)
 {
-    bool ok = read_text(info->data_centre, sizeof(info->data_centre), value,
-                        item, "data_centre", problems);
-    ok &= read_text(info->service, sizeof(info->service), value, item,
-                    "service", problems);
+    const char *vm = item->name + strlen(VM_ITEM_PREFIX);
+    info->vm = g_strdup(vm);
+    info->data_centre =
+        g_strdup(read_text(value, item, "data_centre", problems));
+    info->service = g_strdup(read_text(value, item, "service", problems));
+    bool ok = info->data_centre != NULL && info->service != NULL;
     ok &= read_address(info, value, item, problems);
     ok &= read_port(&info->caller_port, value, item, "caller_port", problems);
     ok &= read_port(&info->peer_port, value, item, "peer_port", problems);
@@ -107,15 +110,14 @@
 
 /// Parses the value of a "vm/<vm>" item that is not removed. slots and is_own
 /// aren't part of the value and stay 0 and false. Appends every problem
-/// (char *) and returns false if there is any.
+/// (char *) and returns false if there is any; then @p info needs no
+/// vm_info_finish().
 bool
 vm_info_parse(vm_info_t *info, const config_item_t *item, GPtrArray *problems)
 {
     *info = (vm_info_t){0};
     const char *vm = item->name + strlen(VM_ITEM_PREFIX);
-    if (!item_is_vm(item->name) || *vm == '\0' ||
-        g_strlcpy(info->vm, vm, sizeof(info->vm)) >= sizeof(info->vm))
-    {
+    if (!item_is_vm(item->name) || *vm == '\0' || strlen(vm) > VM_NAME_MAX) {
         add_problem(problems, item, "name", "vm/ and 1 to 63 bytes");
         return false;
     }
@@ -131,16 +133,48 @@
     }
     json_object_put(value);
     json_tokener_free(tokener);
+    if (!ok) {
+        vm_info_finish(info);
+    }
     return ok;
 }
 
+/// Releases the names of a VM.
+void
+vm_info_finish(vm_info_t *info)
+{
+    g_free(info->vm);
+    g_free(info->data_centre);
+    g_free(info->service);
+    *info = (vm_info_t){0};
+}
+
+/// Returns a copy on the heap, to be released with vm_info_free().
+vm_info_t *
+vm_info_copy(const vm_info_t *info)
+{
+    vm_info_t *copy = g_memdup2(info, sizeof(*info));
+    copy->vm = g_strdup(info->vm);
+    copy->data_centre = g_strdup(info->data_centre);
+    copy->service = g_strdup(info->service);
+    return copy;
+}
+
+/// Releases a VM on the heap; a GDestroyNotify.
+void
+vm_info_free(void *info)
+{
+    vm_info_finish(info);
+    g_free(info);
+}
+
 /// Returns whether two VMs have equal properties.
 bool
 vm_info_equal(const vm_info_t *a, const vm_info_t *b)
 {
     return strcmp(a->vm, b->vm) == 0 &&
-           strcmp(a->data_centre, b->data_centre) == 0 &&
-           strcmp(a->service, b->service) == 0 &&
+           g_strcmp0(a->data_centre, b->data_centre) == 0 &&
+           g_strcmp0(a->service, b->service) == 0 &&
            strcmp(a->address, b->address) == 0 &&
            a->caller_port == b->caller_port && a->peer_port == b->peer_port &&
            a->control_port == b->control_port && a->slots == b->slots &&
@@ -151,7 +185,8 @@
 void
 vm_view_init(vm_view_t *view)
 {
-    view->vms = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    view->vms =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, vm_info_free);
 }
 
 void
@@ -164,7 +199,7 @@
 void
 vm_view_put(vm_view_t *view, const vm_info_t *info)
 {
-    vm_info_t *copy = g_memdup2(info, sizeof(*info));
+    vm_info_t *copy = vm_info_copy(info);
     g_hash_table_replace(view->vms, copy->vm, copy);
 }
 
@@ -190,6 +225,7 @@
     g_ptr_array_unref(problems);
     if (ok && !removed) {
         vm_view_put(view, &info);
+        vm_info_finish(&info);
     }
     else {
         vm_view_remove(view, vm);
--- a/src/ibisfield/config/vm_view.h
+++ b/src/ibisfield/config/vm_view.h
@@ -10,11 +10,12 @@
 
 #define VM_ITEM_PREFIX "vm/"
 
-/// One VM of the list that the platform publishes.
+/// One VM of the list that the platform publishes. Released by
+/// vm_info_finish().
 typedef struct {
-    char vm[VM_NAME_MAX + 1];
-    char data_centre[VM_NAME_MAX + 1];
-    char service[VM_NAME_MAX + 1];
+    char *vm;
+    char *data_centre;
+    char *service;
     char address[16]; ///< IPv4, dotted
     uint16_t caller_port;
     uint16_t peer_port;
@@ -35,6 +36,9 @@
 
 bool vm_info_parse(vm_info_t *info, const config_item_t *item,
                    GPtrArray *problems);
+void vm_info_finish(vm_info_t *info);
+vm_info_t *vm_info_copy(const vm_info_t *info);
+void vm_info_free(void *info);
 bool vm_info_equal(const vm_info_t *a, const vm_info_t *b);
 bool item_is_vm(const char *name);
 
--- a/src/ibisfield/contract/settings.c
+++ b/src/ibisfield/contract/settings.c
@@ -6,9 +6,11 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+#include "ibisfield/call/call_defs.h"
 #include "ibisfield/contract/json_reader.h"
 
-#define NAME_EXPECTED "a name of at most 63 lower-case letters, digits and '-'"
+#define NAME_EXPECTED                                                         \
+    "a name of at most 255 lower-case letters, digits and '-'"
 #define ENDPOINT_EXPECTED "an IPv4 address and a port, such as \"10.0.0.1:80\""
 #define URL_EXPECTED "a URL such as \"http://10.0.0.1:80\", without a path"
 #define HTTP_PREFIX "http://"
@@ -351,6 +353,30 @@
     }
 }
 
+/// Reports names that don't fit into the items and messages of nodes without a
+/// store.
+static void
+check_names_without_store(json_reader_t *reader, const settings_t *settings)
+{
+    const struct {
+        const char *field;
+        const char *name;
+    } names[] = {
+        {"vm", settings->vm},
+        {"data_centre", settings->data_centre},
+        {"service", settings->service},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        size_t len = strlen(names[i].name);
+        if (len > VM_NAME_MAX) {
+            json_add_problem(reader, names[i].field,
+                             "found a name of %zu bytes, expected at most %d "
+                             "on a node without a store",
+                             len, VM_NAME_MAX);
+        }
+    }
+}
+
 /// Time between drain_limit_ms and the end of stop_limit_s, at which the
 /// process would be killed. The last responses leave the node's sockets in it.
 #define EXIT_MARGIN_MS 50
@@ -378,6 +404,7 @@
 {
     if (settings->store.port == 0) {
         check_fields_without_store(reader);
+        check_names_without_store(reader, settings);
     }
     check_endpoints(reader, settings);
     if (settings->upstream_connections > 0 &&
--- a/src/ibisfield/contract/settings_defs.h
+++ b/src/ibisfield/contract/settings_defs.h
@@ -3,7 +3,8 @@
 
 #include <stdint.h>
 
-#define SETTINGS_NAME_MAX 63
+/// Longest name, in bytes; VM_NAME_MAX without a store.
+#define SETTINGS_NAME_MAX 255
 #define SETTINGS_SEEDS_MAX 16
 #define SETTINGS_URL_MAX 255
 
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -35,7 +35,7 @@
     uint32_t number; ///< 0: the request forwarded to the key's owner
     bool at_most_once;
     bool remote; ///< the VM is in another data centre
-    char vm[VM_NAME_MAX + 1];
+    char *vm;    ///< "": unknown
     int64_t sent_us;
     http_exchange_t *exchange;
     loop_timer_t not_listed_timer; ///< for report_not_listed()
@@ -74,6 +74,7 @@
     caller_call_t *call = attempt->call;
     call->attempts[attempt->number] = NULL;
     loop_timer_stop(call->server->options.loop, &attempt->not_listed_timer);
+    g_free(attempt->vm);
     g_free(attempt);
     release_call(call);
 }
@@ -503,7 +504,7 @@
     caller_call_t *call = attempt->call;
     const caller_server_options_t *options = &call->server->options;
     g_strlcpy(call->kind, info->kind, sizeof(call->kind));
-    g_strlcpy(attempt->vm, vm == NULL ? "" : vm, sizeof(attempt->vm));
+    attempt->vm = g_strdup(vm == NULL ? "" : vm);
     const vm_info_t *peer = vm == NULL ? NULL : vm_view_find(options->vms, vm);
     if (peer == NULL) {
         loop_timer_start(options->loop, &attempt->not_listed_timer, 0,
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -684,8 +684,8 @@
         .vms = vms,
         .key_proof = key_proof,
         .random = g_rand_new_with_seed(g_str_hash(settings->vm)),
-        .members =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+        .members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                         vm_info_free),
         .is_reader = true,
         .reads_source = true,
     };
@@ -734,7 +734,7 @@
         return;
     }
     g_hash_table_replace(feed->members, g_strdup(info->vm),
-                         g_memdup2(info, sizeof(*info)));
+                         vm_info_copy(info));
 }
 
 void
--- a/src/ibisfield/io/peer_client.c
+++ b/src/ibisfield/io/peer_client.c
@@ -16,7 +16,7 @@
 #define CONNECT_TIMEOUT_US (300 * US_PER_MS)
 
 typedef struct {
-    char vm[VM_NAME_MAX + 1];
+    char *vm;
     endpoint_t endpoint;
     http_pool_t *pool;
 } peer_pool_t;
@@ -26,6 +26,7 @@
 {
     peer_pool_t *peer = pointer;
     http_pool_release(peer->pool);
+    g_free(peer->vm);
     g_free(peer);
 }
 
@@ -67,7 +68,7 @@
         return peer->pool;
     }
     peer = g_new0(peer_pool_t, 1);
-    g_strlcpy(peer->vm, info->vm, sizeof(peer->vm));
+    peer->vm = g_strdup(info->vm);
     g_strlcpy(peer->endpoint.address, info->address,
               sizeof(peer->endpoint.address));
     peer->endpoint.port = info->peer_port;
--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -13,11 +13,12 @@
 #define PROGRAM IBISFIELD_BUILD_DIR "/ibisfield"
 #define STANDIN_STORE IBISFIELD_BUILD_DIR "/test/standin_store"
 #define STANDIN_RELAY IBISFIELD_BUILD_DIR "/test/standin_relay"
-#define PATH_MAX_LEN 64
+#define RECORD_PATH "/test/items/servers/"
 #define HOSTS_MAX 255
 
 store_site_t site;
 const char *site_extra_settings = "";
+const char *site_zone = "z";
 const char *site_tenants = NULL;
 const char *site_access_key = NULL;
 static const char standin_upstream[] =
@@ -49,25 +50,24 @@
 void
 put_server_record(const machine_t *machine, const char *state)
 {
-    char path[PATH_MAX_LEN];
-    g_snprintf(path, sizeof(path), "/test/items/servers/%s",
-               machine->instance);
+    char *path = g_strconcat(RECORD_PATH, machine->instance, NULL);
     char *record = g_strdup_printf(
-        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z\","
+        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\","
         "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_s\":0,"
         "\"sequence\":1}",
-        machine->service, machine->published_address, PORT_UPSTREAM, state);
+        machine->service, machine->published_address, PORT_UPSTREAM, site_zone,
+        state);
     store_request("PUT", path, record);
     g_free(record);
+    g_free(path);
 }
 
 void
 remove_server_record(const machine_t *machine)
 {
-    char path[PATH_MAX_LEN];
-    g_snprintf(path, sizeof(path), "/test/items/servers/%s",
-               machine->instance);
+    char *path = g_strconcat(RECORD_PATH, machine->instance, NULL);
     store_request("DELETE", path, NULL);
+    g_free(path);
 }
 
 /// Publishes a desired state with routes to both services; @p extra is NULL
@@ -142,7 +142,7 @@
                            "--next-host",
                            "site.example",
                            NULL};
-    if (strcmp(machine->service, "back") == 0) {
+    if (g_str_has_prefix(machine->service, "back")) {
         front[10] = NULL; // Ends the arguments before --next.
     }
     char *log = g_strdup_printf("%s/server%d.log", site.directory,
@@ -157,12 +157,12 @@
 {
     int number = site.next_log_number++;
     char *settings = g_strdup_printf(
-        "{\"vm\":\"vm-%d\",\"data_centre\":\"z\",\"service\":\"%s\","
+        "{\"vm\":\"vm-%d\",\"data_centre\":\"%s\",\"service\":\"%s\","
         "\"caller_listen\":\"%s:%d\",\"peer_listen\":\"%s:%d\","
         "\"readiness_listen\":\"%s:%d\",\"operator_listen\":\"%s:%d\","
         "\"upstream\":\"%s:%d\",\"store\":\"%s:%d\",\"stop_limit_s\":6,"
         "\"upstream_drain_s\":2%s}",
-        number, machine->service, machine->address, PORT_CALLER,
+        number, site_zone, machine->service, machine->address, PORT_CALLER,
         machine->address, PORT_PEER, machine->address, PORT_READINESS,
         machine->address, PORT_OPERATOR, machine->published_address,
         PORT_UPSTREAM, machine->store_address, PORT_STORE,
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -9,6 +9,10 @@
 /// Size of the site in most tests.
 #define MACHINES_DEFAULT 4
 
+/// Longest id of a server: a key of the store has at most 200 bytes and begins
+/// with "servers/".
+#define SERVER_ID_MAX 192
+
 /// One machine (VM): a node, its server (upstream), and the record of the
 /// server in the store.
 typedef struct {
@@ -17,7 +21,7 @@
     /// or the machine's own.
     char published_address[16];
     char store_address[16]; ///< at which the node reads the store
-    char instance[24];
+    char instance[SERVER_ID_MAX + 1];
     const char *service;
     process_t node;
     process_t server;
@@ -37,6 +41,8 @@
 extern store_site_t site;
 /// Appended to the settings of nodes that are started from now on.
 extern const char *site_extra_settings;
+/// Zone (data centre) of all machines.
+extern const char *site_zone;
 /// Tenants (JSON) of desired states that name none themselves, and the key
 /// that request_via_node() sends; NULL: none.
 extern const char *site_tenants;
--- a/test/functional/test_long_names.c
+++ b/test/functional/test_long_names.c
@@ -25,10 +25,10 @@
 }
 
 /// Publishes a desired state in which the route for /book/ goes to @p service
-/// and a route with the given names is added.
+/// and a route with the given names goes to @p back.
 static void
-put_routes(int version, const char *service, const char *name,
-           const char *host, const char *prefix)
+put_routes(int version, const char *service, const char *back,
+           const char *name, const char *host, const char *prefix)
 {
     char *state = g_strdup_printf(
         "{\"version\":%d,\"routes\":["
@@ -36,25 +36,22 @@
         "\"kind\":\"non_idempotent\",\"timeout_s\":5,\"service\":\"%s\","
         "\"max_attempts\":2},"
         "{\"name\":\"inner\",\"host\":\"site.example\",\"prefix\":\"/inner/\","
-        "\"kind\":\"idempotent\",\"timeout_s\":5,\"service\":\"back\","
+        "\"kind\":\"idempotent\",\"timeout_s\":5,\"service\":\"%s\","
         "\"max_attempts\":2},"
         "{\"name\":\"%s\",\"host\":\"%s\",\"prefix\":\"%s\","
-        "\"kind\":\"non_idempotent\",\"timeout_s\":5,\"service\":\"back\","
+        "\"kind\":\"non_idempotent\",\"timeout_s\":5,\"service\":\"%s\","
         "\"max_attempts\":2}],"
-        "\"services\":[{\"name\":\"front\"},{\"name\":\"back\"}]}",
-        version, service, name, host, prefix);
+        "\"services\":[{\"name\":\"front\"},{\"name\":\"%s\"}]}",
+        version, service, back, name, host, prefix, back, back);
     store_request("PUT", "/test/items/op/config", state);
     g_free(state);
 }
 
-/// Waits until a version is in force on every node, for IN_FORCE_LIMIT_US at
-/// most.
+/// Waits until every node has logged @p line, for IN_FORCE_LIMIT_US at most.
 static void
-wait_in_force(int version)
+wait_logged(const char *line)
 {
     gint64 end_us = g_get_monotonic_time() + IN_FORCE_LIMIT_US;
-    char *line =
-        g_strdup_printf("event=contracts_in_force version=%d ", version);
     for (int i = 0; i < site.machine_count; i++) {
         while (!process_has_logged(&site.machines[i].node, line) &&
                g_get_monotonic_time() < end_us)
@@ -63,6 +60,14 @@
         }
         CU_ASSERT_TRUE(process_has_logged(&site.machines[i].node, line));
     }
+}
+
+static void
+wait_in_force(int version)
+{
+    char *line =
+        g_strdup_printf("event=contracts_in_force version=%d ", version);
+    wait_logged(line);
     g_free(line);
 }
 
@@ -126,7 +131,7 @@
         char *middle = long_name(lengths[i].prefix - 2);
         char *prefix = g_strdup_printf("/%s/", middle);
         const char *service = i % 2 == 0 ? "front" : "back";
-        put_routes(10 + (int)i, service, name, host, prefix);
+        put_routes(10 + (int)i, service, "back", name, host, prefix);
         wait_in_force(10 + (int)i);
         for (int machine = 0; machine < site.machine_count; machine++) {
             check_booking(machine, "site.example", "/book/", service);
@@ -140,11 +145,89 @@
     stop_site();
 }
 
+/// Enough that some nodes get the servers from others, which read the store.
+#define NODES 12
+static char *long_service;
+
+static void
+set_long_names(machine_t *machine)
+{
+    // Ids that differ at their ends only.
+    char *id = long_name(SERVER_ID_MAX - strlen(machine->instance));
+    char *instance = g_strconcat(id, machine->instance, NULL);
+    g_strlcpy(machine->instance, instance, sizeof(machine->instance));
+    if (strcmp(machine->service, "back") == 0) {
+        machine->service = long_service;
+    }
+    g_free(instance);
+    g_free(id);
+}
+
+/// Waits until every node has logged that a server is listed, and whether it
+/// is leaving.
+static void
+wait_listed(const machine_t *machine, int leaving)
+{
+    char *line = g_strdup_printf(
+        "event=vm_listed upstream_vm=%s service=%s data_centre=%s address=%s "
+        "slots=8 leaving=%d",
+        machine->instance, machine->service, site_zone, machine->address,
+        leaving);
+    wait_logged(line);
+    g_free(line);
+}
+
+/// Returns whether the other nodes have left reading the store to two readers.
+static bool
+two_nodes_watch(void *context)
+{
+    (void)context;
+    return store_stat("waiting") == 2;
+}
+
+/// Guards against servers that no node uses, or nodes that don't start,
+/// because of the length of an id, a service or a zone.
+static void
+test_servers_with_long_names(void)
+{
+    char *end = g_strnfill(200, 's');
+    char *zone = g_strnfill(200, 'z');
+    long_service = g_strconcat("back-", end, NULL);
+    site_zone = zone;
+    start_site_with_addresses(NODES, set_long_names);
+    for (int i = 0; i < site.machine_count; i++) {
+        put_server_record(&site.machines[i], "ready");
+    }
+    put_routes(1, "front", long_service, "extra", "other.example", "/x/");
+    wait_in_force(1);
+    for (int i = 0; i < site.machine_count; i++) {
+        wait_listed(&site.machines[i], 0);
+    }
+    // Each front server calls the other service.
+    for (int i = 0; i < site.machine_count; i++) {
+        char *front = book(i, "site.example", "/book/");
+        char *back = book(i, "other.example", "/x/");
+        CU_ASSERT_EQUAL(strlen(front), SERVER_ID_MAX);
+        CU_ASSERT_EQUAL(strlen(back), SERVER_ID_MAX);
+        g_free(front);
+        g_free(back);
+    }
+    CU_ASSERT_TRUE(wait_until(two_nodes_watch, NULL));
+    put_server_record(&site.machines[0], "draining");
+    wait_listed(&site.machines[0], 1);
+    stop_site();
+    site_zone = "z";
+    g_free(long_service);
+    g_free(zone);
+    g_free(end);
+}
+
 int
 main(void)
 {
     CU_TestInfo tests[] = {
         {"desired state with long names", test_desired_state_with_long_names},
+        {"servers with long names", test_servers_with_long_names},
         CU_TEST_INFO_NULL,
     };
     return run_suite("long names", tests);
--- a/test/platform/test_decoders.c
+++ b/test/platform/test_decoders.c
@@ -173,6 +173,7 @@
     CU_ASSERT_EQUAL(info.slots, 34);
     CU_ASSERT_TRUE(info.is_own);
     CU_ASSERT_TRUE(info.draining);
+    vm_info_finish(&info);
     static const char *const malformed[] = {
         "",
         "x",
@@ -193,6 +194,30 @@
     CU_ASSERT_FALSE(parse_record(&info, "servers/", "{}"));
 }
 
+/// Guards against a server that is never used because of the length of its id,
+/// service or zone.
+static void
+test_server_record_with_long_names(void)
+{
+    char *id = g_strnfill(192, 'i');
+    char *name = g_strnfill(300, 'n');
+    char *key = g_strconcat("servers/", id, NULL);
+    char *text = g_strdup_printf(
+        "{\"service\":\"%s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"%s\","
+        "\"slots\":34,\"state\":\"ready\"}",
+        name, name);
+    vm_info_t info;
+    CU_ASSERT_TRUE_FATAL(parse_record(&info, key, text));
+    CU_ASSERT_STRING_EQUAL(info.vm, id);
+    CU_ASSERT_STRING_EQUAL(info.service, name);
+    CU_ASSERT_STRING_EQUAL(info.data_centre, name);
+    vm_info_finish(&info);
+    g_free(text);
+    g_free(key);
+    g_free(name);
+    g_free(id);
+}
+
 int
 main(void)
 {
@@ -201,6 +226,7 @@
         {"malformed desired states", test_malformed_desired_states},
         {"long names", test_long_names},
         {"server records", test_server_records},
+        {"server record with long names", test_server_record_with_long_names},
         CU_TEST_INFO_NULL,
     };
     return run_suite("platform decoders", tests);
--- a/test/unit/test_item_store.c
+++ b/test/unit/test_item_store.c
@@ -189,8 +189,10 @@
     CU_ASSERT_STRING_EQUAL(info.service, "booking");
     CU_ASSERT_EQUAL(info.control_port, 3);
     CU_ASSERT_FALSE(info.draining);
+    vm_info_finish(&info);
     CU_ASSERT_EQUAL(count_problems("vm/a", VM_VALUE("leaving"), &info), 0);
     CU_ASSERT_TRUE(info.draining);
+    vm_info_finish(&info);
     CU_ASSERT_EQUAL(count_problems("vm/a", VM_VALUE("gone"), &info), 1);
     CU_ASSERT_EQUAL(count_problems("vm/a", "{}", &info), 7);
     CU_ASSERT_EQUAL(count_problems("vm/a", "[]", &info), 1);
--- a/test/unit/test_published_list.c
+++ b/test/unit/test_published_list.c
@@ -43,18 +43,18 @@
 static void
 put(const char *vm, uint64_t revision, bool draining)
 {
-    vm_info_t info = {.draining = draining};
-    g_strlcpy(info.vm, vm, sizeof(info.vm));
+    vm_info_t info = {.vm = g_strdup(vm), .draining = draining};
     published_list_put(&list, &info, revision, 0);
+    vm_info_finish(&info);
 }
 
 /// Puts a record that the source still had at @p read_revision.
 static void
 put_listed(const char *vm, uint64_t revision, uint64_t read_revision)
 {
-    vm_info_t info = {0};
-    g_strlcpy(info.vm, vm, sizeof(info.vm));
+    vm_info_t info = {.vm = g_strdup(vm)};
     published_list_put(&list, &info, revision, read_revision);
+    vm_info_finish(&info);
 }
 
 static bool
--- a/test/unit/test_relay_plan.c
+++ b/test/unit/test_relay_plan.c
@@ -10,11 +10,15 @@
 static void
 put_vm(vm_view_t *view, int index, const char *data_centre, bool draining)
 {
-    vm_info_t info = {.address = "10.0.0.1", .draining = draining};
-    g_snprintf(info.vm, sizeof(info.vm), "vm%d", index);
-    g_strlcpy(info.data_centre, data_centre, sizeof(info.data_centre));
-    info.control_port = (uint16_t)(index + 1);
+    vm_info_t info = {
+        .vm = g_strdup_printf("vm%d", index),
+        .data_centre = g_strdup(data_centre),
+        .address = "10.0.0.1",
+        .control_port = (uint16_t)(index + 1),
+        .draining = draining,
+    };
     vm_view_put(view, &info);
+    vm_info_finish(&info);
 }
 
 static void
--- a/test/unit/test_settings.c
+++ b/test/unit/test_settings.c
@@ -7,7 +7,8 @@
 #include "common/suite.h"
 
 #define REQUIRED                                                              \
-    "\"vm\":\"v1\",\"data_centre\":\"d1\",\"service\":\"s1\","                \
+    "\"vm\":\"v1\",\"data_centre\":\"d1\",\"service\":\"s1\"," WITHOUT_STORE
+#define WITHOUT_STORE                                                         \
     "\"caller_listen\":\"127.0.0.1:1\",\"egress_listen\":\"127.0.0.1:2\","    \
     "\"peer_listen\":\"127.0.0.1:3\",\"control_listen\":\"127.0.0.1:4\","     \
     "\"operator_listen\":\"127.0.0.1:5\",\"upstream\":\"127.0.0.1:6\","       \
@@ -15,6 +16,11 @@
     "\"config_url\":\"http://127.0.0.1:7\",\"list_url\":"                     \
     "\"http://127.0.0.1:8\""
 
+#define WITH_STORE                                                            \
+    "\"caller_listen\":\"127.0.0.1:1\",\"peer_listen\":\"127.0.0.1:3\","      \
+    "\"operator_listen\":\"127.0.0.1:5\",\"upstream\":\"127.0.0.1:6\","       \
+    "\"store\":\"127.0.0.1:7\""
+
 static char *
 problems_of(slice_t text, settings_t *settings)
 {
@@ -263,6 +269,43 @@
     g_string_free(text, TRUE);
 }
 
+/// Guards against a node that doesn't start because of the length of a name
+/// that its platform fills in, and against names that a node without a store
+/// would cut.
+static void
+test_long_names(void)
+{
+    static const struct {
+        size_t len;
+        const char *more; ///< fields after the names
+        bool valid;
+    } cases[] = {
+        {63, WITHOUT_STORE, true},
+        {64, WITHOUT_STORE, false},
+        {255, WITH_STORE, true},
+        {256, WITH_STORE, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *name = g_strnfill(cases[i].len, 'n');
+        char *text = g_strdup_printf(
+            "{\"vm\":\"%s\",\"data_centre\":\"%s\",\"service\":\"%s\",%s}",
+            name, name, name, cases[i].more);
+        settings_t settings;
+        char *problems = problems_of(slice_from_string(text), &settings);
+        CU_ASSERT_EQUAL(problems[0] == '\0', cases[i].valid);
+        if (cases[i].valid) {
+            CU_ASSERT_STRING_EQUAL(settings.service, name);
+        }
+        else {
+            CU_ASSERT_PTR_NOT_NULL(strstr(problems, "vm: found"));
+            CU_ASSERT_PTR_NOT_NULL(strstr(problems, "service: found"));
+        }
+        g_free(problems);
+        g_free(text);
+        g_free(name);
+    }
+}
+
 int
 main(void)
 {
@@ -271,6 +314,7 @@
         {"optional fields", test_optional_fields_are_read},
         {"drain time", test_drain_time_may_be_text},
         {"stop limit", test_stop_limit_shortens_the_shutdown},
+        {"long names", test_long_names},
         {"invalid fields", test_invalid_fields_are_refused},
         {"contradictions", test_contradictions_are_refused},
         {"all problems", test_all_problems_are_listed_with_lines},
