--- a/test/platform/test_decoders.c
+++ b/test/platform/test_decoders.c
@@ -194,6 +194,30 @@
     CU_ASSERT_FALSE(parse_record(&info, "servers/", "{}"));
 }
 
+/// Guards against a desired state that is refused because a number in it is
+/// above a limit of this program.
+static void
+test_large_numbers(void)
+{
+    CU_ASSERT_TRUE_FATAL(parse(
+        "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+        "\"prefix\":\"/a/\",\"kind\":\"idempotent\",\"timeout_s\":1e7,"
+        "\"target_latency_s\":1e7,\"priority\":1e10,\"service\":\"s1\","
+        "\"max_attempts\":100}],\"tenants\":[{\"name\":\"t\","
+        "\"priority\":1e10,\"rate_per_s\":1e10,\"burst\":1e10}]," SERVICES
+        "}"));
+    const kind_t *kind = match_one("/a/x");
+    CU_ASSERT_EQUAL(kind->deadline_ms, 86400000);
+    CU_ASSERT_EQUAL(kind->target_latency_ms, 86400000);
+    CU_ASSERT_EQUAL(kind->attempts_max, 1 + CONTRACT_RETRIES_MAX);
+    CU_ASSERT_EQUAL(kind->worth, 10);
+    const workspace_t *workspace =
+        &g_array_index(state.workspaces, workspace_t, 0);
+    CU_ASSERT_EQUAL(workspace->rank, WORKSPACE_RANK_MAX);
+    CU_ASSERT_EQUAL(workspace->rate_per_s, WORKSPACE_RATE_MAX);
+    release();
+}
+
 /// Guards against a server that is never used because of the length of its id,
 /// service or zone.
 static void
@@ -225,6 +249,7 @@
         {"desired state", test_desired_state},
         {"malformed desired states", test_malformed_desired_states},
         {"long names", test_long_names},
+        {"large numbers", test_large_numbers},
         {"server records", test_server_records},
         {"server record with long names", test_server_record_with_long_names},
         CU_TEST_INFO_NULL,
