Take access keys of up to 4096 bytes

Only digests of keys are held, so the limit only bounds what is hashed for a request.

Test: test_decoders "long names" with a key of 4096 bytes; with the limit of 256 parsing fails ("api_keys: key 0 is empty, too long or not visible text").

--- a/src/ibisfield/workspace/workspaces.h
+++ b/src/ibisfield/workspace/workspaces.h
@@ -7,7 +7,7 @@
 #include "ibisfield/workspace/workspace_defs.h"
 
 /// Longest access key, in bytes.
-#define ACCESS_KEY_MAX 256
+#define ACCESS_KEY_MAX 4096
 
 /// The workspaces in force, by name and by access key. Those of a customer are
 /// apart from those of another; the customer "" stands for all.
