Keep fractions of the weights of a traffic split

The platform's pages give weights as proportions and don't say that they are whole.

Weights are now floating-point numbers, as the credits of a split were before.

Test: test_decoders "fractional weights", 25 of 100 requests for the second service; on the code before none of 100.

--- a/src/ibisfield/contract/contract_defs.h
+++ b/src/ibisfield/contract/contract_defs.h
@@ -28,8 +28,8 @@
 /// A service that gets a fraction of a kind's requests.
 typedef struct {
     char *service;
-    int32_t weight; ///< relative to the weights of the other targets
-    double credit;  ///< requests owed to this target; see traffic_split.h
+    double weight; ///< relative to the weights of the other targets
+    double credit; ///< requests owed to this target; see traffic_split.h
 } split_target_t;
 
 /// One kind of request, as the contract declares it. Released by
--- a/src/ibisfield/contract/contract_review.c
+++ b/src/ibisfield/contract/contract_review.c
@@ -31,7 +31,7 @@
 static void
 review_split(const contract_t *contract, const kind_t *kind, GPtrArray *notes)
 {
-    int64_t sum = 0;
+    double sum = 0;
     for (uint32_t i = 0; i < kind->split_target_count; i++) {
         sum += kind->split_targets[i].weight;
     }
--- a/test/platform/test_decoders.c
+++ b/test/platform/test_decoders.c
@@ -3,6 +3,7 @@
 /// malformed input.
 
 #include "ibisfield/contract/contract.h"
+#include "ibisfield/routing/traffic_split.h"
 #include "ibisfield/workspace/workspaces.h"
 #include "platform/desired_state.h"
 #include "platform/server_record.h"
@@ -220,6 +221,25 @@
     release();
 }
 
+/// Guards against a split whose requests all go to its first service, since
+/// its weights are cut to whole numbers.
+static void
+test_fractional_weights(void)
+{
+    CU_ASSERT_TRUE_FATAL(
+        parse("{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+              "\"prefix\":\"/a/\",\"kind\":\"idempotent\",\"timeout_s\":1,"
+              "\"traffic_split\":[{\"service\":\"s1\",\"weight\":0.75},"
+              "{\"service\":\"s2\",\"weight\":0.25}]}]," SERVICES "}"));
+    const kind_t *kind = match_one("/a/x");
+    int to_second = 0;
+    for (int i = 0; i < 100; i++) {
+        to_second += strcmp(traffic_split_next(kind), "s2") == 0 ? 1 : 0;
+    }
+    CU_ASSERT_EQUAL(to_second, 25);
+    release();
+}
+
 /// Guards against a server that is never used because of the length of its id,
 /// service or zone.
 static void
@@ -252,6 +272,7 @@
         {"malformed desired states", test_malformed_desired_states},
         {"long names", test_long_names},
         {"large numbers", test_large_numbers},
+        {"fractional weights", test_fractional_weights},
         {"server records", test_server_records},
         {"server record with long names", test_server_record_with_long_names},
         CU_TEST_INFO_NULL,
