--- a/test/functional/test_long_names.c
+++ b/test/functional/test_long_names.c
@@ -1,7 +1,7 @@
 /// @file
 /// Nodes on the users' platform, whose pages bound the length of a key in the
-/// store and of no other name. Machines 0 and 1 are of service "front", 2 and
-/// 3 are of service "back".
+/// store and of no other name. The first half of the machines is of service
+/// "front", whose servers call the service of the others.
 
 #include <stdio.h>
 
@@ -24,8 +24,8 @@
     return name;
 }
 
-/// Publishes a desired state in which the route for /book/ goes to @p service
-/// and a route with the given names goes to @p back.
+/// Publishes a desired state in which the route for /book/ goes to @p service,
+/// and the calls of servers and a route with the given names go to @p back.
 static void
 put_routes(int version, const char *service, const char *back,
            const char *name, const char *host, const char *prefix)
