--- a/test/functional/common/testbed.c
+++ b/test/functional/common/testbed.c
@@ -241,16 +241,26 @@
                host);
 }
 
-/// Prints the end of each node's log, to explain a failed test.
+static void
+print_log(const char *vm, const char *program, const process_t *process)
+{
+    char *log = process_log(process);
+    size_t len = strlen(log);
+    fprintf(stderr, "--- %s, %s%s\n%s\n", vm, program,
+            process_has_ended(process) ? ", has ended" : "",
+            len > 3000 ? log + len - 3000 : log);
+    g_free(log);
+}
+
+/// Prints the ends of the logs of the nodes and their upstreams, to explain a
+/// failed test.
 static void
 print_logs(const testbed_t *bed)
 {
     for (int i = 0; i < bed->vm_count; i++) {
-        char *log = process_log(&bed->vms[i].node);
-        size_t len = strlen(log);
-        fprintf(stderr, "--- %s\n%s\n", bed->vms[i].vm,
-                len > 3000 ? log + len - 3000 : log);
-        g_free(log);
+        const testbed_vm_t *vm = &bed->vms[i];
+        print_log(vm->vm, "node", &vm->node);
+        print_log(vm->vm, "upstream", &vm->upstream);
     }
 }
 
--- a/test/standin/client.c
+++ b/test/standin/client.c
@@ -22,6 +22,9 @@
 #define REQUESTS_MAX 16
 #define CONNECTIONS_MAX 1024
 #define RESPONSE_BYTES_MAX (64 << 20)
+/// Failed requests that are printed one by one, and bytes of their bodies.
+#define FAILURES_PRINTED_MAX 10
+#define PRINTED_BODY_MAX 200
 /// Longer than every deadline in the tests, so that only a lost response
 /// causes a time-out.
 #define EXCHANGE_TIMEOUT_US (60 * US_PER_S)
@@ -211,6 +214,19 @@
     return true;
 }
 
+static void
+print_failure(const pending_request_t *request,
+              const http_response_t *response, reason_t reason)
+{
+    if (client.failed > FAILURES_PRINTED_MAX) {
+        return;
+    }
+    size_t len = MIN(response->body.len, PRINTED_BODY_MAX);
+    fprintf(stderr, "request %s: status %d, reason %s: %.*s\n", request->id,
+            response->status, reason_token(reason), (int)len,
+            len == 0 ? "" : response->body.data);
+}
+
 static void
 handle_complete_response(pending_request_t *request,
                          const http_response_t *response)
@@ -225,6 +241,7 @@
     client.reasons[reason]++;
     if (response->status != 200) {
         client.failed++;
+        print_failure(request, response, reason);
     }
     else if (echoes_request_id(request, response)) {
         client.complete++;
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -44,6 +44,8 @@
 #define PATHS_MAX 16
 #define HOLD_POLL_US (5 * US_PER_MS)
 #define EXTRA_DELAY_US (300 * US_PER_MS)
+/// Failed calls to the next service that are printed.
+#define FAILURES_PRINTED_MAX 10
 
 /// Service time of the paths with a prefix.
 typedef struct {
@@ -67,6 +69,7 @@
     char *next_host;
     char *instance; ///< NULL: uses the product's own headers
     uint64_t calls_made;
+    uint64_t calls_failed;
     int32_t slots;
     int32_t service_us;
     int32_t cold_start_ms;
@@ -232,6 +235,22 @@
     free_job(job);
 }
 
+static void
+print_failed_call(const job_t *job, const http_response_t *response)
+{
+    if (++upstream.calls_failed > FAILURES_PRINTED_MAX) {
+        return;
+    }
+    slice_t id = http_request_header(job->request, "x-request-id");
+    slice_t reason = http_header_find(response->headers,
+                                      response->header_count, HEADER_REASON);
+    fprintf(stderr,
+            "call for request %.*s: status %d, reason %.*s, error %s\n",
+            (int)id.len, id.len == 0 ? "" : id.data, response->status,
+            (int)reason.len, reason.len == 0 ? "" : reason.data,
+            response->error == NULL ? "" : response->error);
+}
+
 static void
 next_done(void *context, const http_response_t *response)
 {
@@ -239,6 +258,9 @@
     job->next = NULL;
     bool succeeded =
         response->result == HTTP_COMPLETE && response->status == 200;
+    if (!succeeded) {
+        print_failed_call(job, response);
+    }
     respond_to_job(job, succeeded ? 200 : 502);
 }
 
