--- a/review/common-3/extra_refusal.c
+++ b/review/common-3/extra_refusal.c
@@ -16,8 +16,11 @@
 #define WORK_MS 40
 /// One answer in this many is spoilt: the share of the site file, 0.03.
 #define SPOILT_EVERY 34
+/// Shorter than the longest in the site file, 5.5 s.
+#define TROUBLE_S 5.0
 
 static rig_machine_t *machines[3];
+static double trouble_end_s;
 
 static bool
 send_extra_bytes(rig_server_t *server, rig_connection_t *connection,
@@ -27,7 +30,9 @@
                                 "X-Not-Executed: 1\r\n"
                                 "Content-Length: 0\r\n\r\n";
     static uint32_t due = SPOILT_EVERY;
-    if (!rig_trouble || number < 2 || server->answers < due) {
+    if (!rig_trouble || rig_now_s() >= trouble_end_s || number < 2 ||
+        server->answers < due)
+    {
         return true;
     }
     due = server->answers + SPOILT_EVERY;
@@ -93,6 +98,7 @@
             rig_exit(RIG_CANNOT_RUN);
         }
     }
+    trouble_end_s = rig_now_s() + TROUBLE_S;
     pthread_t threads[CLIENTS];
     for (int i = 0; i < CLIENTS; i++) {
         pthread_create(&threads[i], NULL, run_client, (void *)(intptr_t)i);
--- a/review/common-3/rig.c
+++ b/review/common-3/rig.c
@@ -937,8 +937,20 @@
 rig_request(const rig_machine_t *machine, const char *method,
             const char *host, const char *path, const char *id,
             int deadline_ms, const char *body)
+{
+    char answer_body[RIG_TEXT_MAX];
+    return rig_request_body(machine, method, host, path, id, deadline_ms, body,
+                            answer_body);
+}
+
+int
+rig_request_body(const rig_machine_t *machine, const char *method,
+                 const char *host, const char *path, const char *id,
+                 int deadline_ms, const char *body,
+                 char answer_body[RIG_TEXT_MAX])
 {
     char text[1024];
+    answer_body[0] = '\0';
     int fd = connect_to(machine->ip, rig_ports.outbound);
     if (fd < 0) {
         rig_record("client id=%s at=%s no connection", id, machine->name);
@@ -960,6 +972,9 @@
                machine->name, sent_s, status,
                got ? (int)strcspn(answer.body, "\n") : 0,
                got ? answer.body : "");
+    if (got) {
+        snprintf(answer_body, RIG_TEXT_MAX, "%s", answer.body);
+    }
     rig_message_free(&answer);
     rig_connection_close(&connection);
     return status;
--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -140,6 +140,12 @@
                 const char *host, const char *path, const char *id,
                 int deadline_ms, const char *body);
 
+/// The same; copies the answer's body, "" if there was none.
+int rig_request_body(const rig_machine_t *machine, const char *method,
+                     const char *host, const char *path, const char *id,
+                     int deadline_ms, const char *body,
+                     char answer_body[RIG_TEXT_MAX]);
+
 /* Runs at servers, counted by request id. */
 
 /// Returns how often a server has begun to run the request.
