review: keep the doses of cases 14 and 15 inside the site's

Cause: case 15 removed one server of six (0.17, the site's share is 0.13), and case 14 turned a machine away for 9.000 s and a little more. Change: eight machines in case 15, 8.9 s in case 14.

--- a/review/common-3/foreign_entry.c
+++ b/review/common-3/foreign_entry.c
@@ -17,7 +17,7 @@
 #define SERVES_ON_S 6.0
 #define WORK_MS 40
 #define DEADLINE_MS 5000
-#define MACHINES 6
+#define MACHINES 8
 
 static rig_machine_t *machines[MACHINES];
 static volatile bool stopping;
--- a/review/common-3/turned_away.c
+++ b/review/common-3/turned_away.c
@@ -13,8 +13,8 @@
 
 #define CONFIG_APPLY_S 2.0
 #define PARTITION_MAX_S 5.0
-/// The longest in the site file.
-#define TURNED_AWAY_S 9.0
+/// Inside the longest in the site file, 9.0 s.
+#define TURNED_AWAY_S 8.9
 #define WORK_MS 40
 #define DEADLINE_MS 4000
 #define MACHINES 6
