test: the stand-in for the store plays drills

Cause: no test could show what nodes do when the store comes back from a copy. Change: each answer has Store-Era; POST /test/restore/MS goes back to the state of MS ago, in the next era, and gives revisions out again; a watch from a revision that the store doesn't have gets 410; POST /test/era/TEXT sends another era, or none. Records can have a lifetime and the number of a report.

--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -46,22 +46,58 @@
     return number;
 }
 
-/// Writes the record of a machine's server to the store.
-void
-put_server_record(const machine_t *machine, const char *state)
+static void
+put_record(const machine_t *machine, const char *state, int sequence,
+           const char *born)
 {
     char *path = g_strconcat(RECORD_PATH, machine->instance, NULL);
     char *record = g_strdup_printf(
         "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\","
         "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"cold_left_s\":0,"
-        "\"sequence\":1}",
+        "\"sequence\":%d%s}",
         machine->service, machine->published_address, PORT_UPSTREAM, site_zone,
-        state);
+        state, sequence, born);
     store_request("PUT", path, record);
     g_free(record);
     g_free(path);
 }
 
+/// Returns whether a node holds all changes of the store, in its era.
+bool
+node_holds_store(int machine)
+{
+    text_response_t response =
+        http_call(site.machines[machine].address, PORT_OPERATOR, "GET",
+                  "/status", NULL, NULL);
+    struct json_object *status =
+        response.body == NULL ? NULL : json_tokener_parse(response.body);
+    struct json_object *feed = NULL;
+    bool holds = json_object_object_get_ex(status, "feed", &feed) &&
+                 json_number(feed, "revision") == store_stat("revision") &&
+                 json_number(feed, "era") == store_stat("era");
+    json_object_put(status);
+    text_response_free(&response);
+    return holds;
+}
+
+/// Writes the record of a machine's server to the store, without a lifetime.
+void
+put_server_record(const machine_t *machine, const char *state)
+{
+    put_record(machine, state, 1, "");
+}
+
+/// Writes report number @p sequence of a server that started at @p born_ms,
+/// Unix time.
+void
+put_server_report(const machine_t *machine, const char *state, int64_t born_ms,
+                  int sequence)
+{
+    char born[48];
+    g_snprintf(born, sizeof(born), ",\"born\":%" G_GINT64_FORMAT, born_ms);
+    put_record(machine, state, sequence, born);
+}
+
 void
 remove_server_record(const machine_t *machine)
 {
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -57,7 +57,10 @@
 void start_node(machine_t *machine);
 void store_request(const char *method, const char *path, const char *body);
 int64_t store_stat(const char *name);
+bool node_holds_store(int machine);
 void put_server_record(const machine_t *machine, const char *state);
+void put_server_report(const machine_t *machine, const char *state,
+                       int64_t born_ms, int sequence);
 void remove_server_record(const machine_t *machine);
 void put_desired_state(int version, const char *extra);
 void put_desired_state_with_tenants(int version, const char *extra,
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -27,7 +27,15 @@
 ///                              mode has changed by then
 ///     POST /test/cut           ends all watches with 503
 ///     POST /test/compact       discards the history, ends watches with 410
-///     GET /test/stats          {"reads", "waiting", "revision"}
+///     POST /test/restore/MS    drill: the store comes back from a copy that
+///     is
+///                              MS old, in the next era. Watches go on waiting
+///     POST /test/era/TEXT      sends TEXT as the era: "own" (initial) the
+///     real
+///                              one, "none" no header
+///     GET /test/stats          {"reads", "waiting", "revision", "era"}
+///
+/// Each response to a read has the header Store-Era, from 1 on.
 
 #include <argp.h>
 #include <inttypes.h>
@@ -56,6 +64,7 @@
 typedef struct {
     char *key;
     uint64_t revision;
+    int64_t written_us;
     char *value; ///< in base64; NULL: removed
 } change_t;
 
@@ -79,21 +88,29 @@
     uint64_t revision;
     uint64_t compacted_revision; ///< the history up to it is discarded
     uint64_t reads;
+    uint64_t era;
+    char *era_text; ///< sent instead of the era; NULL: the era is sent
     store_mode_t mode;
-} store = {.revision = 1};
+} store = {.revision = 1, .era = 1};
 
 static void
 respond_json(http_request_t *request, int status, struct json_object *object)
 {
-    const http_header_t type = {SLICE_LITERAL("content-type"),
-                                SLICE_LITERAL("application/json")};
+    char era[24];
+    g_snprintf(era, sizeof(era), "%" PRIu64, store.era);
+    const char *era_text = store.era_text == NULL ? era : store.era_text;
+    const http_header_t headers[] = {
+        {SLICE_LITERAL("content-type"), SLICE_LITERAL("application/json")},
+        {SLICE_LITERAL("store-era"), slice_from_string(era_text)},
+    };
+    size_t header_count = strcmp(era_text, "none") == 0 ? 1 : 2;
     const char *text =
         json_object_to_json_string_ext(object, JSON_C_TO_STRING_PLAIN);
     slice_t body = slice_from_string(text);
     if (status == 200 && store.mode == MODE_TRUNCATED) {
         body.len /= 2;
     }
-    http_request_respond(request, status, &type, 1, body);
+    http_request_respond(request, status, headers, header_count, body);
     json_object_put(object);
 }
 
@@ -253,7 +270,7 @@
 start_watch(http_request_t *request)
 {
     uint64_t after = query_number(request, "after");
-    if (after < store.compacted_revision) {
+    if (after < store.compacted_revision || after > store.revision) {
         respond_status(request, 410);
         return;
     }
@@ -282,6 +299,7 @@
     change_t *change = g_new0(change_t, 1);
     change->key = g_strdup(key);
     change->revision = ++store.revision;
+    change->written_us = clock_now_us(&store.clock);
     change->value =
         removed ? NULL
                 : g_base64_encode((const guchar *)value.data, value.len);
@@ -312,6 +330,29 @@
     }
 }
 
+/// Goes back to the state of @p age_us ago. Revisions above that of the copy
+/// are given out again.
+static void
+restore_copy(int64_t age_us)
+{
+    int64_t copied_us = clock_now_us(&store.clock) - age_us;
+    g_hash_table_remove_all(store.items);
+    store.revision = 1;
+    guint kept = 0;
+    while (kept < store.changes->len) {
+        change_t *change = store.changes->pdata[kept];
+        if (change->written_us > copied_us) {
+            break;
+        }
+        g_hash_table_replace(store.items, change->key, change);
+        store.revision = change->revision;
+        kept++;
+    }
+    g_ptr_array_set_size(store.changes, (gint)kept);
+    store.compacted_revision = MIN(store.compacted_revision, store.revision);
+    store.era++;
+}
+
 static void
 set_mode(const char *name)
 {
@@ -341,6 +382,8 @@
         json_object_new_int64(g_list_length(store.watches)));
     json_object_object_add(response, "revision",
                            json_object_new_int64((int64_t)store.revision));
+    json_object_object_add(response, "era",
+                           json_object_new_int64((int64_t)store.era));
     respond_json(request, 200, response);
 }
 
@@ -362,6 +405,15 @@
         store.compacted_revision = ++store.revision;
         end_all_watches(410);
     }
+    else if (g_str_has_prefix(path, "/test/restore/")) {
+        const char *age_ms = path + strlen("/test/restore/");
+        restore_copy((int64_t)g_ascii_strtoull(age_ms, NULL, 10) * US_PER_MS);
+    }
+    else if (g_str_has_prefix(path, "/test/era/")) {
+        const char *text = path + strlen("/test/era/");
+        g_free(store.era_text);
+        store.era_text = strcmp(text, "own") == 0 ? NULL : g_strdup(text);
+    }
     else if (strcmp(path, "/test/stats") == 0) {
         respond_stats(request);
         return;
