--- a/src/ibisfield/base/metrics_defs.h
+++ b/src/ibisfield/base/metrics_defs.h
@@ -149,6 +149,10 @@
       "Reads and watches sent to the platform.")                              \
     X(PLATFORM_READ_FAILURES_TOTAL, "ibisfield_platform_read_failures_total", \
       "counter", "Reads and watches that failed or were invalid.")            \
+    X(STORE_ERAS_TOTAL, "ibisfield_store_eras_total", "counter",              \
+      "Later eras of the store that were seen: it came back from a copy.")    \
+    X(STORE_RECORDS_REFUSED_TOTAL, "ibisfield_store_records_refused_total",   \
+      "counter", "Records of a copy of the store that later ones replace.")   \
     X(PLATFORM_WENT_BACK_TOTAL, "ibisfield_platform_went_back_total",         \
       "counter", "Answers with a revision below one seen before.")
 
--- a/src/ibisfield/config/control_codec.c
+++ b/src/ibisfield/config/control_codec.c
@@ -270,8 +270,11 @@
     if (fields & FIELD_VERSIONS) {
         put_versions(out, message->versions);
     }
+    if (fields & FIELD_ERA) {
+        put_uint(out, message->point.era);
+    }
     if (fields & FIELD_REVISION) {
-        put_uint(out, message->revision);
+        put_uint(out, message->point.revision);
     }
     if (fields & FIELD_IS_SNAPSHOT) {
         put_uint(out, message->is_snapshot);
@@ -602,8 +605,9 @@
            (!(fields & FIELD_DIGESTS) || read_digests(reader, message)) &&
            (!(fields & FIELD_BUCKETS) || read_buckets(reader, message)) &&
            (!(fields & FIELD_VERSIONS) || read_versions(reader, message)) &&
+           (!(fields & FIELD_ERA) || read_uint(reader, &message->point.era)) &&
            (!(fields & FIELD_REVISION) ||
-            read_uint(reader, &message->revision)) &&
+            read_uint(reader, &message->point.revision)) &&
            (!(fields & FIELD_IS_SNAPSHOT) ||
             read_bool(reader, &message->is_snapshot)) &&
            (!(fields & FIELD_REMOVAL_GRACE) ||
--- a/src/ibisfield/config/control_defs.h
+++ b/src/ibisfield/config/control_defs.h
@@ -7,6 +7,7 @@
 
 #include "ibisfield/call/call_defs.h"
 #include "ibisfield/config/item_store.h"
+#include "ibisfield/config/source_point.h"
 #include "ibisfield/contract/settings_defs.h"
 #include "ibisfield/workspace/usage_defs.h"
 
@@ -35,7 +36,10 @@
 /// - USAGE and USAGE_SUM with their reply SHARES: report of a node, or of the
 ///   keeper of a data centre, about workspaces with a usage cap.
 /// - CATCH_UP with its reply CHANGES: request to a node that holds a later
-///   revision; never waits.
+///   point; never waits.
+/// - FOLLOW_ERA, CATCH_UP_ERA and CHANGES_ERA: the same with the era of the
+///   points. Nodes send these; the forms without an era are those of earlier
+///   releases, which refuse the others.
 #define CONTROL_TYPE_LIST(X)                                                  \
     X(ACK, "ack", OTHER, 0)                                                   \
     X(REFUSED, "refused", OTHER, FIELD_REASON)                                \
@@ -54,7 +58,12 @@
     X(USAGE, "usage", USAGE, FIELD_WEIGHT | FIELD_REFUSED | FIELD_COUNTS)     \
     X(USAGE_SUM, "usage-sum", USAGE,                                          \
       FIELD_WEIGHT | FIELD_REFUSED | FIELD_COUNTS)                            \
-    X(SHARES, "shares", USAGE, FIELD_SHARES)
+    X(SHARES, "shares", USAGE, FIELD_SHARES)                                  \
+    X(FOLLOW_ERA, "follow-era", FOLLOW, FIELD_ERA | FIELD_REVISION)           \
+    X(CHANGES_ERA, "changes-era", FOLLOW,                                     \
+      FIELD_ERA | FIELD_REVISION | FIELD_IS_SNAPSHOT | FIELD_REMOVAL_GRACE |  \
+          FIELD_ITEMS)                                                        \
+    X(CATCH_UP_ERA, "catch-up-era", FOLLOW, FIELD_ERA | FIELD_REVISION)
 
 typedef enum {
 #define CONTROL_ENUM(id, name, group, fields) CONTROL_##id,
@@ -82,6 +91,7 @@
     FIELD_COUNTS = 1 << 13,
     FIELD_SHARES = 1 << 14,
     FIELD_REFUSED = 1 << 15,
+    FIELD_ERA = 1 << 16,
 } control_field_t;
 
 typedef struct {
@@ -115,8 +125,9 @@
     uint64_t group;
     uint64_t buckets[ITEM_BUCKETS]; ///< digests of the group's buckets
     const char *reason;             ///< why the request was refused
-    /// Revision of the source up to which the sender holds all changes.
-    uint64_t revision;
+    /// Point of the source up to which the sender holds all changes. The
+    /// versions of items are revisions of the same era.
+    source_point_t point;
     bool is_snapshot; ///< the items are the complete contents
     /// For how long removals aren't final, because records of live VMs may
     /// have expired at the source; 0: they are final. See published_list_t.
--- a/src/ibisfield/config/item_feed.c
+++ b/src/ibisfield/config/item_feed.c
@@ -1,16 +1,15 @@
 /// @file
-/// The items of a source with the revisions of their last changes. This limits
+/// The items of a source with the points of their last changes. This limits
 /// the load on the source: instead of every node reading each change from it,
-/// only a few nodes do. The other nodes request the changes since a revision
-/// from one of those few.
+/// only a few nodes do. The other nodes request the changes since a point from
+/// one of those few. A node at a point of an earlier era gets a snapshot: its
+/// items may have been undone, which no change shows.
 
 #include "ibisfield/config/item_feed.h"
 
-#include "ibisfield/config/source_order.h"
-
 typedef struct {
     char *name;
-    uint64_t version; ///< revision of the source at the last change
+    source_point_t changed; ///< last change
     char *value;
     size_t value_len;         ///< 0: removed
     uint64_t list_generation; ///< number of the last full listing with it
@@ -47,34 +46,31 @@
 }
 
 static void
-set_value(item_feed_t *feed, feed_record_t *record, uint64_t version,
+set_value(item_feed_t *feed, feed_record_t *record, source_point_t changed,
           slice_t value)
 {
-    if (record->version != 0 && record->value_len == 0) {
+    if (source_point_is_set(record->changed) && record->value_len == 0) {
         feed->tombstone_count--;
     }
     g_free(record->value);
     record->value = value.len == 0 ? NULL : g_strndup(value.data, value.len);
     record->value_len = value.len;
-    record->version = version;
+    record->changed = changed;
     if (value.len == 0) {
         feed->tombstone_count++;
     }
 }
 
-/// Stores an item, or its removal if value.len is 0. A version that is not
-/// above the stored one is ignored, and so is an item that was removed after
-/// it was read even if its tombstone has been discarded. @p read_revision is
-/// the revision at which the source still had the item, 0 if it comes from a
-/// change.
+/// Stores an item or its removal. A change that is not after the stored one is
+/// ignored, and so is an item that was removed after it was read even if its
+/// tombstone has been discarded.
 void
-item_feed_put(item_feed_t *feed, const config_item_t *item,
-              uint64_t read_revision)
+item_feed_put(item_feed_t *feed, const source_item_t *item)
 {
     feed_record_t *record = g_hash_table_lookup(feed->items, item->name);
     if (record == NULL) {
-        if (source_record_is_outdated(feed->revision, item->version,
-                                      read_revision)) {
+        if (source_record_is_outdated(feed->point, item->changed, item->read))
+        {
             return;
         }
         record = g_new0(feed_record_t, 1);
@@ -82,9 +78,28 @@
         g_hash_table_insert(feed->items, record->name, record);
     }
     record->list_generation = feed->list_generation;
-    if (item->version > record->version) {
-        set_value(feed, record, item->version, item->value);
+    if (source_point_compare(item->changed, record->changed) > 0) {
+        feed->items_era = MAX(feed->items_era, item->changed.era);
+        set_value(feed, record, item->changed, item->value);
+    }
+}
+
+/// Keeps the stored value of an item for which the source has an earlier one,
+/// last changed at @p changed. Other nodes get the stored one in its place.
+/// Returns false if there is none.
+bool
+item_feed_keep(item_feed_t *feed, const char *name, source_point_t changed)
+{
+    feed_record_t *record = g_hash_table_lookup(feed->items, name);
+    if (record == NULL || record->value_len == 0) {
+        return false;
+    }
+    record->list_generation = feed->list_generation;
+    if (source_point_compare(changed, record->changed) > 0) {
+        feed->items_era = MAX(feed->items_era, changed.era);
+        record->changed = changed;
     }
+    return true;
 }
 
 /// Starts a full listing of the source. Its items follow in calls of
@@ -95,27 +110,49 @@
     feed->list_generation++;
 }
 
-/// Ends a full listing that was read at @p revision. Items that it does not
-/// contain count as removed, unless they were written after that revision.
+/// Returns whether a listing that ends at a point shows that the item is
+/// removed: it was not written after that point.
+static bool
+is_absent(const item_feed_t *feed, const feed_record_t *record,
+          source_point_t listed)
+{
+    return record->list_generation != feed->list_generation &&
+           source_point_compare(record->changed, listed) <= 0;
+}
+
+/// Ends a full listing that was read at @p point. Items that it does not
+/// contain count as removed, unless they were written after that point. A
+/// listing of an earlier era than the one that is held changes nothing.
 void
-item_feed_end_listing(item_feed_t *feed, uint64_t revision)
+item_feed_end_listing(item_feed_t *feed, source_point_t point)
 {
+    bool new_era = point.era > feed->point.era;
     GHashTableIter iter;
     void *pointer = NULL;
     g_hash_table_iter_init(&iter, feed->items);
     while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
         feed_record_t *record = pointer;
-        if (record->list_generation != feed->list_generation &&
-            record->value_len > 0 && record->version <= revision)
-        {
-            set_value(feed, record, revision, (slice_t){NULL, 0});
+        if (!is_absent(feed, record, point)) {
+            continue;
+        }
+        if (record->value_len > 0) {
+            set_value(feed, record, point, (slice_t){NULL, 0});
+        }
+        else if (new_era) {
+            // Nodes of the earlier era get a snapshot, without tombstones.
+            g_hash_table_iter_remove(&iter);
+            feed->tombstone_count--;
         }
     }
-    // Removals before the first listing are unknown.
-    if (feed->revision == 0) {
-        feed->history_start = revision;
+    if (!source_point_is_set(feed->point)) {
+        feed->first_era = point.era;
     }
-    item_feed_advance(feed, revision);
+    // Removals before the first listing, and those that the new era undid, are
+    // unknown.
+    if (!source_point_is_set(feed->point) || new_era) {
+        feed->history_start = point;
+    }
+    item_feed_advance(feed, point);
 }
 
 static gboolean
@@ -126,45 +163,50 @@
     return ((const feed_record_t *)value)->value_len == 0;
 }
 
-/// Notes that all changes up to @p revision are stored. Discards the
-/// tombstones if there are more than allowed.
+/// Notes that all changes up to @p point are stored. Discards the tombstones
+/// if there are more than allowed.
 void
-item_feed_advance(item_feed_t *feed, uint64_t revision)
+item_feed_advance(item_feed_t *feed, source_point_t point)
 {
-    feed->revision = MAX(feed->revision, revision);
+    feed->point = source_point_max(feed->point, point);
+    feed->items_era = MAX(feed->items_era, feed->point.era);
     if (feed->tombstone_count > feed->tombstones_max) {
         g_hash_table_foreach_remove(feed->items, is_removed, NULL);
         feed->tombstone_count = 0;
-        feed->history_start = feed->revision;
+        feed->history_start = feed->point;
     }
 }
 
-/// Fills a message with the changes after a revision, or with a snapshot if
-/// not all removals since then are held. The items of the message point into
-/// the feed. Returns false if the feed has no revision yet, as before the end
-/// of the first listing, or if the changes don't fit in a message.
+/// Fills a message with the changes after a point, or with a snapshot if not
+/// all removals since then are held. The items of the message point into the
+/// feed. Returns false if the feed has no state of one era, as before the end
+/// of the first listing of an era, or if the changes don't fit in a message.
 bool
-item_feed_collect_changes(const item_feed_t *feed, uint64_t after,
+item_feed_collect_changes(const item_feed_t *feed, source_point_t after,
                           control_message_t *message)
 {
-    if (feed->revision == 0) {
+    if (!source_point_is_set(feed->point) ||
+        feed->items_era != feed->point.era) {
         return false;
     }
-    message->revision = feed->revision;
-    message->is_snapshot = after < feed->history_start;
+    message->point = feed->point;
+    message->is_snapshot =
+        source_point_compare(after, feed->history_start) < 0;
     size_t bytes = 0;
     GHashTableIter iter;
     void *pointer = NULL;
     g_hash_table_iter_init(&iter, feed->items);
     while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
         const feed_record_t *record = pointer;
-        if (message->is_snapshot ? record->value_len == 0
-                                 : record->version <= after) {
+        if (message->is_snapshot
+                ? record->value_len == 0
+                : source_point_compare(record->changed, after) <= 0)
+        {
             continue;
         }
         config_item_t item = {
             .name = record->name,
-            .version = record->version,
+            .version = record->changed.revision,
             .value = {record->value, record->value_len},
         };
         g_array_append_val(message->items, item);
--- a/src/ibisfield/config/item_feed.h
+++ b/src/ibisfield/config/item_feed.h
@@ -4,13 +4,19 @@
 #include <glib.h>
 
 #include "ibisfield/config/control_defs.h"
+#include "ibisfield/config/source_point.h"
 
-/// A copy of the items of a source whose revision grows with each change. It
-/// yields the changes after the revision that another node holds.
+/// A copy of the items of a source. It yields the changes after the point that
+/// another node holds.
 typedef struct {
-    GHashTable *items;        ///< name to feed_record_t, with tombstones
-    uint64_t revision;        ///< all changes up to it are held; 0: none
-    uint64_t history_start;   ///< all removals after it are held
+    GHashTable *items;            ///< name to feed_record_t, with tombstones
+    source_point_t point;         ///< all changes up to it are held
+    source_point_t history_start; ///< all removals after it are held
+    uint64_t first_era;           ///< of the first listing
+    /// Latest era of an item. Above that of @p point while a listing of a new
+    /// era is in progress; the feed yields nothing then, because the items are
+    /// partly of one era and partly of the other.
+    uint64_t items_era;
     uint64_t list_generation; ///< number of the last full listing
     uint32_t tombstone_count;
     uint32_t tombstones_max; ///< above it all tombstones are discarded
@@ -18,12 +24,13 @@
 
 void item_feed_init(item_feed_t *feed, uint32_t tombstones_max);
 void item_feed_finish(item_feed_t *feed);
-void item_feed_put(item_feed_t *feed, const config_item_t *item,
-                   uint64_t read_revision);
+void item_feed_put(item_feed_t *feed, const source_item_t *item);
+bool item_feed_keep(item_feed_t *feed, const char *name,
+                    source_point_t changed);
 void item_feed_begin_listing(item_feed_t *feed);
-void item_feed_end_listing(item_feed_t *feed, uint64_t revision);
-void item_feed_advance(item_feed_t *feed, uint64_t revision);
-bool item_feed_collect_changes(const item_feed_t *feed, uint64_t after,
+void item_feed_end_listing(item_feed_t *feed, source_point_t point);
+void item_feed_advance(item_feed_t *feed, source_point_t point);
+bool item_feed_collect_changes(const item_feed_t *feed, source_point_t after,
                                control_message_t *message);
 
 #endif
--- a/src/ibisfield/config/published_list.c
+++ b/src/ibisfield/config/published_list.c
@@ -6,7 +6,7 @@
 #include <inttypes.h>
 
 #include "ibisfield/base/log.h"
-#include "ibisfield/config/source_order.h"
+#include "ibisfield/base/metrics.h"
 
 /// The source guarantees that live VMs whose records have expired are listed
 /// again within 2 s of its return; 300 ms more are for the way to this node.
@@ -18,7 +18,8 @@
 
 typedef struct {
     vm_info_t *info;
-    uint64_t revision;        ///< of the last change, or of a pending removal
+    source_point_t changed;   ///< last change, or pending removal
+    vm_last_state_t state;    ///< last published
     uint64_t list_generation; ///< number of the last full listing with it
 } published_record_t;
 
@@ -42,11 +43,13 @@
         .vms =
             g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_record),
     };
+    departures_init(&list->departures, clock);
 }
 
 void
 published_list_finish(published_list_t *list)
 {
+    departures_finish(&list->departures);
     g_hash_table_destroy(list->vms);
 }
 
@@ -54,44 +57,87 @@
 /// than the record.
 static bool
 is_outdated(const published_list_t *list, const published_record_t *record,
-            uint64_t revision, uint64_t read_revision)
+            source_point_t changed, source_point_t read)
 {
     if (record == NULL) {
-        return source_record_is_outdated(list->revision, revision,
-                                         read_revision);
+        return source_record_is_outdated(list->point, changed, read);
     }
-    return record->info->removal_pending ? revision <= record->revision
-                                         : revision < record->revision;
+    int order = source_point_compare(changed, record->changed);
+    return record->info->removal_pending ? order <= 0 : order < 0;
 }
 
-/// Adds or updates a VM whose record was written at @p revision. The record is
-/// ignored if a later change or removal of the VM is known. @p read_revision
-/// is the revision at which the source still had the record, 0 if the record
-/// comes from a change.
-void
+/// Returns whether the record is one that a later state of its VM has
+/// replaced, although its era is later: the source came back from a copy.
+static bool
+refuse_copied(published_list_t *list, published_record_t *record,
+              const vm_info_t *info, source_point_t changed,
+              source_point_t read)
+{
+    bool refused =
+        record == NULL
+            ? departures_refuse(&list->departures, info, changed, read)
+            : vm_last_state_is_later(&record->state, info, changed, read);
+    if (!refused) {
+        return false;
+    }
+    if (record != NULL) {
+        record->changed = changed;
+        record->list_generation = list->list_generation;
+    }
+    list->refused_count++;
+    metric_increment(METRIC_STORE_RECORDS_REFUSED_TOTAL);
+    log_info("vm_record_from_copy",
+             "upstream_vm=%s era=%" PRIu64 " revision=%" PRIu64
+             " listed=%d leaving=%d",
+             info->vm, changed.era, changed.revision, record != NULL,
+             record != NULL && record->info->draining);
+    return true;
+}
+
+/// Adds or updates a VM whose record was written at @p changed. The record is
+/// ignored if a later change or removal of the VM is known. @p read is the
+/// point at which the source still had the record, unset if the record comes
+/// from a change. Returns false if the source has gone back to this record,
+/// and the later state that is known here holds in its place.
+bool
 published_list_put(published_list_t *list, const vm_info_t *info,
-                   uint64_t revision, uint64_t read_revision)
+                   source_point_t changed, source_point_t read)
 {
     published_record_t *record = g_hash_table_lookup(list->vms, info->vm);
-    if (is_outdated(list, record, revision, read_revision)) {
+    if (is_outdated(list, record, changed, read)) {
         log_info("vm_record_outdated",
-                 "upstream_vm=%s revision=%" PRIu64 " known=%" PRIu64,
-                 info->vm, revision,
-                 record == NULL ? list->revision : record->revision);
-        return;
+                 "upstream_vm=%s revision=%" PRIu64 " known=%" PRIu64
+                 " era=%" PRIu64 " known_era=%" PRIu64,
+                 info->vm, changed.revision,
+                 record == NULL ? list->point.revision
+                                : record->changed.revision,
+                 changed.era,
+                 record == NULL ? list->point.era : record->changed.era);
+        return true;
+    }
+    if (refuse_copied(list, record, info, changed, read)) {
+        return false;
     }
-    bool changed = record == NULL || !vm_info_equal(record->info, info);
-    if (changed) {
+    bool differs = record == NULL || !vm_info_equal(record->info, info);
+    if (differs) {
         published_record_t *replacement = g_new0(published_record_t, 1);
         replacement->info = vm_info_copy(info);
         g_hash_table_replace(list->vms, replacement->info->vm, replacement);
         record = replacement;
+        departures_remove(&list->departures, info->vm);
     }
-    record->revision = revision;
+    record->changed = changed;
     record->list_generation = list->list_generation;
-    if (changed) {
+    record->state = (vm_last_state_t){
+        .born_ms = info->born_ms,
+        .sequence = info->sequence,
+        .draining = info->draining,
+        .changed = changed,
+    };
+    if (differs) {
         list->hooks.listed(list->context, record->info);
     }
+    return true;
 }
 
 static bool
@@ -105,6 +151,10 @@
 remove_record(published_list_t *list, published_record_t *record)
 {
     char *vm = g_strdup(record->info->vm);
+    vm_last_state_t state = record->state;
+    state.removed = true;
+    state.changed = record->changed;
+    departures_add(&list->departures, vm, &state);
     g_hash_table_remove(list->vms, vm);
     list->hooks.removed(list->context, vm);
     g_free(vm);
@@ -115,21 +165,23 @@
 /// expected and takes effect at once.
 void
 published_list_remove(published_list_t *list, const char *vm,
-                      uint64_t revision)
+                      source_point_t changed)
 {
     published_record_t *record = g_hash_table_lookup(list->vms, vm);
-    if (record == NULL || revision < record->revision) {
+    if (record == NULL) {
+        departures_note_removal(&list->departures, vm);
         return;
     }
+    if (source_point_compare(changed, record->changed) < 0) {
+        return;
+    }
+    record->changed = changed;
     if (are_removals_final(list) || record->info->draining) {
         remove_record(list, record);
     }
-    else {
-        record->revision = revision;
-        if (!record->info->removal_pending) {
-            record->info->removal_pending = true;
-            list->hooks.listed(list->context, record->info);
-        }
+    else if (!record->info->removal_pending) {
+        record->info->removal_pending = true;
+        list->hooks.listed(list->context, record->info);
     }
 }
 
@@ -139,13 +191,20 @@
 published_list_begin_listing(published_list_t *list)
 {
     list->list_generation++;
+    list->refused_count = 0;
+    departures_begin_listing(&list->departures);
 }
 
-/// Ends a full listing that was read at @p revision and removes the VMs that
-/// it does not contain.
+/// Ends a full listing that was read at @p point and removes the VMs that it
+/// does not contain. In the first listing of an era these may be VMs that live
+/// and that the copy lacks: a grace period begins in which they write their
+/// records again.
 void
-published_list_end_listing(published_list_t *list, uint64_t revision)
+published_list_end_listing(published_list_t *list, source_point_t point)
 {
+    if (source_point_is_set(list->point) && point.era > list->point.era) {
+        published_list_extend_removal_grace(list, REMOVAL_GRACE_US);
+    }
     GPtrArray *absent = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iter;
     void *pointer = NULL;
@@ -156,18 +215,20 @@
             g_ptr_array_add(absent, g_strdup(record->info->vm));
         }
     }
+    list->absent_count = absent->len;
     for (guint i = 0; i < absent->len; i++) {
-        published_list_remove(list, absent->pdata[i], revision);
+        published_list_remove(list, absent->pdata[i], point);
     }
     g_ptr_array_unref(absent);
-    published_list_advance(list, revision);
+    departures_end_listing(&list->departures);
+    published_list_advance(list, point);
 }
 
-/// Notes that all changes up to @p revision have been put or removed.
+/// Notes that all changes up to @p point have been put or removed.
 void
-published_list_advance(published_list_t *list, uint64_t revision)
+published_list_advance(published_list_t *list, source_point_t point)
 {
-    list->revision = MAX(list->revision, revision);
+    list->point = source_point_max(list->point, point);
 }
 
 /// Notes that the source has become unreachable.
@@ -217,11 +278,25 @@
     return MAX(list->removal_grace_ends_us - clock_now_us(list->clock), 0);
 }
 
+/// Lists the VMs whose records were refused, but which live.
+static void
+list_living(published_list_t *list)
+{
+    source_point_t changed;
+    vm_info_t *info = NULL;
+    while ((info = departures_next_alive(&list->departures, &changed)) != NULL)
+    {
+        published_list_put(list, info, changed, list->point);
+        vm_info_free(info);
+    }
+}
+
 /// Removes the VMs whose records did not return before removals are final. To
 /// be called a few times a second.
 void
 published_list_tick(published_list_t *list)
 {
+    list_living(list);
     if (!are_removals_final(list)) {
         return;
     }
--- a/src/ibisfield/config/published_list.h
+++ b/src/ibisfield/config/published_list.h
@@ -4,6 +4,8 @@
 #include <glib.h>
 
 #include "ibisfield/base/clock.h"
+#include "ibisfield/config/departures.h"
+#include "ibisfield/config/source_point.h"
 #include "ibisfield/config/vm_view.h"
 
 typedef struct {
@@ -16,8 +18,9 @@
 /// reached. Removals that become known during an outage, from other nodes, or
 /// in a grace period after it are deferred; until they take effect the VM is
 /// listed with removal_pending set. Deliveries may arrive in any order, late
-/// or more than once: the latest change or removal of a VM holds. Removed VMs
-/// need not be remembered for this, see source_record_is_outdated().
+/// or more than once: the latest change or removal of a VM holds. Within an
+/// era of the source, removed VMs need not be remembered for this, see
+/// source_record_is_outdated(); across eras, departures_t remembers them.
 typedef struct {
     const clock_source_t *clock;
     published_list_hooks_t hooks;
@@ -26,19 +29,24 @@
     int64_t outage_start_us;       ///< start of the source's outage; 0: none
     int64_t removal_grace_ends_us; ///< removals are deferred until then
     uint64_t list_generation;      ///< number of the last full listing
-    uint64_t revision;             ///< all changes up to it are known; 0: none
+    source_point_t point;          ///< all changes up to it are known
+    departures_t departures;       ///< VMs that have left
+    /// Records of the listing in progress, or of the last one, that weren't
+    /// taken because a later state of their VMs is known.
+    uint32_t refused_count;
+    uint32_t absent_count; ///< VMs that the last listing did not contain
 } published_list_t;
 
 void published_list_init(published_list_t *list, const clock_source_t *clock,
                          const published_list_hooks_t *hooks, void *context);
 void published_list_finish(published_list_t *list);
-void published_list_put(published_list_t *list, const vm_info_t *info,
-                        uint64_t revision, uint64_t read_revision);
+bool published_list_put(published_list_t *list, const vm_info_t *info,
+                        source_point_t changed, source_point_t read);
 void published_list_remove(published_list_t *list, const char *vm,
-                           uint64_t revision);
+                           source_point_t changed);
 void published_list_begin_listing(published_list_t *list);
-void published_list_end_listing(published_list_t *list, uint64_t revision);
-void published_list_advance(published_list_t *list, uint64_t revision);
+void published_list_end_listing(published_list_t *list, source_point_t point);
+void published_list_advance(published_list_t *list, source_point_t point);
 void published_list_source_lost(published_list_t *list);
 void published_list_source_recovered(published_list_t *list);
 void published_list_source_unused(published_list_t *list);
--- a/src/ibisfield/config/vm_view.c
+++ b/src/ibisfield/config/vm_view.c
@@ -168,7 +168,8 @@
     g_free(info);
 }
 
-/// Returns whether two VMs have equal properties.
+/// Returns whether two VMs have equal properties. The lifetime and the
+/// sequence of an upstream's reports count for published_list_t only.
 bool
 vm_info_equal(const vm_info_t *a, const vm_info_t *b)
 {
--- a/src/ibisfield/config/vm_view.h
+++ b/src/ibisfield/config/vm_view.h
@@ -20,9 +20,11 @@
     uint16_t caller_port;
     uint16_t peer_port;
     uint16_t control_port;
-    uint32_t slots; ///< of its upstream; 0: not published, as in the items
-                    ///< of the platform
-    bool is_own;    ///< this node's own upstream; not set from an item
+    uint32_t slots;    ///< of its upstream; 0: not published, as in the items
+                       ///< of the platform
+    int64_t born_ms;   ///< start of its upstream, Unix time; 0: not published
+    uint64_t sequence; ///< number of its upstream's last report since then
+    bool is_own;       ///< this node's own upstream; not set from an item
     bool draining;
     bool removal_pending; ///< no longer in the source, but the removal isn't
                           ///< final; see published_list_t
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -286,24 +286,30 @@
              error == NULL ? "" : error);
 }
 
-/// Tells the feed which revision of the configuration the other node holds.
+/// Tells the feed which point of the configuration's history the other node
+/// holds. A node of an earlier release states no era, which counts as era 0.
 static void
-note_peer_revision(const caller_attempt_t *attempt,
-                   const http_response_t *response)
+note_peer_point(const caller_attempt_t *attempt,
+                const http_response_t *response)
 {
     const caller_server_options_t *options = &attempt->call->server->options;
     const vm_info_t *vm = vm_view_find(options->vms, attempt->vm);
+    slice_t revision_text = http_header_find(
+        response->headers, response->header_count, HEADER_REVISION);
+    slice_t era_text = http_header_find(response->headers,
+                                        response->header_count, HEADER_ERA);
     int64_t revision = 0;
-    if (vm == NULL || !parse_number(http_header_find(response->headers,
-                                                     response->header_count,
-                                                     HEADER_REVISION),
-                                    INT64_MAX, &revision))
+    int64_t era = 0;
+    if (vm == NULL || !parse_number(revision_text, INT64_MAX, &revision) ||
+        (era_text.len > 0 && !parse_number(era_text, INT64_MAX, &era)))
     {
         return;
     }
     endpoint_t peer = {.port = vm->peer_port};
     g_strlcpy(peer.address, vm->address, sizeof(peer.address));
-    change_feed_note_peer_revision(options->feed, &peer, (uint64_t)revision);
+    change_feed_note_peer_point(
+        options->feed, &peer,
+        (source_point_t){(uint64_t)era, (uint64_t)revision});
 }
 
 static void
@@ -314,7 +320,7 @@
     caller_server_t *server = call->server;
     attempt_result_t result;
     peer_client_read_result(&result, response);
-    note_peer_revision(attempt, response);
+    note_peer_point(attempt, response);
     key_proof_record_text(server->options.key_proof,
                           http_header_find(response->headers,
                                            response->header_count,
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -55,7 +55,8 @@
 /// A follower's long poll that waits for a change.
 typedef struct {
     http_request_t *request;
-    uint64_t after;
+    source_point_t after;
+    bool with_era; ///< the follower sent FOLLOW_ERA
     int64_t deadline_us;
 } pending_poll_t;
 
@@ -105,10 +106,13 @@
 }
 
 static void
-send_changes(change_feed_t *feed, http_request_t *request, uint64_t after)
+send_changes(change_feed_t *feed, http_request_t *request,
+             source_point_t after, bool with_era)
 {
     control_message_t message;
-    control_message_init(&message, CONTROL_CHANGES, feed->settings->vm);
+    control_message_init(&message,
+                         with_era ? CONTROL_CHANGES_ERA : CONTROL_CHANGES,
+                         feed->settings->vm);
     message.removal_grace_ms =
         (uint64_t)(feed->callbacks.removal_grace_left_us(feed->context) /
                    US_PER_MS);
@@ -124,9 +128,17 @@
 /// Returns whether there are changes for a follower that holds all changes up
 /// to @p after. It gets them even if this node can't read the source.
 static bool
-has_changes_after(const change_feed_t *feed, uint64_t after)
+has_changes_after(const change_feed_t *feed, source_point_t after)
 {
-    return feed->items.revision > after;
+    return source_point_compare(feed->items.point, after) > 0;
+}
+
+/// Returns whether a follower has seen a later era of the source than this
+/// node, which then has nothing to tell it.
+static bool
+is_of_earlier_era(const change_feed_t *feed, source_point_t after)
+{
+    return feed->items.point.era < after.era;
 }
 
 static bool
@@ -155,14 +167,19 @@
     while (link != NULL) {
         GList *next = link->next;
         pending_poll_t *pending = link->data;
-        bool due =
-            now_us >= pending->deadline_us || feed->draining || source_lost;
+        bool behind = is_of_earlier_era(feed, pending->after);
+        bool due = now_us >= pending->deadline_us || feed->draining ||
+                   source_lost || behind;
         bool changed =
             !feed->draining && has_changes_after(feed, pending->after);
         if (due || changed) {
             g_queue_delete_link(&feed->pending_polls, link);
-            if (changed || can_inform_followers(feed)) {
-                send_changes(feed, pending->request, pending->after);
+            if (behind) {
+                refuse(feed, pending->request, "era not seen");
+            }
+            else if (changed || can_inform_followers(feed)) {
+                send_changes(feed, pending->request, pending->after,
+                             pending->with_era);
             }
             else {
                 refuse(feed, pending->request, "source not read");
@@ -192,10 +209,11 @@
     feed->reads_source = wanted;
     feed->source_ok = false;
     feed->source_lost_us = 0;
-    log_info("source_reading", "reads=%d reader=%d asked=%d revision=%" PRIu64,
+    log_info("source_reading",
+             "reads=%d reader=%d asked=%d revision=%" PRIu64 " era=%" PRIu64,
              wanted, feed->is_reader,
              feed_now_us(feed) < feed->followed_until_us,
-             feed->items.revision);
+             feed->items.point.revision, feed->items.point.era);
     feed->callbacks.set_source_reading(feed->context, wanted);
 }
 
@@ -232,36 +250,68 @@
 {
     metric_increment(METRIC_CONTROL_EXCHANGES_FAILED);
     log_info("feed_lost",
-             "reader=%s error=\"%s\" was_healthy=%d revision=%" PRIu64,
+             "reader=%s error=\"%s\" was_healthy=%d revision=%" PRIu64
+             " era=%" PRIu64,
              subscription->reader.address, error, subscription->healthy,
-             subscription->feed->items.revision);
+             subscription->feed->items.point.revision,
+             subscription->feed->items.point.era);
     subscription->healthy = false;
     loop_timer_start(subscription->feed->loop, &subscription->poll_timer,
                      READER_BACKOFF_US, poll_reader, subscription);
     update_source_reading(subscription->feed);
 }
 
-static void
+/// Returns whether a message of another node can be applied here. Its changes
+/// hold in one era only: those of an earlier one have been undone, and a later
+/// one begins with a snapshot.
+static bool
+is_applicable(const change_feed_t *feed, const control_message_t *message)
+{
+    uint64_t era = feed->items.point.era;
+    return message->is_snapshot ? message->point.era >= era
+                                : message->point.era == era;
+}
+
+/// Applies the items of a message and returns true, or changes nothing and
+/// returns false if they can't be applied here.
+static bool
 apply_changes(change_feed_t *feed, const control_message_t *message)
 {
+    if (!is_applicable(feed, message)) {
+        log_info("feed_era_differs",
+                 "node=%s era=%" PRIu64 " held=%" PRIu64 " snapshot=%d",
+                 message->sender, message->point.era, feed->items.point.era,
+                 message->is_snapshot);
+        return false;
+    }
     if (message->is_snapshot) {
         change_feed_begin_listing(feed);
         feed->callbacks.listing_started(feed->context);
     }
     for (guint i = 0; i < message->items->len; i++) {
-        const config_item_t *item =
+        const config_item_t *received =
             &g_array_index(message->items, config_item_t, i);
-        change_feed_put(feed, item, message->revision);
-        feed->callbacks.item(feed->context, item, message->revision);
+        source_item_t item = {
+            .name = received->name,
+            .value = received->value,
+            .changed = {message->point.era, received->version},
+            .read = message->point,
+        };
+        if (feed->callbacks.item(feed->context, &item) ||
+            !change_feed_keep(feed, item.name, item.changed))
+        {
+            change_feed_put(feed, &item);
+        }
     }
     if (message->is_snapshot) {
-        feed->callbacks.listing_ended(feed->context, message->revision);
-        change_feed_end_listing(feed, message->revision);
+        feed->callbacks.listing_ended(feed->context, message->point);
+        change_feed_end_listing(feed, message->point);
     }
     else {
-        feed->callbacks.advanced(feed->context, message->revision);
-        change_feed_advance(feed, message->revision);
+        feed->callbacks.advanced(feed->context, message->point);
+        change_feed_advance(feed, message->point);
     }
+    return true;
 }
 
 /// Reads the response to a request for changes. Returns false and sets
@@ -287,7 +337,7 @@
     *error = message->type == CONTROL_REFUSED
                  ? message->reason
                  : control_type_name(message->type);
-    return message->type == CONTROL_CHANGES;
+    return message->type == CONTROL_CHANGES_ERA;
 }
 
 /// Defers removals as long as all readers do that this node follows. A reader
@@ -333,6 +383,9 @@
     if (!read_changes(&message, response, &error)) {
         handle_poll_failure(subscription, error);
     }
+    else if (message.point.era < feed->items.point.era) {
+        handle_poll_failure(subscription, "the reader is in an earlier era");
+    }
     else {
         bool was_healthy = subscription->healthy;
         subscription->healthy = true;
@@ -342,8 +395,10 @@
         apply_changes(feed, &message);
         record_proof(feed, response, subscription->asked_us);
         if (!was_healthy) {
-            log_info("feed_followed", "reader=%s revision=%" PRIu64,
-                     subscription->reader.address, feed->items.revision);
+            log_info("feed_followed",
+                     "reader=%s revision=%" PRIu64 " era=%" PRIu64,
+                     subscription->reader.address, feed->items.point.revision,
+                     feed->items.point.era);
         }
         loop_timer_start(feed->loop, &subscription->poll_timer, 0, poll_reader,
                          subscription);
@@ -352,14 +407,14 @@
     control_message_clear(&message);
 }
 
-/// Sends a request of @p type for the changes after the revision held here.
+/// Sends a request of @p type for the changes after the point held here.
 static http_exchange_t *
 request_changes(change_feed_t *feed, http_pool_t *pool, control_type_t type,
                 int64_t timeout_us, http_done_t done, void *context)
 {
     control_message_t message;
     control_message_init(&message, type, feed->settings->vm);
-    message.revision = feed->items.revision;
+    message.point = feed->items.point;
     GByteArray *bytes = g_byte_array_new();
     control_encode(&message, bytes);
     control_count_sent(message.type, bytes->len);
@@ -396,9 +451,9 @@
 {
     feed_subscription_t *subscription = context;
     subscription->asked_us = feed_now_us(subscription->feed);
-    subscription->exchange =
-        request_changes(subscription->feed, subscription->pool, CONTROL_FOLLOW,
-                        POLL_TIMEOUT_US, handle_poll_response, subscription);
+    subscription->exchange = request_changes(
+        subscription->feed, subscription->pool, CONTROL_FOLLOW_ERA,
+        POLL_TIMEOUT_US, handle_poll_response, subscription);
 }
 
 static void
@@ -427,10 +482,14 @@
     change_feed_t *feed = context;
     feed_catch_up_t *catch_up = &feed->catch_up;
     control_message_t message;
-    uint64_t before = feed->items.revision;
+    source_point_t before = feed->items.point;
     const char *error = NULL;
     catch_up->exchange = NULL;
     bool caught_up = read_changes(&message, response, &error);
+    if (caught_up && !is_applicable(feed, &message)) {
+        caught_up = false;
+        error = "the node is in another era";
+    }
     if (caught_up) {
         if (message.removal_grace_ms > 0) {
             feed->callbacks.extend_removal_grace(
@@ -442,15 +501,16 @@
     }
     log_info("feed_caught_up",
              "node=%s error=\"%s\" before=%" PRIu64 " revision=%" PRIu64
-             " reported=%" PRIu64,
-             catch_up->peer.address, caught_up ? "" : error, before,
-             feed->items.revision, catch_up->revision);
+             " reported=%" PRIu64 " era_before=%" PRIu64 " era=%" PRIu64,
+             catch_up->peer.address, caught_up ? "" : error, before.revision,
+             feed->items.point.revision, catch_up->point.revision, before.era,
+             feed->items.point.era);
     control_message_clear(&message);
     stop_catch_up(feed);
     if (!caught_up) {
-        // The next node that reports a later revision is asked instead.
+        // The next node that reports a later point is asked instead.
         metric_increment(METRIC_CONTROL_EXCHANGES_FAILED);
-        catch_up->revision = 0;
+        catch_up->point = (source_point_t){0};
     }
 }
 
@@ -462,7 +522,7 @@
     catch_up->peer = *node;
     catch_up->pool = new_peer_pool(feed, node);
     catch_up->exchange =
-        request_changes(feed, catch_up->pool, CONTROL_CATCH_UP,
+        request_changes(feed, catch_up->pool, CONTROL_CATCH_UP_ERA,
                         CATCH_UP_TIMEOUT_US, handle_catch_up_response, feed);
 }
 
@@ -472,7 +532,7 @@
 catch_up_if_behind(change_feed_t *feed)
 {
     feed_catch_up_t *catch_up = &feed->catch_up;
-    if (catch_up->revision > feed->items.revision &&
+    if (source_point_compare(catch_up->point, feed->items.point) > 0 &&
         catch_up->exchange == NULL && feed_now_us(feed) >= catch_up->due_us)
     {
         ask_for_changes(feed, &catch_up->peer);
@@ -528,33 +588,40 @@
     }
 }
 
-/// Notes the revision that another node holds. If this node doesn't reach it
-/// by itself soon, it requests the changes from that node.
+/// Notes the point that another node holds. If this node doesn't reach it by
+/// itself soon, it requests the changes from that node. A later era is
+/// reported to the source at once.
 void
-change_feed_note_peer_revision(change_feed_t *feed, const endpoint_t *peer,
-                               uint64_t revision)
+change_feed_note_peer_point(change_feed_t *feed, const endpoint_t *peer,
+                            source_point_t point)
 {
     feed_catch_up_t *catch_up = &feed->catch_up;
     // Before its first listing a node doesn't know what removals it missed.
-    if (feed->items.revision == 0 || revision <= feed->items.revision ||
-        catch_up->exchange != NULL)
+    if (!source_point_is_set(feed->items.point) ||
+        source_point_compare(point, feed->items.point) <= 0)
     {
         return;
     }
-    if (catch_up->revision <= feed->items.revision) {
+    if (point.era > feed->items.point.era) {
+        feed->callbacks.later_era_seen(feed->context, point.era);
+    }
+    if (catch_up->exchange != NULL) {
+        return;
+    }
+    if (source_point_compare(catch_up->point, feed->items.point) <= 0) {
         catch_up->due_us = feed_now_us(feed) + CATCH_UP_DELAY_US;
     }
-    if (revision >= catch_up->revision) {
-        catch_up->revision = revision;
+    if (source_point_compare(point, catch_up->point) >= 0) {
+        catch_up->point = point;
         catch_up->peer = *peer;
     }
 }
 
-/// Returns the revision up to which this node holds all changes; 0: none.
-uint64_t
-change_feed_revision(const change_feed_t *feed)
+/// Returns the point up to which this node holds all changes; unset: none.
+source_point_t
+change_feed_point(const change_feed_t *feed)
 {
-    return feed->items.revision;
+    return feed->items.point;
 }
 
 /* Selection of readers: the nodes of the data centre that rendezvous hashing
@@ -761,28 +828,33 @@
     item_feed_begin_listing(&feed->items);
 }
 
-/// @p read_revision as for item_feed_put().
 void
-change_feed_put(change_feed_t *feed, const config_item_t *item,
-                uint64_t read_revision)
+change_feed_put(change_feed_t *feed, const source_item_t *item)
 {
     if (strlen(item->name) <= ITEM_NAME_MAX) {
-        item_feed_put(&feed->items, item, read_revision);
+        item_feed_put(&feed->items, item);
     }
 }
 
+/// Keeps the stored value of an item, see item_feed_keep().
+bool
+change_feed_keep(change_feed_t *feed, const char *name, source_point_t changed)
+{
+    return item_feed_keep(&feed->items, name, changed);
+}
+
 void
-change_feed_end_listing(change_feed_t *feed, uint64_t revision)
+change_feed_end_listing(change_feed_t *feed, source_point_t point)
 {
-    item_feed_end_listing(&feed->items, revision);
+    item_feed_end_listing(&feed->items, point);
     complete_pending_polls(feed);
 }
 
-/// Notes that all changes up to @p revision have been put.
+/// Notes that all changes up to @p point have been put.
 void
-change_feed_advance(change_feed_t *feed, uint64_t revision)
+change_feed_advance(change_feed_t *feed, source_point_t point)
 {
-    item_feed_advance(&feed->items, revision);
+    item_feed_advance(&feed->items, point);
     complete_pending_polls(feed);
 }
 
@@ -797,6 +869,42 @@
 
 /* Requests from followers. */
 
+/// Reads the point of a request. One without an era comes from an earlier
+/// release, which knows none: its revision is of the era of this node if there
+/// was only one. Otherwise false is returned.
+static bool
+read_requested_point(const change_feed_t *feed,
+                     const control_message_t *message, bool with_era,
+                     source_point_t *after)
+{
+    *after = message->point;
+    if (!with_era) {
+        after->era = feed->items.point.era;
+    }
+    return with_era || feed->items.point.era == feed->items.first_era;
+}
+
+static void
+start_long_poll(change_feed_t *feed, http_request_t *request,
+                source_point_t after, bool with_era)
+{
+    pending_poll_t *pending = g_new0(pending_poll_t, 1);
+    *pending = (pending_poll_t){
+        .request = request,
+        .after = after,
+        .with_era = with_era,
+        .deadline_us = feed_now_us(feed) + POLL_WAIT_US,
+    };
+    http_request_set_long_poll(request);
+    g_queue_push_tail(&feed->pending_polls, pending);
+    feed->followed_until_us = feed_now_us(feed) + FOLLOWED_TTL_US;
+    update_source_reading(feed);
+    if (is_of_earlier_era(feed, after)) {
+        feed->callbacks.later_era_seen(feed->context, after.era);
+    }
+    complete_pending_polls(feed);
+}
+
 /// Handles a request for changes. A follower's long poll gets its response at
 /// the next change, after POLL_WAIT_US at the latest; a node that catches up
 /// gets it at once.
@@ -813,21 +921,20 @@
         return;
     }
     control_count_received(message.type, request->body.len);
-    if (message.type == CONTROL_CATCH_UP) {
-        send_changes(feed, request, message.revision);
-        control_message_clear(&message);
-        return;
-    }
-    pending_poll_t *pending = g_new0(pending_poll_t, 1);
-    pending->request = request;
-    pending->after = message.revision;
-    pending->deadline_us = feed_now_us(feed) + POLL_WAIT_US;
+    control_type_t type = message.type;
+    bool with_era = type == CONTROL_FOLLOW_ERA || type == CONTROL_CATCH_UP_ERA;
+    source_point_t after;
+    bool comparable = read_requested_point(feed, &message, with_era, &after);
     control_message_clear(&message);
-    http_request_set_long_poll(request);
-    g_queue_push_tail(&feed->pending_polls, pending);
-    feed->followed_until_us = feed_now_us(feed) + FOLLOWED_TTL_US;
-    update_source_reading(feed);
-    complete_pending_polls(feed);
+    if (!comparable) {
+        refuse(feed, request, "the source came back from a copy");
+    }
+    else if (type == CONTROL_CATCH_UP || type == CONTROL_CATCH_UP_ERA) {
+        send_changes(feed, request, after, with_era);
+    }
+    else {
+        start_long_poll(feed, request, after, with_era);
+    }
 }
 
 /// Drops the pending poll of a follower that has closed its connection.
@@ -846,7 +953,7 @@
 }
 
 /// Adds the object "feed" to @p status: whether this node reads the source,
-/// the revision it holds, the number of followers and the readers it follows.
+/// the point it holds, the number of followers and the readers it follows.
 void
 change_feed_write_status(const change_feed_t *feed, struct json_object *status)
 {
@@ -862,7 +969,9 @@
     json_object_object_add(object, "reads_source",
                            json_object_new_boolean(feed->reads_source));
     json_object_object_add(object, "revision",
-                           json_object_new_uint64(feed->items.revision));
+                           json_object_new_uint64(feed->items.point.revision));
+    json_object_object_add(object, "era",
+                           json_object_new_uint64(feed->items.point.era));
     json_object_object_add(object, "followers",
                            json_object_new_int64(feed->pending_polls.length));
     json_object_object_add(object, "follows", followed);
--- a/src/ibisfield/io/change_feed.h
+++ b/src/ibisfield/io/change_feed.h
@@ -16,12 +16,15 @@
 /// reported as if the source had been read.
 typedef struct {
     void (*listing_started)(void *context);
-    /// @p read_revision: the revision at which the other node held the item.
-    void (*item)(void *context, const config_item_t *item,
-                 uint64_t read_revision);
-    void (*listing_ended)(void *context, uint64_t revision);
-    /// All changes up to @p revision have been reported.
-    void (*advanced)(void *context, uint64_t revision);
+    /// Returns false if a later state of the item is known, which holds in its
+    /// place.
+    bool (*item)(void *context, const source_item_t *item);
+    void (*listing_ended)(void *context, source_point_t point);
+    /// All changes up to @p point have been reported.
+    void (*advanced)(void *context, source_point_t point);
+    /// Another node has seen @p era of the source, which is later than that of
+    /// the point held here.
+    void (*later_era_seen)(void *context, uint64_t era);
     /// Reports that for the next @p duration_us removals aren't final, because
     /// the store's records of live VMs may have expired.
     void (*extend_removal_grace)(void *context, int64_t duration_us);
@@ -54,9 +57,9 @@
 /// way to the source, a watch or its readers, may be silent without having
 /// failed.
 typedef struct {
-    endpoint_t peer;   ///< reported the revision last
-    uint64_t revision; ///< highest that another node reported
-    int64_t due_us;    ///< time of the next request, if still behind
+    endpoint_t peer;      ///< reported the point last
+    source_point_t point; ///< latest that another node reported
+    int64_t due_us;       ///< time of the next request, if still behind
     http_pool_t *pool;
     http_exchange_t *exchange; ///< NULL: none in progress
     int64_t asked_us;          ///< its start
@@ -103,15 +106,16 @@
 void change_feed_set_draining(change_feed_t *feed);
 
 void change_feed_begin_listing(change_feed_t *feed);
-void change_feed_put(change_feed_t *feed, const config_item_t *item,
-                     uint64_t read_revision);
-void change_feed_end_listing(change_feed_t *feed, uint64_t revision);
-void change_feed_advance(change_feed_t *feed, uint64_t revision);
+void change_feed_put(change_feed_t *feed, const source_item_t *item);
+bool change_feed_keep(change_feed_t *feed, const char *name,
+                      source_point_t changed);
+void change_feed_end_listing(change_feed_t *feed, source_point_t point);
+void change_feed_advance(change_feed_t *feed, source_point_t point);
 void change_feed_set_source_ok(change_feed_t *feed, bool ok);
 
-uint64_t change_feed_revision(const change_feed_t *feed);
-void change_feed_note_peer_revision(change_feed_t *feed,
-                                    const endpoint_t *peer, uint64_t revision);
+source_point_t change_feed_point(const change_feed_t *feed);
+void change_feed_note_peer_point(change_feed_t *feed, const endpoint_t *peer,
+                                 source_point_t point);
 
 void change_feed_handle(change_feed_t *feed, http_request_t *request);
 void change_feed_disconnected(change_feed_t *feed, http_request_t *request);
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -41,8 +41,9 @@
 /// Retry tokens that were granted to the attempt and not spent.
 #define HEADER_RETRIES_LEFT "ibisfield-retries-left"
 #define HEADER_RETRY_AFTER_MS "ibisfield-retry-after-ms"
-/// Revision of the configuration that the responding node holds.
 #define HEADER_PROOF "ibisfield-proof"
+/// Point of the configuration's history that the responding node holds.
+#define HEADER_ERA "ibisfield-era"
 #define HEADER_REVISION "ibisfield-revision"
 #define HEADER_SERVICE "ibisfield-service"
 /// "1": the upstream shed the request.
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -55,9 +55,10 @@
     message_add_string(message, HEADER_LOAD, load);
     message_add_number(message, HEADER_RETRIES_LEFT,
                        response->retry_tokens_left);
-    uint64_t revision = change_feed_revision(server->options.feed);
-    if (revision > 0) {
-        message_add_number(message, HEADER_REVISION, (int64_t)revision);
+    source_point_t point = change_feed_point(server->options.feed);
+    if (source_point_is_set(point)) {
+        message_add_number(message, HEADER_REVISION, (int64_t)point.revision);
+        message_add_number(message, HEADER_ERA, (int64_t)point.era);
     }
     char proof[KEY_PROOF_TEXT_MAX];
     if (key_proof_format(server->options.key_proof, received_us, proof)) {
--- a/test/unit/test_item_feed.c
+++ b/test/unit/test_item_feed.c
@@ -13,10 +13,11 @@
 put(item_feed_t *feed, const char *name, uint64_t version, const char *value)
 {
     item_feed_put(feed,
-                  &(config_item_t){name, version,
+                  &(source_item_t){name,
                                    value == NULL ? (slice_t){NULL, 0}
-                                                 : slice_from_string(value)},
-                  0);
+                                                 : slice_from_string(value),
+                                   {0, version},
+                                   {0, 0}});
 }
 
 static void
@@ -26,7 +27,7 @@
     item_feed_begin_listing(feed);
     put(feed, "a", 3, "1");
     put(feed, "b", 5, "1");
-    item_feed_end_listing(feed, 6);
+    item_feed_end_listing(feed, (source_point_t){0, 6});
 }
 
 static gint
@@ -42,7 +43,8 @@
 {
     control_message_t message;
     control_message_init(&message, CONTROL_CHANGES, "vm");
-    if (!item_feed_collect_changes(feed, after, &message)) {
+    if (!item_feed_collect_changes(feed, (source_point_t){0, after}, &message))
+    {
         control_message_clear(&message);
         return g_strdup("nothing");
     }
@@ -86,7 +88,7 @@
     put(&feed, "c", 8, "1");
     put(&feed, "a", 9, NULL);
     put(&feed, "b", 4, "older");
-    item_feed_advance(&feed, 9);
+    item_feed_advance(&feed, (source_point_t){0, 9});
     assert_changes(&feed, 6, "-ac", false);
     assert_changes(&feed, 8, "-a", false);
     assert_changes(&feed, 12, "", false);
@@ -111,10 +113,10 @@
         char name[2] = {(char)('p' + i), 0};
         put(&feed, name, 10 + i, NULL);
     }
-    item_feed_advance(&feed, 20);
+    item_feed_advance(&feed, (source_point_t){0, 20});
     assert_changes(&feed, 6, "-p-q-r-s", false);
     put(&feed, "t", 21, NULL);
-    item_feed_advance(&feed, 21);
+    item_feed_advance(&feed, (source_point_t){0, 21});
     assert_changes(&feed, 20, "ab", true);
     assert_changes(&feed, 21, "", false);
     item_feed_finish(&feed);
@@ -129,14 +131,14 @@
     start(&feed);
     item_feed_begin_listing(&feed);
     put(&feed, "b", 5, "1");
-    item_feed_end_listing(&feed, 11);
+    item_feed_end_listing(&feed, (source_point_t){0, 11});
     assert_changes(&feed, 6, "-a", false);
     assert_changes(&feed, 0, "b", true);
     // An item written while the list was read does not count as removed.
     put(&feed, "d", 15, "1");
     item_feed_begin_listing(&feed);
     put(&feed, "b", 5, "1");
-    item_feed_end_listing(&feed, 14);
+    item_feed_end_listing(&feed, (source_point_t){0, 14});
     assert_changes(&feed, 11, "d", false);
     item_feed_finish(&feed);
 }
@@ -153,11 +155,12 @@
         put(&feed, name, 10 + i, NULL);
     }
     put(&feed, "a", 19, NULL);
-    item_feed_advance(&feed, 20);
+    item_feed_advance(&feed, (source_point_t){0, 20});
     put(&feed, "a", 18, "late");
     assert_changes(&feed, 0, "b", true);
     // The source still has it: this feed didn't get it before.
-    item_feed_put(&feed, &(config_item_t){"c", 7, slice_from_string("1")}, 20);
+    item_feed_put(
+        &feed, &(source_item_t){"c", slice_from_string("1"), {0, 7}, {0, 20}});
     assert_changes(&feed, 0, "bc", true);
     put(&feed, "a", 21, "new");
     assert_changes(&feed, 20, "a", false);
@@ -174,7 +177,7 @@
     char *value = g_strnfill(CONTROL_MESSAGE_MAX_BYTES / 2, 'x');
     put(&feed, "big1", 7, value);
     put(&feed, "big2", 8, value);
-    item_feed_advance(&feed, 8);
+    item_feed_advance(&feed, (source_point_t){0, 8});
     char *text = format_changes(&feed, 6, &is_snapshot);
     CU_ASSERT_STRING_EQUAL(text, "nothing");
     g_free(text);
--- a/test/unit/test_published_list.c
+++ b/test/unit/test_published_list.c
@@ -44,7 +44,8 @@
 put(const char *vm, uint64_t revision, bool draining)
 {
     vm_info_t info = {.vm = g_strdup(vm), .draining = draining};
-    published_list_put(&list, &info, revision, 0);
+    published_list_put(&list, &info, (source_point_t){0, revision},
+                       (source_point_t){0, 0});
     vm_info_finish(&info);
 }
 
@@ -53,7 +54,8 @@
 put_listed(const char *vm, uint64_t revision, uint64_t read_revision)
 {
     vm_info_t info = {.vm = g_strdup(vm)};
-    published_list_put(&list, &info, revision, read_revision);
+    published_list_put(&list, &info, (source_point_t){0, revision},
+                       (source_point_t){0, read_revision});
     vm_info_finish(&info);
 }
 
@@ -80,14 +82,14 @@
     put("a", 5, false);
     put("a", 6, false);
     CU_ASSERT_EQUAL(listed_count, 1);
-    published_list_remove(&list, "a", 4);
+    published_list_remove(&list, "a", (source_point_t){0, 4});
     CU_ASSERT_EQUAL(removed_count, 0);
-    published_list_remove(&list, "a", 7);
+    published_list_remove(&list, "a", (source_point_t){0, 7});
     CU_ASSERT_EQUAL(removed_count, 1);
     // No record expires in a short outage, so a removal after it is genuine.
     put("a", 8, false);
     simulate_outage(500 * US_PER_MS);
-    published_list_remove(&list, "a", 9);
+    published_list_remove(&list, "a", (source_point_t){0, 9});
     CU_ASSERT_EQUAL(removed_count, 2);
     published_list_finish(&list);
 }
@@ -103,7 +105,7 @@
     put("leaving", 5, true);
     simulate_outage(5 * US_PER_S);
     published_list_begin_listing(&list);
-    published_list_end_listing(&list, 9);
+    published_list_end_listing(&list, (source_point_t){0, 9});
     CU_ASSERT_EQUAL(removed_count, 1);
     manual_clock_advance(&test_clock, 1900 * US_PER_MS);
     put("returns", 12, false);
@@ -125,8 +127,8 @@
     put("returns", 5, false);
     put("dead", 5, false);
     published_list_source_lost(&list);
-    published_list_remove(&list, "returns", 6);
-    published_list_remove(&list, "dead", 7);
+    published_list_remove(&list, "returns", (source_point_t){0, 6});
+    published_list_remove(&list, "dead", (source_point_t){0, 7});
     CU_ASSERT_EQUAL(listed_count, 4);
     CU_ASSERT_TRUE(last_listed_pending);
     manual_clock_advance(&test_clock, 5 * US_PER_S);
@@ -150,7 +152,7 @@
     start();
     put("dead", 5, false);
     published_list_source_lost(&list);
-    published_list_remove(&list, "dead", 7);
+    published_list_remove(&list, "dead", (source_point_t){0, 7});
     manual_clock_advance(&test_clock, 5 * US_PER_S);
     published_list_source_unused(&list);
     published_list_tick(&list);
@@ -168,7 +170,7 @@
     put("b", 2, false);
     published_list_begin_listing(&list);
     put("b", 2, false);
-    published_list_end_listing(&list, 6);
+    published_list_end_listing(&list, (source_point_t){0, 6});
     CU_ASSERT_EQUAL(removed_count, 1);
     CU_ASSERT_EQUAL(listed_count, 2);
     published_list_finish(&list);
@@ -183,10 +185,10 @@
     start();
     put("gone", 5, false);
     put("stays", 6, false);
-    published_list_advance(&list, 6);
+    published_list_advance(&list, (source_point_t){0, 6});
     // Reported by another node.
-    published_list_remove(&list, "gone", 9);
-    published_list_advance(&list, 9);
+    published_list_remove(&list, "gone", (source_point_t){0, 9});
+    published_list_advance(&list, (source_point_t){0, 9});
     CU_ASSERT_EQUAL(removed_count, 1);
     // Late: the answer to a watch, the changes that a reader sends.
     put("gone", 8, false);
@@ -210,21 +212,21 @@
     start();
     put("gone", 5, false);
     put("stays", 6, false);
-    published_list_advance(&list, 6);
-    published_list_remove(&list, "gone", 20);
+    published_list_advance(&list, (source_point_t){0, 6});
+    published_list_remove(&list, "gone", (source_point_t){0, 20});
     put("new", 21, false);
-    published_list_advance(&list, 21);
+    published_list_advance(&list, (source_point_t){0, 21});
     published_list_begin_listing(&list);
     put_listed("gone", 5, 12);
     put_listed("stays", 6, 22);
-    published_list_end_listing(&list, 12);
+    published_list_end_listing(&list, (source_point_t){0, 12});
     CU_ASSERT_FALSE(is_listed("gone"));
     CU_ASSERT_TRUE(is_listed("stays"));
     CU_ASSERT_TRUE(is_listed("new"));
     // The removed VMs of a listing are as gone as those of a change.
     published_list_begin_listing(&list);
     put_listed("stays", 6, 30);
-    published_list_end_listing(&list, 30);
+    published_list_end_listing(&list, (source_point_t){0, 30});
     CU_ASSERT_FALSE(is_listed("new"));
     put("new", 29, false);
     put("new", 30, false);
@@ -238,11 +240,11 @@
 test_newer_listings_list_unknown_vms(void)
 {
     start();
-    published_list_advance(&list, 40);
+    published_list_advance(&list, (source_point_t){0, 40});
     published_list_begin_listing(&list);
     put_listed("old", 7, 40);
     put_listed("older", 3, 41);
-    published_list_end_listing(&list, 40);
+    published_list_end_listing(&list, (source_point_t){0, 40});
     CU_ASSERT_TRUE(is_listed("old"));
     CU_ASSERT_TRUE(is_listed("older"));
     CU_ASSERT_EQUAL(removed_count, 0);
@@ -258,9 +260,9 @@
     put("dead", 5, false);
     put("drains", 6, false);
     published_list_source_lost(&list);
-    published_list_remove(&list, "dead", 12);
+    published_list_remove(&list, "dead", (source_point_t){0, 12});
     put("drains", 13, true);
-    published_list_advance(&list, 13);
+    published_list_advance(&list, (source_point_t){0, 13});
     int listed = listed_count;
     put("dead", 8, false);
     put("dead", 12, false);
@@ -274,7 +276,7 @@
     published_list_tick(&list);
     CU_ASSERT_FALSE(is_listed("dead"));
     CU_ASSERT_TRUE(is_listed("drains"));
-    published_list_remove(&list, "drains", 14);
+    published_list_remove(&list, "drains", (source_point_t){0, 14});
     CU_ASSERT_FALSE(is_listed("drains"));
     published_list_finish(&list);
 }
@@ -293,20 +295,20 @@
         {3, 1, 0, 2}, {3, 1, 2, 0}, {3, 2, 0, 1}, {3, 2, 1, 0}};
     for (size_t i = 0; i < G_N_ELEMENTS(orders); i++) {
         start();
-        published_list_advance(&list, 4);
+        published_list_advance(&list, (source_point_t){0, 4});
         for (int j = 0; j < STEPS; j++) {
             switch (orders[i][j]) {
             case 0:
                 put("vm", 5, false);
-                published_list_advance(&list, 5);
+                published_list_advance(&list, (source_point_t){0, 5});
                 break;
             case 1:
                 put("vm", 6, true);
-                published_list_advance(&list, 6);
+                published_list_advance(&list, (source_point_t){0, 6});
                 break;
             case 2:
-                published_list_remove(&list, "vm", 7);
-                published_list_advance(&list, 7);
+                published_list_remove(&list, "vm", (source_point_t){0, 7});
+                published_list_advance(&list, (source_point_t){0, 7});
                 break;
             default:
                 put_listed("vm", 6, 6);
