Get a desired state that the store has lost from other nodes

What callers saw: a node that starts after a drill, before the operator has written again, reads the copy's older desired state. It accepts a key that has been revoked, and routes as before.

Cause: the store has no trace of the later version, and no point shows it.

Change: responses between nodes state the version of the desired state in force. Of a node of an earlier era only the desired state has an effect, since its own version orders it.

--- a/src/ibisfield/config/item_feed.c
+++ b/src/ibisfield/config/item_feed.c
@@ -84,24 +84,35 @@
     }
 }
 
-/// Keeps the stored value of an item for which the source has an earlier one,
-/// last changed at @p changed. Other nodes get the stored one in its place.
-/// Returns false if there is none.
+/// Keeps the stored value of an item for which the source has an earlier one.
+/// Other nodes get the stored one in its place. Returns false if there is
+/// none.
 bool
-item_feed_keep(item_feed_t *feed, const char *name, source_point_t changed)
+item_feed_keep(item_feed_t *feed, const source_item_t *item)
 {
-    feed_record_t *record = g_hash_table_lookup(feed->items, name);
+    feed_record_t *record = g_hash_table_lookup(feed->items, item->name);
     if (record == NULL || record->value_len == 0) {
         return false;
     }
     record->list_generation = feed->list_generation;
-    if (source_point_compare(changed, record->changed) > 0) {
-        feed->items_era = MAX(feed->items_era, changed.era);
-        record->changed = changed;
+    if (source_point_compare(item->changed, record->changed) > 0) {
+        feed->items_era = MAX(feed->items_era, item->changed.era);
+        record->changed = item->changed;
     }
     return true;
 }
 
+/// Replaces the value of a stored item by a later one that the source has
+/// lost. Nodes that hold the item already don't get it as a change.
+void
+item_feed_replace(item_feed_t *feed, const char *name, slice_t value)
+{
+    feed_record_t *record = g_hash_table_lookup(feed->items, name);
+    if (record != NULL && value.len > 0) {
+        set_value(feed, record, record->changed, value);
+    }
+}
+
 /// Starts a full listing of the source. Its items follow in calls of
 /// item_feed_put().
 void
--- a/src/ibisfield/config/item_feed.h
+++ b/src/ibisfield/config/item_feed.h
@@ -25,8 +25,8 @@
 void item_feed_init(item_feed_t *feed, uint32_t tombstones_max);
 void item_feed_finish(item_feed_t *feed);
 void item_feed_put(item_feed_t *feed, const source_item_t *item);
-bool item_feed_keep(item_feed_t *feed, const char *name,
-                    source_point_t changed);
+bool item_feed_keep(item_feed_t *feed, const source_item_t *item);
+void item_feed_replace(item_feed_t *feed, const char *name, slice_t value);
 void item_feed_begin_listing(item_feed_t *feed);
 void item_feed_end_listing(item_feed_t *feed, source_point_t point);
 void item_feed_advance(item_feed_t *feed, source_point_t point);
--- a/src/ibisfield/io/caller_server.c
+++ b/src/ibisfield/io/caller_server.c
@@ -286,30 +286,34 @@
              error == NULL ? "" : error);
 }
 
-/// Tells the feed which point of the configuration's history the other node
-/// holds. A node of an earlier release states no era, which counts as era 0.
+/// Returns a number of another node's response; 0 if it isn't there, as in
+/// those of earlier releases, or isn't valid.
+static uint64_t
+response_number(const http_response_t *response, const char *name)
+{
+    int64_t number = 0;
+    slice_t text =
+        http_header_find(response->headers, response->header_count, name);
+    return parse_number(text, INT64_MAX, &number) ? (uint64_t)number : 0;
+}
+
+/// Tells the feed which configuration the other node holds.
 static void
-note_peer_point(const caller_attempt_t *attempt,
-                const http_response_t *response)
+note_peer_configuration(const caller_attempt_t *attempt,
+                        const http_response_t *response)
 {
     const caller_server_options_t *options = &attempt->call->server->options;
     const vm_info_t *vm = vm_view_find(options->vms, attempt->vm);
-    slice_t revision_text = http_header_find(
-        response->headers, response->header_count, HEADER_REVISION);
-    slice_t era_text = http_header_find(response->headers,
-                                        response->header_count, HEADER_ERA);
-    int64_t revision = 0;
-    int64_t era = 0;
-    if (vm == NULL || !parse_number(revision_text, INT64_MAX, &revision) ||
-        (era_text.len > 0 && !parse_number(era_text, INT64_MAX, &era)))
-    {
+    source_point_t point = {response_number(response, HEADER_ERA),
+                            response_number(response, HEADER_REVISION)};
+    if (vm == NULL || !source_point_is_set(point)) {
         return;
     }
     endpoint_t peer = {.port = vm->peer_port};
     g_strlcpy(peer.address, vm->address, sizeof(peer.address));
-    change_feed_note_peer_point(
-        options->feed, &peer,
-        (source_point_t){(uint64_t)era, (uint64_t)revision});
+    change_feed_note_peer_point(options->feed, &peer, point);
+    change_feed_note_peer_state(
+        options->feed, &peer, response_number(response, HEADER_STATE_VERSION));
 }
 
 static void
@@ -320,7 +324,7 @@
     caller_server_t *server = call->server;
     attempt_result_t result;
     peer_client_read_result(&result, response);
-    note_peer_point(attempt, response);
+    note_peer_configuration(attempt, response);
     key_proof_record_text(server->options.key_proof,
                           http_header_find(response->headers,
                                            response->header_count,
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -272,6 +272,19 @@
                                 : message->point.era == era;
 }
 
+static source_item_t
+received_item(const control_message_t *message, guint index)
+{
+    const config_item_t *item =
+        &g_array_index(message->items, config_item_t, index);
+    return (source_item_t){
+        .name = item->name,
+        .value = item->value,
+        .changed = {message->point.era, item->version},
+        .read = message->point,
+    };
+}
+
 /// Applies the items of a message and returns true, or changes nothing and
 /// returns false if they can't be applied here.
 static bool
@@ -289,16 +302,9 @@
         feed->callbacks.listing_started(feed->context);
     }
     for (guint i = 0; i < message->items->len; i++) {
-        const config_item_t *received =
-            &g_array_index(message->items, config_item_t, i);
-        source_item_t item = {
-            .name = received->name,
-            .value = received->value,
-            .changed = {message->point.era, received->version},
-            .read = message->point,
-        };
+        source_item_t item = received_item(message, i);
         if (feed->callbacks.item(feed->context, &item) ||
-            !change_feed_keep(feed, item.name, item.changed))
+            !change_feed_keep(feed, &item))
         {
             change_feed_put(feed, &item);
         }
@@ -314,6 +320,17 @@
     return true;
 }
 
+/// Offers the items of a node of an earlier era. Their points are too early to
+/// have an effect, but for an item that its own version orders.
+static void
+offer_items(change_feed_t *feed, const control_message_t *message)
+{
+    for (guint i = 0; i < message->items->len; i++) {
+        source_item_t item = received_item(message, i);
+        feed->callbacks.item(feed->context, &item);
+    }
+}
+
 /// Reads the response to a request for changes. Returns false and sets
 /// @p error, which is valid until @p message is cleared, if it contains none.
 /// The caller clears @p message in both cases.
@@ -407,14 +424,16 @@
     control_message_clear(&message);
 }
 
-/// Sends a request of @p type for the changes after the point held here.
+/// Sends a request of @p type for the changes after a point; unset: for all
+/// items.
 static http_exchange_t *
 request_changes(change_feed_t *feed, http_pool_t *pool, control_type_t type,
-                int64_t timeout_us, http_done_t done, void *context)
+                source_point_t after, int64_t timeout_us, http_done_t done,
+                void *context)
 {
     control_message_t message;
     control_message_init(&message, type, feed->settings->vm);
-    message.point = feed->items.point;
+    message.point = after;
     GByteArray *bytes = g_byte_array_new();
     control_encode(&message, bytes);
     control_count_sent(message.type, bytes->len);
@@ -451,9 +470,10 @@
 {
     feed_subscription_t *subscription = context;
     subscription->asked_us = feed_now_us(subscription->feed);
-    subscription->exchange = request_changes(
-        subscription->feed, subscription->pool, CONTROL_FOLLOW_ERA,
-        POLL_TIMEOUT_US, handle_poll_response, subscription);
+    subscription->exchange =
+        request_changes(subscription->feed, subscription->pool,
+                        CONTROL_FOLLOW_ERA, subscription->feed->items.point,
+                        POLL_TIMEOUT_US, handle_poll_response, subscription);
 }
 
 static void
@@ -487,6 +507,7 @@
     catch_up->exchange = NULL;
     bool caught_up = read_changes(&message, response, &error);
     if (caught_up && !is_applicable(feed, &message)) {
+        offer_items(feed, &message);
         caught_up = false;
         error = "the node is in another era";
     }
@@ -511,31 +532,44 @@
         // The next node that reports a later point is asked instead.
         metric_increment(METRIC_CONTROL_EXCHANGES_FAILED);
         catch_up->point = (source_point_t){0};
+        catch_up->state_version = 0;
     }
 }
 
 static void
-ask_for_changes(change_feed_t *feed, const endpoint_t *node)
+ask_for_changes(change_feed_t *feed, const endpoint_t *node,
+                source_point_t after)
 {
     feed_catch_up_t *catch_up = &feed->catch_up;
     catch_up->asked_us = feed_now_us(feed);
     catch_up->peer = *node;
     catch_up->pool = new_peer_pool(feed, node);
     catch_up->exchange =
-        request_changes(feed, catch_up->pool, CONTROL_CATCH_UP_ERA,
+        request_changes(feed, catch_up->pool, CONTROL_CATCH_UP_ERA, after,
                         CATCH_UP_TIMEOUT_US, handle_catch_up_response, feed);
 }
 
 /// Requests the missing changes from another node if this node has been behind
-/// it for too long.
+/// it for too long. A desired state that the source has lost is no change
+/// after any point, so all items are requested for it.
 static void
 catch_up_if_behind(change_feed_t *feed)
 {
     feed_catch_up_t *catch_up = &feed->catch_up;
-    if (source_point_compare(catch_up->point, feed->items.point) > 0 &&
-        catch_up->exchange == NULL && feed_now_us(feed) >= catch_up->due_us)
+    int64_t now_us = feed_now_us(feed);
+    if (catch_up->exchange != NULL) {
+        return;
+    }
+    if (source_point_compare(catch_up->point, feed->items.point) > 0) {
+        if (now_us >= catch_up->due_us) {
+            ask_for_changes(feed, &catch_up->peer, feed->items.point);
+        }
+    }
+    else if (catch_up->state_version > feed->state_version &&
+             now_us >= catch_up->state_due_us)
     {
-        ask_for_changes(feed, &catch_up->peer);
+        catch_up->state_due_us = now_us + CATCH_UP_TIMEOUT_US;
+        ask_for_changes(feed, &catch_up->state_peer, (source_point_t){0});
     }
 }
 
@@ -584,7 +618,7 @@
     if (node.port != 0) {
         catch_up->proof_due_us = now_us + PROOF_INTERVAL_US;
         metric_increment(METRIC_ACCESS_KEY_PROOFS_ASKED_TOTAL);
-        ask_for_changes(feed, &node);
+        ask_for_changes(feed, &node, feed->items.point);
     }
 }
 
@@ -617,6 +651,37 @@
     }
 }
 
+/// Notes the version of the desired state that another node has in force. If
+/// this node doesn't get it by itself soon, it requests it from that node: the
+/// source may have lost it.
+void
+change_feed_note_peer_state(change_feed_t *feed, const endpoint_t *peer,
+                            uint64_t version)
+{
+    feed_catch_up_t *catch_up = &feed->catch_up;
+    if (!source_point_is_set(feed->items.point) ||
+        version <= feed->state_version || version < catch_up->state_version)
+    {
+        return;
+    }
+    if (catch_up->state_version <= feed->state_version) {
+        catch_up->state_due_us =
+            MAX(catch_up->state_due_us, feed_now_us(feed) + CATCH_UP_DELAY_US);
+    }
+    catch_up->state_version = version;
+    catch_up->state_peer = *peer;
+}
+
+/// Sets the version of the desired state that has come into force, and the
+/// item that holds it, which other nodes get from now on.
+void
+change_feed_set_state(change_feed_t *feed, const char *name, slice_t value,
+                      uint64_t version)
+{
+    feed->state_version = version;
+    item_feed_replace(&feed->items, name, value);
+}
+
 /// Returns the point up to which this node holds all changes; unset: none.
 source_point_t
 change_feed_point(const change_feed_t *feed)
@@ -838,9 +903,9 @@
 
 /// Keeps the stored value of an item, see item_feed_keep().
 bool
-change_feed_keep(change_feed_t *feed, const char *name, source_point_t changed)
+change_feed_keep(change_feed_t *feed, const source_item_t *item)
 {
-    return item_feed_keep(&feed->items, name, changed);
+    return item_feed_keep(&feed->items, item);
 }
 
 void
@@ -972,6 +1037,8 @@
                            json_object_new_uint64(feed->items.point.revision));
     json_object_object_add(object, "era",
                            json_object_new_uint64(feed->items.point.era));
+    json_object_object_add(object, "state_version",
+                           json_object_new_uint64(feed->state_version));
     json_object_object_add(object, "followers",
                            json_object_new_int64(feed->pending_polls.length));
     json_object_object_add(object, "follows", followed);
--- a/src/ibisfield/io/change_feed.h
+++ b/src/ibisfield/io/change_feed.h
@@ -64,6 +64,9 @@
     http_exchange_t *exchange; ///< NULL: none in progress
     int64_t asked_us;          ///< its start
     int64_t proof_due_us;      ///< earliest next request for a proof only
+    endpoint_t state_peer;     ///< reported @p state_version
+    uint64_t state_version;    ///< highest that another node reported
+    int64_t state_due_us;      ///< time of the next request, if still lower
 } feed_catch_up_t;
 
 /// Distributes the changes of a source among the nodes of a data centre: a few
@@ -76,6 +79,9 @@
     change_feed_callbacks_t callbacks;
     void *context; ///< NULL: the feed has no source
     item_feed_t items;
+    /// Version of the desired state in force; 0: none. It may be later than
+    /// the one of the source, which the source has lost.
+    uint64_t state_version;
     /// VM name to vm_info_t: the VMs of the data centre that aren't draining.
     GHashTable *members;
     bool members_changed;
@@ -107,12 +113,15 @@
 
 void change_feed_begin_listing(change_feed_t *feed);
 void change_feed_put(change_feed_t *feed, const source_item_t *item);
-bool change_feed_keep(change_feed_t *feed, const char *name,
-                      source_point_t changed);
+bool change_feed_keep(change_feed_t *feed, const source_item_t *item);
 void change_feed_end_listing(change_feed_t *feed, source_point_t point);
 void change_feed_advance(change_feed_t *feed, source_point_t point);
 void change_feed_set_source_ok(change_feed_t *feed, bool ok);
 
+void change_feed_set_state(change_feed_t *feed, const char *name,
+                           slice_t value, uint64_t version);
+void change_feed_note_peer_state(change_feed_t *feed, const endpoint_t *peer,
+                                 uint64_t version);
 source_point_t change_feed_point(const change_feed_t *feed);
 void change_feed_note_peer_point(change_feed_t *feed, const endpoint_t *peer,
                                  source_point_t point);
--- a/src/ibisfield/io/message.h
+++ b/src/ibisfield/io/message.h
@@ -46,6 +46,8 @@
 #define HEADER_ERA "ibisfield-era"
 #define HEADER_REVISION "ibisfield-revision"
 #define HEADER_SERVICE "ibisfield-service"
+/// Version of the desired state that the responding node has in force.
+#define HEADER_STATE_VERSION "ibisfield-state-version"
 /// "1": the upstream shed the request.
 #define HEADER_SHED "ibisfield-shed"
 #define HEADER_TRACEPARENT "traceparent"
--- a/src/ibisfield/io/peer_server.c
+++ b/src/ibisfield/io/peer_server.c
@@ -59,6 +59,8 @@
     if (source_point_is_set(point)) {
         message_add_number(message, HEADER_REVISION, (int64_t)point.revision);
         message_add_number(message, HEADER_ERA, (int64_t)point.era);
+        message_add_number(message, HEADER_STATE_VERSION,
+                           (int64_t)server->options.feed->state_version);
     }
     char proof[KEY_PROOF_TEXT_MAX];
     if (key_proof_format(server->options.key_proof, received_us, proof)) {
--- a/test/functional/test_store_drill.c
+++ b/test/functional/test_store_drill.c
@@ -514,6 +514,54 @@
     stop_site();
 }
 
+#define KEY_KEPT "key-kept-1234567890"
+#define KEY_REVOKED "key-revoked-1234567890"
+#define TENANT(name, key)                                                     \
+    "{\"name\":\"" name "\",\"api_keys\":[\"" key "\"],\"priority\":1}"
+
+static int
+status_with_key(int machine, const char *id, const char *key)
+{
+    text_response_t response = request_with_key(machine, "/read/a", id, key);
+    int status = response.status;
+    text_response_free(&response);
+    return status;
+}
+
+/// Guards against a revoked key that is accepted again, and an older desired
+/// state in force, on a node that starts while the store has only its copy.
+static void
+test_node_that_starts_after_a_drill(void)
+{
+    start_site(NODES_READING);
+    publish_site();
+    put_desired_state_with_tenants(
+        5, NULL,
+        "[" TENANT("kept", KEY_KEPT) "," TENANT("gone", KEY_REVOKED) "]");
+    wait_nodes_logged("event=contracts_in_force version=5 ");
+    take_copy();
+    put_desired_state_with_tenants(7, NULL, "[" TENANT("kept", KEY_KEPT) "]");
+    wait_nodes_logged("event=contracts_in_force version=7 ");
+    wait_nodes_hold_store();
+    drill(200);
+    process_stop(&site.machines[0].node, SIGKILL);
+    start_node(&site.machines[0]);
+    CU_ASSERT_TRUE(process_wait_log(&site.machines[0].node,
+                                    "event=contracts_in_force version=5 "));
+    site_access_key = KEY_KEPT;
+    request_until_logged(0, "event=contracts_in_force version=7 ",
+                         IN_FORCE_LIMIT_US);
+    site_access_key = NULL;
+    for (int i = 0; i < site.machine_count; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "revoked-%d", i);
+        CU_ASSERT_EQUAL(status_with_key(i, id, KEY_REVOKED), 401);
+        g_snprintf(id, sizeof(id), "kept-%d", i);
+        CU_ASSERT_EQUAL(status_with_key(i, id, KEY_KEPT), 200);
+    }
+    stop_site();
+}
+
 int
 main(void)
 {
@@ -528,6 +576,7 @@
         {"copy lacks servers", test_copy_lacks_servers},
         {"other eras in answers", test_other_eras_in_answers},
         {"earlier release", test_nodes_of_an_earlier_release},
+        {"node that starts", test_node_that_starts_after_a_drill},
         CU_TEST_INFO_NULL,
     };
     return run_suite("store drill", tests);
