Hand on removals that a listing hides

What callers saw: nothing yet; found by a model of nodes, a store and drills in which writes, listings, watches, exchanges and restarts interleave at random. A node may go on listing a server that has left.

Cause: a listing takes the place of the changes since the point before it. A server that was written and removed in between was never held, so no removal of it is held either; but the feed claimed to have all removals, and a node whose point lies in between, which knows the server, got none. The same holds for a server that was removed while the pages of a listing were read.

Changes say whether they bridge a gap, which the receiver then has too.

--- a/src/ibisfield/config/control_codec.c
+++ b/src/ibisfield/config/control_codec.c
@@ -279,6 +279,9 @@
     if (fields & FIELD_IS_SNAPSHOT) {
         put_uint(out, message->is_snapshot);
     }
+    if (fields & FIELD_HAS_GAP) {
+        put_uint(out, message->has_gap);
+    }
     if (fields & FIELD_REMOVAL_GRACE) {
         put_uint(out, message->removal_grace_ms);
     }
@@ -610,6 +613,8 @@
             read_uint(reader, &message->point.revision)) &&
            (!(fields & FIELD_IS_SNAPSHOT) ||
             read_bool(reader, &message->is_snapshot)) &&
+           (!(fields & FIELD_HAS_GAP) ||
+            read_bool(reader, &message->has_gap)) &&
            (!(fields & FIELD_REMOVAL_GRACE) ||
             read_uint(reader, &message->removal_grace_ms)) &&
            (!(fields & FIELD_WEIGHT) ||
--- a/src/ibisfield/config/control_defs.h
+++ b/src/ibisfield/config/control_defs.h
@@ -61,8 +61,8 @@
     X(SHARES, "shares", USAGE, FIELD_SHARES)                                  \
     X(FOLLOW_ERA, "follow-era", FOLLOW, FIELD_ERA | FIELD_REVISION)           \
     X(CHANGES_ERA, "changes-era", FOLLOW,                                     \
-      FIELD_ERA | FIELD_REVISION | FIELD_IS_SNAPSHOT | FIELD_REMOVAL_GRACE |  \
-          FIELD_ITEMS)                                                        \
+      FIELD_ERA | FIELD_REVISION | FIELD_IS_SNAPSHOT | FIELD_HAS_GAP |        \
+          FIELD_REMOVAL_GRACE | FIELD_ITEMS)                                  \
     X(CATCH_UP_ERA, "catch-up-era", FOLLOW, FIELD_ERA | FIELD_REVISION)
 
 typedef enum {
@@ -92,6 +92,7 @@
     FIELD_SHARES = 1 << 14,
     FIELD_REFUSED = 1 << 15,
     FIELD_ERA = 1 << 16,
+    FIELD_HAS_GAP = 1 << 17,
 } control_field_t;
 
 typedef struct {
@@ -129,6 +130,7 @@
     /// versions of items are revisions of the same era.
     source_point_t point;
     bool is_snapshot; ///< the items are the complete contents
+    bool has_gap;     ///< the sender has not seen all changes one by one
     /// For how long removals aren't final, because records of live VMs may
     /// have expired at the source; 0: they are final. See published_list_t.
     uint64_t removal_grace_ms;
--- a/src/ibisfield/config/item_feed.c
+++ b/src/ibisfield/config/item_feed.c
@@ -7,6 +7,8 @@
 
 #include "ibisfield/config/item_feed.h"
 
+#include <string.h>
+
 typedef struct {
     char *name;
     source_point_t changed; ///< last change
@@ -78,6 +80,7 @@
         g_hash_table_insert(feed->items, record->name, record);
     }
     record->list_generation = feed->list_generation;
+    feed->last_read = source_point_max(feed->last_read, item->read);
     if (source_point_compare(item->changed, record->changed) > 0) {
         feed->items_era = MAX(feed->items_era, item->changed.era);
         set_value(feed, record, item->changed, item->value);
@@ -95,6 +98,7 @@
         return false;
     }
     record->list_generation = feed->list_generation;
+    feed->last_read = source_point_max(feed->last_read, item->read);
     if (source_point_compare(item->changed, record->changed) > 0) {
         feed->items_era = MAX(feed->items_era, item->changed.era);
         record->changed = item->changed;
@@ -119,6 +123,25 @@
 item_feed_begin_listing(item_feed_t *feed)
 {
     feed->list_generation++;
+    feed->last_read = (source_point_t){0};
+}
+
+/// Notes that changes between two points were not seen one by one. With too
+/// many gaps the history starts at the end of the first one.
+static void
+add_gap(item_feed_t *feed, source_point_t start, source_point_t end)
+{
+    if (source_point_compare(start, feed->inexact_point) == 0) {
+        start.revision--;
+    }
+    if (feed->gap_count == FEED_GAPS_MAX) {
+        feed->history_start =
+            source_point_max(feed->history_start, feed->gaps[0].end);
+        feed->gap_count--;
+        memmove(&feed->gaps[0], &feed->gaps[1],
+                feed->gap_count * sizeof(feed->gaps[0]));
+    }
+    feed->gaps[feed->gap_count++] = (feed_gap_t){start, end};
 }
 
 /// Returns whether a listing that ends at a point shows that the item is
@@ -162,6 +185,14 @@
     // unknown.
     if (!source_point_is_set(feed->point) || new_era) {
         feed->history_start = point;
+        feed->gap_count = 0;
+    }
+    else if (source_point_compare(point, feed->point) > 0) {
+        add_gap(feed, feed->point, point);
+    }
+    if (source_point_compare(point, feed->point) >= 0) {
+        bool exact = source_point_compare(feed->last_read, point) <= 0;
+        feed->inexact_point = exact ? (source_point_t){0} : point;
     }
     item_feed_advance(feed, point);
 }
@@ -188,6 +219,40 @@
     }
 }
 
+/// Returns whether all removals after a point are held.
+static bool
+has_history_after(const item_feed_t *feed, source_point_t after)
+{
+    bool in_gap = false;
+    for (uint32_t i = 0; i < feed->gap_count; i++) {
+        in_gap |= source_point_compare(after, feed->gaps[i].start) > 0 &&
+                  source_point_compare(after, feed->gaps[i].end) < 0;
+    }
+    return source_point_compare(after, feed->history_start) >= 0 && !in_gap;
+}
+
+/// Returns whether some changes after a point were not seen one by one.
+static bool
+has_gap_after(const item_feed_t *feed, source_point_t after)
+{
+    bool found = false;
+    for (uint32_t i = 0; i < feed->gap_count; i++) {
+        found |= source_point_compare(feed->gaps[i].end, after) > 0;
+    }
+    return found;
+}
+
+/// Notes that the changes up to @p point of another node are stored, which has
+/// not seen all of them one by one.
+void
+item_feed_advance_over_gap(item_feed_t *feed, source_point_t point)
+{
+    if (source_point_compare(point, feed->point) > 0) {
+        add_gap(feed, feed->point, point);
+    }
+    item_feed_advance(feed, point);
+}
+
 /// Fills a message with the changes after a point, or with a snapshot if not
 /// all removals since then are held. The items of the message point into the
 /// feed. Returns false if the feed has no state of one era, as before the end
@@ -201,8 +266,8 @@
         return false;
     }
     message->point = feed->point;
-    message->is_snapshot =
-        source_point_compare(after, feed->history_start) < 0;
+    message->is_snapshot = !has_history_after(feed, after);
+    message->has_gap = has_gap_after(feed, after);
     size_t bytes = 0;
     GHashTableIter iter;
     void *pointer = NULL;
--- a/src/ibisfield/config/item_feed.h
+++ b/src/ibisfield/config/item_feed.h
@@ -6,13 +6,28 @@
 #include "ibisfield/config/control_defs.h"
 #include "ibisfield/config/source_point.h"
 
+#define FEED_GAPS_MAX 8
+
+/// Points, both excluded, between which a listing has taken the place of the
+/// changes: removals of items that were never held here are unknown.
+typedef struct {
+    source_point_t start;
+    source_point_t end;
+} feed_gap_t;
+
 /// A copy of the items of a source. It yields the changes after the point that
 /// another node holds.
 typedef struct {
-    GHashTable *items;            ///< name to feed_record_t, with tombstones
-    source_point_t point;         ///< all changes up to it are held
-    source_point_t history_start; ///< all removals after it are held
-    uint64_t first_era;           ///< of the first listing
+    GHashTable *items;              ///< name to feed_record_t, with tombstones
+    source_point_t point;           ///< all changes up to it are held
+    source_point_t history_start;   ///< all removals after it are held
+    feed_gap_t gaps[FEED_GAPS_MAX]; ///< after history_start, in order
+    uint32_t gap_count;
+    source_point_t last_read; ///< latest at which the listing had an item
+    /// End of the last listing if parts of it were read later: items that were
+    /// removed in between may never have been held. Otherwise unset.
+    source_point_t inexact_point;
+    uint64_t first_era; ///< of the first listing
     /// Latest era of an item. Above that of @p point while a listing of a new
     /// era is in progress; the feed yields nothing then, because the items are
     /// partly of one era and partly of the other.
@@ -30,6 +45,7 @@
 void item_feed_begin_listing(item_feed_t *feed);
 void item_feed_end_listing(item_feed_t *feed, source_point_t point);
 void item_feed_advance(item_feed_t *feed, source_point_t point);
+void item_feed_advance_over_gap(item_feed_t *feed, source_point_t point);
 bool item_feed_collect_changes(const item_feed_t *feed, source_point_t after,
                                control_message_t *message);
 
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -314,6 +314,9 @@
         change_feed_end_listing(feed, message->point);
     }
     else {
+        if (message->has_gap) {
+            item_feed_advance_over_gap(&feed->items, message->point);
+        }
         feed->callbacks.advanced(feed->context, message->point);
         change_feed_advance(feed, message->point);
     }
