test: drills in the soak, and what callers see around them

Change: each run of the soak has one to three drills (seeded apart from its other faults, which stay as they were): the store is away, silent or goes on without a word, comes back from a copy of 0.3 to 5 s ago, and is written again up to 1.5 s later.

--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -18,6 +18,7 @@
 
 store_site_t site;
 const char *site_extra_settings = "";
+const char *site_other_program = NULL;
 const char *site_zone = "z";
 const char *site_tenants = NULL;
 const char *site_access_key = NULL;
@@ -206,7 +207,10 @@
     char *file = g_strdup_printf("%s/node%d.json", site.directory, number);
     char *log = g_strdup_printf("%s/node%d.log", site.directory, number);
     CU_ASSERT_TRUE_FATAL(g_file_set_contents(file, settings, -1, NULL));
-    const char *arguments[] = {PROGRAM, "run", file, NULL};
+    bool is_other =
+        site_other_program != NULL && (machine - site.machines) % 2 == 1;
+    const char *arguments[] = {is_other ? site_other_program : PROGRAM, "run",
+                               file, NULL};
     CU_ASSERT_TRUE_FATAL(process_start(&machine->node, log, arguments));
     CU_ASSERT_TRUE_FATAL(process_wait_log(&machine->node, "event=started"));
     g_free(settings);
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -41,6 +41,8 @@
 extern store_site_t site;
 /// Appended to the settings of nodes that are started from now on.
 extern const char *site_extra_settings;
+/// Program of each second node; NULL: that of the build.
+extern const char *site_other_program;
 /// Zone (data centre) of all machines.
 extern const char *site_zone;
 /// Tenants (JSON) of desired states that name none themselves, and the key
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -3,8 +3,9 @@
 /// stand-in for a server (upstream); a server that is replaced is another
 /// instance. Faults: a proxy delays, stalls or resets the connections between
 /// nodes, servers and the stand-in for the store; nodes and servers are
-/// killed, paused, stopped or replaced. Meanwhile clients send requests and
-/// check the responses. The seed determines all faults.
+/// killed, paused, stopped or replaced; in each run the store comes back from
+/// a copy, up to three times. Meanwhile clients send requests and check the
+/// responses. The seed determines all faults.
 ///
 ///     soak SEED [SEED ...] [--machines N] [--seconds N]
 ///
@@ -67,14 +68,29 @@
     FAULT_STORE_WATCHES, ///< all watches end, later the history is compacted
     FAULT_RECORD_EXPIRY, ///< a server's record is removed
     FAULT_DESIRED_STATE, ///< a later version is published
+    FAULT_DRAWN_COUNT,   ///< kinds above are drawn by draw_faults()
+    /// The store is away, or goes on without a word, and comes back from a
+    /// copy.
+    FAULT_STORE_DRILL = FAULT_DRAWN_COUNT,
+    FAULT_STORE_REWRITE, ///< what a drill has undone is written again
     FAULT_KIND_COUNT,
 } fault_kind_t;
 
+/// Age of the copy from which the store comes back.
+#define COPY_AGE_MIN_MS 300
+#define COPY_AGE_MAX_MS 5000
+/// Time from the return of the store until what it lost is written again.
+#define REWRITE_DELAY_MAX_MS 1500
+#define DRILLS_MAX 3
+/// Keeps the drills of a seed apart from its other faults.
+#define DRILL_SEED_SALT 0x5eedc0de
+
 static const char *const fault_names[FAULT_KIND_COUNT] = {
-    "delay",      "stall",          "one-way-stall", "reset-new",
-    "reset-open", "node-kill",      "node-pause",    "node-stop",
-    "node-hup",   "server-replace", "server-drain",  "server-mode",
-    "store-mode", "store-watches",  "record-expiry", "desired-state"};
+    "delay",       "stall",          "one-way-stall", "reset-new",
+    "reset-open",  "node-kill",      "node-pause",    "node-stop",
+    "node-hup",    "server-replace", "server-drain",  "server-mode",
+    "store-mode",  "store-watches",  "record-expiry", "desired-state",
+    "store-drill", "store-rewrite"};
 
 /// The start or the end of a fault. Both have the same machine and choice.
 typedef struct {
@@ -108,6 +124,8 @@
     proxy_route_t *routes[MACHINES_MAX][ROUTE_COUNT];
     node_state_t nodes[MACHINES_MAX];
     soak_load_t load;
+    GPtrArray *gone_servers; ///< machine_t, of instances that were removed
+    const char *extra_route; ///< of the last desired state
     int violations;
     uint32_t seed;
 } soak = {.machines = SOAK_MACHINES_DEFAULT, .seconds = SOAK_SECONDS_DEFAULT};
@@ -238,7 +256,7 @@
     gint64 end_us = (gint64)soak.seconds * G_USEC_PER_SEC;
     gint64 due_us = G_USEC_PER_SEC;
     while (due_us < end_us) {
-        fault_kind_t kind = (fault_kind_t)draw(0, FAULT_KIND_COUNT - 1);
+        fault_kind_t kind = (fault_kind_t)draw(0, FAULT_DRAWN_COUNT - 1);
         int machine = draw(0, soak.machines - 1);
         int choice = draw(0, 999);
         gint64 duration_us =
@@ -249,6 +267,27 @@
     }
 }
 
+/// Draws the drills of a run, which may overlap.
+static void
+draw_drills(void)
+{
+    GRand *random = g_rand_new_with_seed(soak.seed ^ DRILL_SEED_SALT);
+    int count = g_rand_int_range(random, 1, DRILLS_MAX + 1);
+    for (int i = 0; i < count; i++) {
+        gint64 start_ms = g_rand_int_range(random, 1000, soak.seconds * 1000);
+        gint64 away_ms = g_rand_int_range(random, FAULT_DURATION_MIN_MS,
+                                          FAULT_DURATION_MAX_MS);
+        gint64 delay_ms = g_rand_int_range(random, 0, REWRITE_DELAY_MAX_MS);
+        int choice = g_rand_int_range(random, 0, 1000);
+        schedule(FAULT_STORE_DRILL, false, start_ms * 1000, 0, choice);
+        schedule(FAULT_STORE_DRILL, true, (start_ms + away_ms) * 1000, 0,
+                 choice);
+        schedule(FAULT_STORE_REWRITE, false,
+                 (start_ms + away_ms + delay_ms) * 1000, 0, choice);
+    }
+    g_rand_free(random);
+}
+
 static void
 apply_route_fault(const fault_t *fault)
 {
@@ -347,6 +386,8 @@
             put_server_record(machine, "ready");
             if (fault->choice % 2 == 0) {
                 remove_server_record(&old);
+                g_ptr_array_add(soak.gone_servers,
+                                g_memdup2(&old, sizeof(old)));
             }
         }
         break;
@@ -364,6 +405,49 @@
     }
 }
 
+static void
+publish_state(int version, const char *extra_route)
+{
+    soak.extra_route = extra_route;
+    put_desired_state(version, extra_route);
+}
+
+/// Writes what the store should have: the records of all servers that run,
+/// none of those that were removed, and the newest desired state.
+static void
+write_again(void)
+{
+    for (guint i = 0; i < soak.gone_servers->len; i++) {
+        remove_server_record(soak.gone_servers->pdata[i]);
+    }
+    for (int i = 0; i < soak.machines; i++) {
+        put_server_record(&site.machines[i], "ready");
+    }
+    publish_state(site.desired_state_version, soak.extra_route);
+}
+
+static void
+apply_drill(const fault_t *fault)
+{
+    // An empty mode: the store answers all the time, and its watches go on.
+    static const char *const modes[] = {"busy", "hang", ""};
+    const char *mode = modes[fault->choice % G_N_ELEMENTS(modes)];
+    char path[64];
+    if (fault->is_end) {
+        store_request("POST", "/test/mode/up", "");
+        return;
+    }
+    if (mode[0] != '\0') {
+        g_snprintf(path, sizeof(path), "/test/mode/%s", mode);
+        store_request("POST", path, "");
+        store_request("POST", "/test/cut", "");
+    }
+    g_snprintf(path, sizeof(path), "/test/restore/%d",
+               COPY_AGE_MIN_MS +
+                   fault->choice * (COPY_AGE_MAX_MS - COPY_AGE_MIN_MS) / 1000);
+    store_request("POST", path, "");
+}
+
 static void
 apply_store_fault(const fault_t *fault)
 {
@@ -391,9 +475,8 @@
         break;
     default:
         if (!fault->is_end) {
-            put_desired_state(site.desired_state_version + 1 +
-                                  fault->choice % 4,
-                              fault->choice % 2 == 0 ? "/new/" : NULL);
+            publish_state(site.desired_state_version + 1 + fault->choice % 4,
+                          fault->choice % 2 == 0 ? "/new/" : NULL);
         }
         break;
     }
@@ -429,6 +512,12 @@
     case FAULT_SERVER_MODE:
         apply_server_fault(fault);
         break;
+    case FAULT_STORE_DRILL:
+        apply_drill(fault);
+        break;
+    case FAULT_STORE_REWRITE:
+        write_again();
+        break;
     default:
         apply_store_fault(fault);
         break;
@@ -490,9 +579,9 @@
         }
         apply_node_kill(
             &(fault_t){.kind = FAULT_NODE_KILL, .is_end = true, .machine = i});
-        put_server_record(&site.machines[i], "ready");
     }
-    put_desired_state(site.desired_state_version + 1, NULL);
+    write_again();
+    publish_state(site.desired_state_version + 1, NULL);
 }
 
 /* Checks after the run. */
@@ -658,8 +747,9 @@
     return is_ok;
 }
 
-/// Checks that every node has the last version and serves requests of both
-/// kinds within RECOVERY_LIMIT_US after the last fault.
+/// Checks that every node has the last version, holds what the store holds and
+/// serves requests of both kinds within RECOVERY_LIMIT_US after the last
+/// fault.
 static void
 check_recovery(gint64 faults_ended_us)
 {
@@ -671,16 +761,16 @@
         while (!serves &&
                g_get_monotonic_time() - faults_ended_us < RECOVERY_LIMIT_US) {
             serves = process_has_logged(&site.machines[i].node, version) &&
-                     node_serves(i, "GET", "/read/r") &&
+                     node_holds_store(i) && node_serves(i, "GET", "/read/r") &&
                      node_serves(i, "POST", "/book/r");
             g_usleep(serves ? 0 : 50000);
         }
         if (!serves) {
-            report_violation(
-                "node %d doesn't serve or lacks version %d %.0f s after the "
-                "last fault",
-                i, site.desired_state_version,
-                (double)RECOVERY_LIMIT_US / G_USEC_PER_SEC);
+            report_violation("node %d doesn't serve, lacks version %d or "
+                             "isn't at the point "
+                             "of the store %.0f s after the last fault",
+                             i, site.desired_state_version,
+                             (double)RECOVERY_LIMIT_US / G_USEC_PER_SEC);
         }
     }
 }
@@ -732,6 +822,8 @@
     soak.random = g_rand_new_with_seed(seed);
     soak.faults = g_array_new(FALSE, FALSE, sizeof(fault_t));
     soak.violations = 0;
+    soak.gone_servers = g_ptr_array_new_with_free_func(g_free);
+    soak.extra_route = NULL;
     for (int i = 0; i < soak.machines; i++) {
         soak.nodes[i] = (node_state_t){
             .outages = g_array_new(FALSE, FALSE, sizeof(gint64))};
@@ -743,6 +835,7 @@
     site_access_key = SOAK_ACCESS_KEY;
     publish_site();
     draw_faults();
+    draw_drills();
     soak.start_us = g_get_monotonic_time();
     soak_load_start(&soak.load, seed, CLIENTS);
     run_faults();
@@ -765,6 +858,7 @@
     }
     g_free(directory);
     g_array_free(soak.faults, TRUE);
+    g_ptr_array_unref(soak.gone_servers);
     g_rand_free(soak.random);
     for (int i = 0; i < soak.machines; i++) {
         g_array_free(soak.nodes[i].outages, TRUE);
