--- a/test/unit/test_control_codec.c
+++ b/test/unit/test_control_codec.c
@@ -56,6 +56,8 @@
     message->reason = "why";
     message->mutual = true;
     message->group = 5;
+    message->point = (source_point_t){3, 70000};
+    message->has_gap = true;
     message->state = (config_state_t){1, true, {2, 3}};
     g_strlcpy(message->root, "root", sizeof(message->root));
     for (uint64_t i = 0; i < ITEM_BUCKETS; i++) {
--- a/test/unit/test_item_feed.c
+++ b/test/unit/test_item_feed.c
@@ -167,6 +167,66 @@
     item_feed_finish(&feed);
 }
 
+static void
+put_at(item_feed_t *feed, const char *name, source_point_t changed)
+{
+    item_feed_put(feed,
+                  &(source_item_t){name, SLICE_LITERAL("2"), changed, {0, 0}});
+}
+
+/// Guards against followers that get no snapshot of a new era, or items of two
+/// eras at once.
+static void
+test_new_era(void)
+{
+    item_feed_t feed;
+    start(&feed);
+    put(&feed, "z", 7, NULL);
+    item_feed_advance(&feed, (source_point_t){0, 9});
+    item_feed_begin_listing(&feed);
+    put_at(&feed, "a", (source_point_t){1, 2});
+    // Half of the listing is of the new era.
+    bool is_snapshot = false;
+    char *text = format_changes(&feed, 6, &is_snapshot);
+    CU_ASSERT_STRING_EQUAL(text, "nothing");
+    g_free(text);
+    CU_ASSERT_TRUE(item_feed_keep(
+        &feed, &(source_item_t){.name = "b", .changed = {1, 3}}));
+    CU_ASSERT_FALSE(item_feed_keep(
+        &feed, &(source_item_t){.name = "z", .changed = {1, 3}}));
+    item_feed_end_listing(&feed, (source_point_t){1, 4});
+    CU_ASSERT_EQUAL(feed.point.era, 1);
+    CU_ASSERT_EQUAL(feed.tombstone_count, 0);
+    assert_changes(&feed, 9, "ab", true);
+    // A late listing and late changes of the era before.
+    item_feed_begin_listing(&feed);
+    put(&feed, "a", 30, "late");
+    item_feed_end_listing(&feed, (source_point_t){0, 31});
+    CU_ASSERT_EQUAL(feed.point.revision, 4);
+    assert_changes(&feed, 9, "ab", true);
+    item_feed_finish(&feed);
+}
+
+/// Guards against a node that asks for the changes after a point within a
+/// listing and keeps an item whose removal the listing hides.
+static void
+test_gaps(void)
+{
+    item_feed_t feed;
+    start(&feed);
+    for (uint64_t i = 1; i <= FEED_GAPS_MAX + 1; i++) {
+        item_feed_begin_listing(&feed);
+        put(&feed, "b", 5, "1");
+        item_feed_end_listing(&feed, (source_point_t){0, 6 + i * 10});
+    }
+    assert_changes(&feed, 16 + 10, "", false);
+    assert_changes(&feed, 16 + 12, "b", true);
+    assert_changes(&feed, 10, "b", true);
+    assert_changes(&feed, 15, "b", true);
+    assert_changes(&feed, 6, "b", true);
+    item_feed_finish(&feed);
+}
+
 /// Guards against a message that exceeds the limits of the decoder.
 static void
 test_changes_beyond_one_message(void)
@@ -194,6 +254,8 @@
         {"snapshot without history", test_snapshot_without_history},
         {"full listing removes", test_full_listing_removes_absent_items},
         {"late changes", test_late_changes_after_discarded_tombstones},
+        {"new era", test_new_era},
+        {"gaps", test_gaps},
         {"changes beyond one message", test_changes_beyond_one_message},
         CU_TEST_INFO_NULL,
     };
--- a/test/unit/test_published_list.c
+++ b/test/unit/test_published_list.c
@@ -320,6 +320,152 @@
     }
 }
 
+#define BORN_MS 1000
+
+/// Puts a record with a lifetime, from a listing of an era.
+static bool
+put_copied(const char *vm, source_point_t changed, int64_t born_ms,
+           uint64_t sequence, bool draining)
+{
+    vm_info_t info = {.vm = g_strdup(vm),
+                      .draining = draining,
+                      .born_ms = born_ms,
+                      .sequence = sequence};
+    bool taken = published_list_put(&list, &info, changed,
+                                    (source_point_t){changed.era, 1000});
+    vm_info_finish(&info);
+    return taken;
+}
+
+/// Starts with the list of era 1 at revision 20: "gone" was removed at 18,
+/// "drains" since 19, "lives" is ready.
+static void
+start_before_drill(void)
+{
+    start();
+    put_copied("gone", (source_point_t){1, 5}, BORN_MS, 3, false);
+    put_copied("drains", (source_point_t){1, 6}, BORN_MS, 3, false);
+    put_copied("lives", (source_point_t){1, 7}, BORN_MS, 3, false);
+    published_list_remove(&list, "gone", (source_point_t){1, 18});
+    put_copied("drains", (source_point_t){1, 19}, BORN_MS, 4, true);
+    published_list_advance(&list, (source_point_t){1, 20});
+    published_list_begin_listing(&list);
+}
+
+static bool
+is_draining(const char *vm)
+{
+    const vm_info_t *const *record = g_hash_table_lookup(list.vms, vm);
+    return record != NULL && (*record)->draining;
+}
+
+/// Guards against requests to VMs that the source's copy lists as they were
+/// before they left, and against VMs that aren't used in their next lifetime.
+static void
+test_copies_bring_back_no_vm(void)
+{
+    start_before_drill();
+    CU_ASSERT_FALSE(
+        put_copied("gone", (source_point_t){2, 5}, BORN_MS, 3, false));
+    CU_ASSERT_FALSE(
+        put_copied("drains", (source_point_t){2, 6}, BORN_MS, 3, false));
+    CU_ASSERT_TRUE(
+        put_copied("lives", (source_point_t){2, 7}, BORN_MS, 3, false));
+    published_list_end_listing(&list, (source_point_t){2, 9});
+    CU_ASSERT_EQUAL(list.refused_count, 2);
+    CU_ASSERT_FALSE(is_listed("gone"));
+    CU_ASSERT_TRUE(is_draining("drains"));
+    CU_ASSERT_FALSE(is_draining("lives"));
+    // Written again in the new era: still the lifetime that has left.
+    CU_ASSERT_FALSE(
+        put_copied("drains", (source_point_t){2, 10}, BORN_MS, 5, false));
+    CU_ASSERT_TRUE(is_draining("drains"));
+    CU_ASSERT_TRUE(
+        put_copied("gone", (source_point_t){2, 11}, BORN_MS + 1, 1, false));
+    CU_ASSERT_TRUE(
+        put_copied("drains", (source_point_t){2, 12}, BORN_MS + 1, 1, false));
+    CU_ASSERT_TRUE(is_listed("gone"));
+    CU_ASSERT_FALSE(is_draining("drains"));
+    // The next copy is of the lifetime before.
+    CU_ASSERT_FALSE(
+        put_copied("gone", (source_point_t){3, 5}, BORN_MS, 3, true));
+    CU_ASSERT_FALSE(is_draining("gone"));
+    published_list_finish(&list);
+}
+
+/// Guards against a VM that is never used again because its record expired
+/// before the drill and has been written again before the listing.
+static void
+test_refused_vms_that_live_return(void)
+{
+    start_before_drill();
+    // A later report shows at once that it lives.
+    CU_ASSERT_TRUE(
+        put_copied("gone", (source_point_t){2, 5}, BORN_MS, 4, false));
+    published_list_finish(&list);
+    start_before_drill();
+    CU_ASSERT_FALSE(
+        put_copied("gone", (source_point_t){2, 5}, BORN_MS, 3, false));
+    put_copied("lives", (source_point_t){2, 7}, BORN_MS, 3, false);
+    published_list_end_listing(&list, (source_point_t){2, 9});
+    manual_clock_advance(&test_clock, 6 * US_PER_S);
+    published_list_tick(&list);
+    CU_ASSERT_FALSE(is_listed("gone"));
+    manual_clock_advance(&test_clock, 3 * US_PER_S);
+    published_list_tick(&list);
+    CU_ASSERT_TRUE(is_listed("gone"));
+    published_list_finish(&list);
+    // The source removes the record meanwhile: the VM has left.
+    start_before_drill();
+    put_copied("gone", (source_point_t){2, 5}, BORN_MS, 3, false);
+    published_list_end_listing(&list, (source_point_t){2, 9});
+    published_list_remove(&list, "gone", (source_point_t){2, 10});
+    manual_clock_advance(&test_clock, 9 * US_PER_S);
+    published_list_tick(&list);
+    CU_ASSERT_FALSE(is_listed("gone"));
+    published_list_finish(&list);
+}
+
+/// Guards against the same for records without a lifetime: then only a change,
+/// or a revision that the copy can't have, shows that a VM has written again.
+static void
+test_copies_without_lifetimes(void)
+{
+    start_before_drill();
+    CU_ASSERT_FALSE(put_copied("gone", (source_point_t){2, 5}, 0, 0, false));
+    CU_ASSERT_FALSE(put_copied("drains", (source_point_t){2, 6}, 0, 0, false));
+    CU_ASSERT_TRUE(put_copied("gone", (source_point_t){2, 30}, 0, 0, false));
+    vm_info_t info = {.vm = g_strdup("drains")};
+    CU_ASSERT_TRUE(published_list_put(&list, &info, (source_point_t){2, 10},
+                                      (source_point_t){0, 0}));
+    vm_info_finish(&info);
+    CU_ASSERT_TRUE(is_listed("gone"));
+    CU_ASSERT_FALSE(is_draining("drains"));
+    published_list_finish(&list);
+}
+
+/// Guards against the removal of VMs that the copy lacks before they had time
+/// to write their records again, and against their use for ever.
+static void
+test_absent_vms_of_a_new_era_are_pending(void)
+{
+    start_before_drill();
+    published_list_end_listing(&list, (source_point_t){2, 3});
+    CU_ASSERT_TRUE(is_listed("lives"));
+    CU_ASSERT_TRUE(last_listed_pending);
+    CU_ASSERT_FALSE(is_listed("drains"));
+    manual_clock_advance(&test_clock, 2 * US_PER_S);
+    published_list_tick(&list);
+    CU_ASSERT_TRUE(is_listed("lives"));
+    manual_clock_advance(&test_clock, US_PER_S);
+    published_list_tick(&list);
+    CU_ASSERT_FALSE(is_listed("lives"));
+    // Late deliveries of the era before change nothing.
+    put_copied("lives", (source_point_t){1, 30}, BORN_MS, 9, false);
+    CU_ASSERT_FALSE(is_listed("lives"));
+    published_list_finish(&list);
+}
+
 /// Guards against a split that deviates from its weights over few requests.
 static void
 test_splits_keep_their_weights(void)
@@ -356,6 +502,10 @@
         {"newer listings", test_newer_listings_list_unknown_vms},
         {"older records", test_older_records_undo_nothing},
         {"any order", test_order_of_deliveries_does_not_matter},
+        {"copies", test_copies_bring_back_no_vm},
+        {"refused that live", test_refused_vms_that_live_return},
+        {"copies without lifetimes", test_copies_without_lifetimes},
+        {"absent in a new era", test_absent_vms_of_a_new_era_are_pending},
         {"splits", test_splits_keep_their_weights},
         CU_TEST_INFO_NULL,
     };
