Let a reader that others have overtaken list the store before it refuses them

Cause: a reader refused a follower of a later era at once, so the follower read the store itself for 4 s, although the reader lists the store within a few milliseconds; at a start of all nodes even readers without any state did so. Change: the poll waits, and is refused at its end if the reader is still behind. Result: functional_test_store_drill twice, all passed; polls of a store without eras don't reach this code.

--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -134,7 +134,7 @@
 }
 
 /// Returns whether a follower has seen a later era of the source than this
-/// node, which then has nothing to tell it.
+/// node, which then has nothing to tell it until it has listed the source.
 static bool
 is_of_earlier_era(const change_feed_t *feed, source_point_t after)
 {
@@ -168,8 +168,8 @@
         GList *next = link->next;
         pending_poll_t *pending = link->data;
         bool behind = is_of_earlier_era(feed, pending->after);
-        bool due = now_us >= pending->deadline_us || feed->draining ||
-                   source_lost || behind;
+        bool due =
+            now_us >= pending->deadline_us || feed->draining || source_lost;
         bool changed =
             !feed->draining && has_changes_after(feed, pending->after);
         if (due || changed) {
