--- a/test/functional/common/store_site.c
+++ b/test/functional/common/store_site.c
@@ -343,6 +343,16 @@
     return response;
 }
 
+/// Returns the status of a request to service "front" with an access key.
+int
+status_with_key(int machine, const char *id, const char *key)
+{
+    text_response_t response = request_with_key(machine, "/read/a", id, key);
+    int status = response.status;
+    text_response_free(&response);
+    return status;
+}
+
 /// Sends a caller's request to a machine's node. It names another service than
 /// the node's as its caller; the node must replace this name.
 text_response_t
--- a/test/functional/common/store_site.h
+++ b/test/functional/common/store_site.h
@@ -69,6 +69,7 @@
                                     const char *tenants);
 text_response_t request_with_key(int machine, const char *path, const char *id,
                                  const char *key);
+int status_with_key(int machine, const char *id, const char *key);
 void wait_nodes_logged(const char *text);
 void publish_site(void);
 text_response_t request_via_node(int machine, const char *method,
--- a/test/functional/test_store_drill.c
+++ b/test/functional/test_store_drill.c
@@ -519,15 +519,6 @@
 #define TENANT(name, key)                                                     \
     "{\"name\":\"" name "\",\"api_keys\":[\"" key "\"],\"priority\":1}"
 
-static int
-status_with_key(int machine, const char *id, const char *key)
-{
-    text_response_t response = request_with_key(machine, "/read/a", id, key);
-    int status = response.status;
-    text_response_free(&response);
-    return status;
-}
-
 /// Guards against a revoked key that is accepted again, and an older desired
 /// state in force, on a node that starts while the store has only its copy.
 static void
--- a/test/functional/test_workspaces.c
+++ b/test/functional/test_workspaces.c
@@ -26,15 +26,6 @@
     wait_nodes_logged(text);
 }
 
-static int
-status_with_key(int machine, const char *id, const char *key)
-{
-    text_response_t response = request_with_key(machine, "/read/a", id, key);
-    int status = response.status;
-    text_response_free(&response);
-    return status;
-}
-
 /// Guards against requests without a valid key that run, servers that get the
 /// key or a workspace's name that the caller made up, calls of servers that
 /// are refused because they carry no key, and keys in logs.
--- a/test/unit/test_source_point.c
+++ b/test/unit/test_source_point.c
@@ -188,14 +188,11 @@
         *state = (model_server_t){
             .alive = true, .born = state->born + 10, .sequence = 1};
     }
-    else if (state->draining) {
+    else if (state->draining || draw(9) == 0) {
         state->alive = false;
     }
-    else if (draw(3) == 0) {
-        state->draining = true;
-    }
-    else if (draw(6) == 0) {
-        state->alive = false;
+    else {
+        state->draining = draw(3) == 0;
     }
     write_record(server);
 }
