Treat changes of another era as a failed poll

Cause: changes that can't be applied left the reader healthy and were polled for again at once; the check stood in two places. Change: polls and requests for missing changes check it before they apply anything; a desired state from a node in an earlier era still counts.

--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -285,18 +285,10 @@
     };
 }
 
-/// Applies the items of a message and returns true, or changes nothing and
-/// returns false if they can't be applied here.
-static bool
+/// Applies the items of a message that is_applicable().
+static void
 apply_changes(change_feed_t *feed, const control_message_t *message)
 {
-    if (!is_applicable(feed, message)) {
-        log_info("feed_era_differs",
-                 "node=%s era=%" PRIu64 " held=%" PRIu64 " snapshot=%d",
-                 message->sender, message->point.era, feed->items.point.era,
-                 message->is_snapshot);
-        return false;
-    }
     if (message->is_snapshot) {
         change_feed_begin_listing(feed);
         feed->callbacks.listing_started(feed->context);
@@ -320,14 +312,16 @@
         feed->callbacks.advanced(feed->context, message->point);
         change_feed_advance(feed, message->point);
     }
-    return true;
 }
 
-/// Offers the items of a node of an earlier era. Their points are too early to
+/// Offers the items of a node in an earlier era. Their points are too early to
 /// have an effect, but for an item that its own version orders.
 static void
-offer_items(change_feed_t *feed, const control_message_t *message)
+offer_earlier_items(change_feed_t *feed, const control_message_t *message)
 {
+    if (message->point.era > feed->items.point.era) {
+        return;
+    }
     for (guint i = 0; i < message->items->len; i++) {
         source_item_t item = received_item(message, i);
         feed->callbacks.item(feed->context, &item);
@@ -403,8 +397,9 @@
     if (!read_changes(&message, response, &error)) {
         handle_poll_failure(subscription, error);
     }
-    else if (message.point.era < feed->items.point.era) {
-        handle_poll_failure(subscription, "the reader is in an earlier era");
+    else if (!is_applicable(feed, &message)) {
+        offer_earlier_items(feed, &message);
+        handle_poll_failure(subscription, "the reader is in another era");
     }
     else {
         bool was_healthy = subscription->healthy;
@@ -510,7 +505,7 @@
     catch_up->exchange = NULL;
     bool caught_up = read_changes(&message, response, &error);
     if (caught_up && !is_applicable(feed, &message)) {
-        offer_items(feed, &message);
+        offer_earlier_items(feed, &message);
         caught_up = false;
         error = "the node is in another era";
     }
