Keep a pending removal that a copy of the store takes back

A node that learned in an outage that a server had left, and defers the removal, sent requests to it again once the store's copy listed it, until its entry expired.

Cause: a record whose removal is pending counted as one that hasn't left, and the list took the copy's record, of a later era, for a new one.

Change: a removal that the source has shown counts also while it is pending. A record that the first listing of an era just lacks hasn't left. The one comparison of revisions across eras stands in source_point.h now.

--- a/src/ibisfield/config/departures.c
+++ b/src/ibisfield/config/departures.c
@@ -38,7 +38,7 @@
     bool left = known->removed || (known->draining && !info->draining);
     // A change, unlike a listing, is never of the copy.
     bool may_be_copied = source_point_is_set(read) &&
-                         changed.revision <= known->changed.revision;
+                         source_point_may_be_copied(changed, known->changed);
     if (known->born_ms == 0 || info->born_ms == 0) {
         return left && may_be_copied;
     }
@@ -96,8 +96,9 @@
     }
 }
 
-/// Remembers the state in which a VM has left. Discards the states that are no
-/// longer needed, or all if there are too many.
+/// Remembers the state in which a VM has left, unless a record of it is
+/// refused already. Discards the states that are no longer needed, or all if
+/// there are too many.
 void
 departures_add(departures_t *departures, const char *vm,
                const vm_last_state_t *state)
@@ -107,6 +108,10 @@
     if (g_hash_table_size(departures->states) >= STATES_MAX) {
         g_hash_table_remove_all(departures->states);
     }
+    const departure_t *known = g_hash_table_lookup(departures->states, vm);
+    if (known != NULL && known->refused != NULL) {
+        return;
+    }
     departure_t *departure = g_new0(departure_t, 1);
     departure->vm = g_strdup(vm);
     departure->state = *state;
@@ -121,9 +126,8 @@
     g_hash_table_remove(departures->states, vm);
 }
 
-/// Returns whether a record of a VM that isn't listed is to be refused,
-/// because the VM has left since. The record is kept for
-/// departures_next_alive().
+/// Returns whether a record of a VM that was added is to be refused, because
+/// the VM has left since. The record is kept for departures_next_alive().
 bool
 departures_refuse(departures_t *departures, const vm_info_t *info,
                   source_point_t changed, source_point_t read)
--- a/src/ibisfield/config/published_list.c
+++ b/src/ibisfield/config/published_list.c
@@ -73,11 +73,18 @@
               const vm_info_t *info, source_point_t changed,
               source_point_t read)
 {
-    bool refused =
-        record == NULL
-            ? departures_refuse(&list->departures, info, changed, read)
-            : vm_last_state_is_later(&record->state, info, changed, read);
-    if (!refused) {
+    if (record != NULL &&
+        !vm_last_state_is_later(&record->state, info, changed, read))
+    {
+        return false;
+    }
+    // A VM whose removal is pending stays listed as such until it is final.
+    if (record != NULL && record->info->removal_pending) {
+        departures_add(&list->departures, info->vm, &record->state);
+    }
+    if ((record == NULL || record->info->removal_pending) &&
+        !departures_refuse(&list->departures, info, changed, read))
+    {
         return false;
     }
     if (record != NULL) {
@@ -160,31 +167,45 @@
     g_free(vm);
 }
 
-/// Removes a VM. While removals aren't final a VM that isn't draining stays in
-/// the list, because its record may return. The removal of a draining VM is
-/// expected and takes effect at once.
-void
-published_list_remove(published_list_t *list, const char *vm,
-                      source_point_t changed)
+/// Removes a VM, or defers that. @p has_left: the source has shown that the VM
+/// left, or that its record expired; otherwise it may just have lost the
+/// record.
+static void
+remove_or_defer(published_list_t *list, published_record_t *record,
+                source_point_t changed, bool has_left)
 {
-    published_record_t *record = g_hash_table_lookup(list->vms, vm);
-    if (record == NULL) {
-        departures_note_removal(&list->departures, vm);
-        return;
-    }
     if (source_point_compare(changed, record->changed) < 0) {
         return;
     }
     record->changed = changed;
     if (are_removals_final(list) || record->info->draining) {
         remove_record(list, record);
+        return;
     }
-    else if (!record->info->removal_pending) {
+    if (has_left) {
+        record->state.removed = true;
+        record->state.changed = changed;
+    }
+    if (!record->info->removal_pending) {
         record->info->removal_pending = true;
         list->hooks.listed(list->context, record->info);
     }
 }
 
+/// Removes a VM. While removals aren't final a VM that isn't draining stays in
+/// the list, because its record may return. The removal of a draining VM is
+/// expected and takes effect at once.
+void
+published_list_remove(published_list_t *list, const char *vm,
+                      source_point_t changed)
+{
+    published_record_t *record = g_hash_table_lookup(list->vms, vm);
+    departures_note_removal(&list->departures, vm);
+    if (record != NULL) {
+        remove_or_defer(list, record, changed, true);
+    }
+}
+
 /// Starts a full listing of the source. Its VMs follow in calls of
 /// published_list_put().
 void
@@ -202,22 +223,24 @@
 void
 published_list_end_listing(published_list_t *list, source_point_t point)
 {
-    if (source_point_is_set(list->point) && point.era > list->point.era) {
+    bool new_era =
+        source_point_is_set(list->point) && point.era > list->point.era;
+    if (new_era) {
         published_list_extend_removal_grace(list, REMOVAL_GRACE_US);
     }
-    GPtrArray *absent = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *absent = g_ptr_array_new();
     GHashTableIter iter;
     void *pointer = NULL;
     g_hash_table_iter_init(&iter, list->vms);
     while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
         const published_record_t *record = pointer;
         if (record->list_generation != list->list_generation) {
-            g_ptr_array_add(absent, g_strdup(record->info->vm));
+            g_ptr_array_add(absent, pointer);
         }
     }
     list->absent_count = absent->len;
     for (guint i = 0; i < absent->len; i++) {
-        published_list_remove(list, absent->pdata[i], point);
+        remove_or_defer(list, absent->pdata[i], point, !new_era);
     }
     g_ptr_array_unref(absent);
     departures_end_listing(&list->departures);
--- a/src/ibisfield/config/source_point.h
+++ b/src/ibisfield/config/source_point.h
@@ -50,6 +50,16 @@
     return source_point_compare(a, b) < 0 ? b : a;
 }
 
+/// Returns whether what the source lists as changed at @p listed may be older
+/// than a change known from an earlier era: the copy from which the source
+/// came back ends before some revision of that era, and lower ones are its own
+/// or given out again. With a higher revision it was written since.
+static inline bool
+source_point_may_be_copied(source_point_t listed, source_point_t known)
+{
+    return listed.era > known.era && listed.revision <= known.revision;
+}
+
 /// Returns whether a record that isn't held here was removed after it was
 /// read: its last change is covered by @p known, the point up to which all
 /// changes are held. A record that the source still had at @p read or later is
--- a/test/unit/test_published_list.c
+++ b/test/unit/test_published_list.c
@@ -426,6 +426,51 @@
     published_list_finish(&list);
 }
 
+/// Guards against a removal that became known in an outage, and that the copy
+/// takes back: the VM would get requests again until its record expires.
+static void
+test_copies_end_no_pending_removal(void)
+{
+    for (int lives = 0; lives <= 1; lives++) {
+        start_before_drill();
+        published_list_source_lost(&list);
+        published_list_remove(&list, "lives", (source_point_t){1, 22});
+        manual_clock_advance(&test_clock, 2 * US_PER_S);
+        published_list_source_recovered(&list);
+        CU_ASSERT_FALSE(
+            put_copied("lives", (source_point_t){2, 7}, BORN_MS, 3, false));
+        published_list_end_listing(&list, (source_point_t){2, 9});
+        CU_ASSERT_TRUE(last_listed_pending);
+        manual_clock_advance(&test_clock, 3 * US_PER_S);
+        published_list_tick(&list);
+        CU_ASSERT_FALSE(is_listed("lives"));
+        if (lives == 0) {
+            published_list_remove(&list, "lives", (source_point_t){2, 10});
+        }
+        manual_clock_advance(&test_clock, 6 * US_PER_S);
+        published_list_tick(&list);
+        CU_ASSERT_EQUAL(is_listed("lives"), lives == 1);
+        published_list_finish(&list);
+    }
+}
+
+/// Guards against a VM that isn't used although it has not left: the copy of a
+/// first drill lacked it, that of a second one has it.
+static void
+test_copies_that_differ(void)
+{
+    start_before_drill();
+    published_list_end_listing(&list, (source_point_t){2, 3});
+    published_list_begin_listing(&list);
+    CU_ASSERT_TRUE(
+        put_copied("lives", (source_point_t){3, 3}, BORN_MS, 3, false));
+    published_list_end_listing(&list, (source_point_t){3, 4});
+    manual_clock_advance(&test_clock, 3 * US_PER_S);
+    published_list_tick(&list);
+    CU_ASSERT_TRUE(is_listed("lives"));
+    published_list_finish(&list);
+}
+
 /// Guards against the same for records without a lifetime: then only a change,
 /// or a revision that the copy can't have, shows that a VM has written again.
 static void
@@ -504,6 +549,8 @@
         {"any order", test_order_of_deliveries_does_not_matter},
         {"copies", test_copies_bring_back_no_vm},
         {"refused that live", test_refused_vms_that_live_return},
+        {"pending removals", test_copies_end_no_pending_removal},
+        {"copies that differ", test_copies_that_differ},
         {"copies without lifetimes", test_copies_without_lifetimes},
         {"absent in a new era", test_absent_vms_of_a_new_era_are_pending},
         {"splits", test_splits_keep_their_weights},
