Know where a listing was read in parts, and hand that on

A node may go on listing a server that has left.

Cause: a listing in several pages isn't of one point.

The model also plays outages, so that removals are pending.

--- a/src/ibisfield/config/control_defs.h
+++ b/src/ibisfield/config/control_defs.h
@@ -130,7 +130,9 @@
     /// versions of items are revisions of the same era.
     source_point_t point;
     bool is_snapshot; ///< the items are the complete contents
-    bool has_gap;     ///< the sender has not seen all changes one by one
+    /// The sender has not seen all changes one by one: items may have been
+    /// removed before the point, or right after it, without a trace.
+    bool has_gap;
     /// For how long removals aren't final, because records of live VMs may
     /// have expired at the source; 0: they are final. See published_list_t.
     uint64_t removal_grace_ms;
--- a/src/ibisfield/config/item_feed.c
+++ b/src/ibisfield/config/item_feed.c
@@ -80,7 +80,6 @@
         g_hash_table_insert(feed->items, record->name, record);
     }
     record->list_generation = feed->list_generation;
-    feed->last_read = source_point_max(feed->last_read, item->read);
     if (source_point_compare(item->changed, record->changed) > 0) {
         feed->items_era = MAX(feed->items_era, item->changed.era);
         set_value(feed, record, item->changed, item->value);
@@ -98,7 +97,6 @@
         return false;
     }
     record->list_generation = feed->list_generation;
-    feed->last_read = source_point_max(feed->last_read, item->read);
     if (source_point_compare(item->changed, record->changed) > 0) {
         feed->items_era = MAX(feed->items_era, item->changed.era);
         record->changed = item->changed;
@@ -123,7 +121,6 @@
 item_feed_begin_listing(item_feed_t *feed)
 {
     feed->list_generation++;
-    feed->last_read = (source_point_t){0};
 }
 
 /// Notes that changes between two points were not seen one by one. With too
@@ -157,8 +154,10 @@
 /// Ends a full listing that was read at @p point. Items that it does not
 /// contain count as removed, unless they were written after that point. A
 /// listing of an earlier era than the one that is held changes nothing.
+/// @p read_until: the last part of the listing was read then.
 void
-item_feed_end_listing(item_feed_t *feed, source_point_t point)
+item_feed_end_listing(item_feed_t *feed, source_point_t point,
+                      source_point_t read_until)
 {
     bool new_era = point.era > feed->point.era;
     GHashTableIter iter;
@@ -191,7 +190,7 @@
         add_gap(feed, feed->point, point);
     }
     if (source_point_compare(point, feed->point) >= 0) {
-        bool exact = source_point_compare(feed->last_read, point) <= 0;
+        bool exact = source_point_compare(read_until, point) <= 0;
         feed->inexact_point = exact ? (source_point_t){0} : point;
     }
     item_feed_advance(feed, point);
@@ -242,6 +241,28 @@
     return found;
 }
 
+/// Returns whether items of beyond the point that is held may be missing here,
+/// or may be here already.
+static bool
+is_inexact(const item_feed_t *feed)
+{
+    return source_point_compare(feed->point, feed->inexact_point) == 0;
+}
+
+/// Returns whether the changes of another node can be applied here. They hold
+/// in one era only: those of an earlier one have been undone, and a later one
+/// begins with a snapshot. Items that are held here from beyond the own point
+/// may have been removed in a gap of the other node.
+bool
+item_feed_accepts(const item_feed_t *feed, const control_message_t *message)
+{
+    if (message->is_snapshot) {
+        return message->point.era >= feed->point.era;
+    }
+    return message->point.era == feed->point.era &&
+           !(message->has_gap && is_inexact(feed));
+}
+
 /// Notes that the changes up to @p point of another node are stored, which has
 /// not seen all of them one by one.
 void
@@ -249,6 +270,7 @@
 {
     if (source_point_compare(point, feed->point) > 0) {
         add_gap(feed, feed->point, point);
+        feed->inexact_point = point;
     }
     item_feed_advance(feed, point);
 }
@@ -267,7 +289,8 @@
     }
     message->point = feed->point;
     message->is_snapshot = !has_history_after(feed, after);
-    message->has_gap = has_gap_after(feed, after);
+    message->has_gap = is_inexact(feed) ||
+                       (!message->is_snapshot && has_gap_after(feed, after));
     size_t bytes = 0;
     GHashTableIter iter;
     void *pointer = NULL;
--- a/src/ibisfield/config/item_feed.h
+++ b/src/ibisfield/config/item_feed.h
@@ -23,9 +23,9 @@
     source_point_t history_start;   ///< all removals after it are held
     feed_gap_t gaps[FEED_GAPS_MAX]; ///< after history_start, in order
     uint32_t gap_count;
-    source_point_t last_read; ///< latest at which the listing had an item
-    /// End of the last listing if parts of it were read later: items that were
-    /// removed in between may never have been held. Otherwise unset.
+    /// End of the last listing if parts of it were read later, here or at the
+    /// node that it comes from: items that were removed in between may never
+    /// have been held. Otherwise unset.
     source_point_t inexact_point;
     uint64_t first_era; ///< of the first listing
     /// Latest era of an item. Above that of @p point while a listing of a new
@@ -43,9 +43,12 @@
 bool item_feed_keep(item_feed_t *feed, const source_item_t *item);
 void item_feed_replace(item_feed_t *feed, const char *name, slice_t value);
 void item_feed_begin_listing(item_feed_t *feed);
-void item_feed_end_listing(item_feed_t *feed, source_point_t point);
+void item_feed_end_listing(item_feed_t *feed, source_point_t point,
+                           source_point_t read_until);
 void item_feed_advance(item_feed_t *feed, source_point_t point);
 void item_feed_advance_over_gap(item_feed_t *feed, source_point_t point);
+bool item_feed_accepts(const item_feed_t *feed,
+                       const control_message_t *message);
 bool item_feed_collect_changes(const item_feed_t *feed, source_point_t after,
                                control_message_t *message);
 
--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -261,17 +261,6 @@
     update_source_reading(subscription->feed);
 }
 
-/// Returns whether a message of another node can be applied here. Its changes
-/// hold in one era only: those of an earlier one have been undone, and a later
-/// one begins with a snapshot.
-static bool
-is_applicable(const change_feed_t *feed, const control_message_t *message)
-{
-    uint64_t era = feed->items.point.era;
-    return message->is_snapshot ? message->point.era >= era
-                                : message->point.era == era;
-}
-
 static source_item_t
 received_item(const control_message_t *message, guint index)
 {
@@ -285,7 +274,7 @@
     };
 }
 
-/// Applies the items of a message that is_applicable().
+/// Applies the items of a message that item_feed_accepts().
 static void
 apply_changes(change_feed_t *feed, const control_message_t *message)
 {
@@ -303,7 +292,9 @@
     }
     if (message->is_snapshot) {
         feed->callbacks.listing_ended(feed->context, message->point);
-        change_feed_end_listing(feed, message->point);
+        source_point_t read_until = message->point;
+        read_until.revision += message->has_gap;
+        change_feed_end_listing(feed, message->point, read_until);
     }
     else {
         if (message->has_gap) {
@@ -319,7 +310,7 @@
 static void
 offer_earlier_items(change_feed_t *feed, const control_message_t *message)
 {
-    if (message->point.era > feed->items.point.era) {
+    if (message->point.era >= feed->items.point.era) {
         return;
     }
     for (guint i = 0; i < message->items->len; i++) {
@@ -397,9 +388,10 @@
     if (!read_changes(&message, response, &error)) {
         handle_poll_failure(subscription, error);
     }
-    else if (!is_applicable(feed, &message)) {
+    else if (!item_feed_accepts(&feed->items, &message)) {
         offer_earlier_items(feed, &message);
-        handle_poll_failure(subscription, "the reader is in another era");
+        handle_poll_failure(subscription,
+                            "changes of another era, or with a gap");
     }
     else {
         bool was_healthy = subscription->healthy;
@@ -504,10 +496,10 @@
     const char *error = NULL;
     catch_up->exchange = NULL;
     bool caught_up = read_changes(&message, response, &error);
-    if (caught_up && !is_applicable(feed, &message)) {
+    if (caught_up && !item_feed_accepts(&feed->items, &message)) {
         offer_earlier_items(feed, &message);
         caught_up = false;
-        error = "the node is in another era";
+        error = "changes of another era, or with a gap";
     }
     if (caught_up) {
         if (message.removal_grace_ms > 0) {
@@ -906,10 +898,12 @@
     return item_feed_keep(&feed->items, item);
 }
 
+/// Ends a full listing, see item_feed_end_listing().
 void
-change_feed_end_listing(change_feed_t *feed, source_point_t point)
+change_feed_end_listing(change_feed_t *feed, source_point_t point,
+                        source_point_t read_until)
 {
-    item_feed_end_listing(&feed->items, point);
+    item_feed_end_listing(&feed->items, point, read_until);
     complete_pending_polls(feed);
 }
 
--- a/src/ibisfield/io/change_feed.h
+++ b/src/ibisfield/io/change_feed.h
@@ -114,7 +114,8 @@
 void change_feed_begin_listing(change_feed_t *feed);
 void change_feed_put(change_feed_t *feed, const source_item_t *item);
 bool change_feed_keep(change_feed_t *feed, const source_item_t *item);
-void change_feed_end_listing(change_feed_t *feed, source_point_t point);
+void change_feed_end_listing(change_feed_t *feed, source_point_t point,
+                             source_point_t read_until);
 void change_feed_advance(change_feed_t *feed, source_point_t point);
 void change_feed_set_source_ok(change_feed_t *feed, bool ok);
 
--- a/test/unit/test_item_feed.c
+++ b/test/unit/test_item_feed.c
@@ -20,6 +20,13 @@
                                    {0, 0}});
 }
 
+/// Ends a listing that was read at one point.
+static void
+end_listing(item_feed_t *feed, source_point_t point)
+{
+    item_feed_end_listing(feed, point, point);
+}
+
 static void
 start(item_feed_t *feed)
 {
@@ -27,7 +34,7 @@
     item_feed_begin_listing(feed);
     put(feed, "a", 3, "1");
     put(feed, "b", 5, "1");
-    item_feed_end_listing(feed, (source_point_t){0, 6});
+    end_listing(feed, (source_point_t){0, 6});
 }
 
 static gint
@@ -131,14 +138,14 @@
     start(&feed);
     item_feed_begin_listing(&feed);
     put(&feed, "b", 5, "1");
-    item_feed_end_listing(&feed, (source_point_t){0, 11});
+    end_listing(&feed, (source_point_t){0, 11});
     assert_changes(&feed, 6, "-a", false);
     assert_changes(&feed, 0, "b", true);
     // An item written while the list was read does not count as removed.
     put(&feed, "d", 15, "1");
     item_feed_begin_listing(&feed);
     put(&feed, "b", 5, "1");
-    item_feed_end_listing(&feed, (source_point_t){0, 14});
+    end_listing(&feed, (source_point_t){0, 14});
     assert_changes(&feed, 11, "d", false);
     item_feed_finish(&feed);
 }
@@ -194,14 +201,14 @@
         &feed, &(source_item_t){.name = "b", .changed = {1, 3}}));
     CU_ASSERT_FALSE(item_feed_keep(
         &feed, &(source_item_t){.name = "z", .changed = {1, 3}}));
-    item_feed_end_listing(&feed, (source_point_t){1, 4});
+    end_listing(&feed, (source_point_t){1, 4});
     CU_ASSERT_EQUAL(feed.point.era, 1);
     CU_ASSERT_EQUAL(feed.tombstone_count, 0);
     assert_changes(&feed, 9, "ab", true);
     // A late listing and late changes of the era before.
     item_feed_begin_listing(&feed);
     put(&feed, "a", 30, "late");
-    item_feed_end_listing(&feed, (source_point_t){0, 31});
+    end_listing(&feed, (source_point_t){0, 31});
     CU_ASSERT_EQUAL(feed.point.revision, 4);
     assert_changes(&feed, 9, "ab", true);
     item_feed_finish(&feed);
@@ -217,7 +224,7 @@
     for (uint64_t i = 1; i <= FEED_GAPS_MAX + 1; i++) {
         item_feed_begin_listing(&feed);
         put(&feed, "b", 5, "1");
-        item_feed_end_listing(&feed, (source_point_t){0, 6 + i * 10});
+        end_listing(&feed, (source_point_t){0, 6 + i * 10});
     }
     assert_changes(&feed, 16 + 10, "", false);
     assert_changes(&feed, 16 + 12, "b", true);
--- a/test/unit/test_source_point.c
+++ b/test/unit/test_source_point.c
@@ -214,7 +214,8 @@
         }
     }
     published_list_end_listing(&node->list, point);
-    item_feed_end_listing(&node->feed, point);
+    item_feed_end_listing(&node->feed, point,
+                          (source_point_t){model.era, model.now.revision});
 }
 
 /// A watch returns the changes after the point of a node. One from a point
@@ -240,18 +241,18 @@
     item_feed_advance(&node->feed, point);
 }
 
-/// A node gets what another one holds, as change_feed.c does.
-static void
+/// A node gets what another one holds, as change_feed.c does. Returns false if
+/// it got nothing that it can apply.
+static bool
 follow_node(model_node_t *node, const model_node_t *other)
 {
     control_message_t message;
     control_message_init(&message, CONTROL_CHANGES_ERA, "other");
     bool told =
         item_feed_collect_changes(&other->feed, node->feed.point, &message);
-    uint64_t era = node->feed.point.era;
-    bool applicable = message.is_snapshot ? message.point.era >= era
-                                          : message.point.era == era;
-    if (told && applicable && source_point_is_set(node->feed.point)) {
+    bool accepted = told && source_point_is_set(node->feed.point) &&
+                    item_feed_accepts(&node->feed, &message);
+    if (accepted) {
         if (message.is_snapshot) {
             published_list_begin_listing(&node->list);
             item_feed_begin_listing(&node->feed);
@@ -274,7 +275,9 @@
         }
         if (message.is_snapshot) {
             published_list_end_listing(&node->list, message.point);
-            item_feed_end_listing(&node->feed, message.point);
+            source_point_t read_until = message.point;
+            read_until.revision += message.has_gap;
+            item_feed_end_listing(&node->feed, message.point, read_until);
         }
         else {
             published_list_advance(&node->list, message.point);
@@ -285,13 +288,14 @@
         }
     }
     control_message_clear(&message);
+    return accepted;
 }
 
 static void
 step(void)
 {
     model_node_t *node = &model.nodes[draw(NODES)];
-    switch (draw(10)) {
+    switch (draw(12)) {
     case 0:
     case 1:
     case 2:
@@ -317,6 +321,13 @@
         }
         break;
     case 7:
+        // Removals are pending for a while.
+        published_list_source_lost(&node->list);
+        break;
+    case 8:
+        published_list_source_recovered(&node->list);
+        break;
+    case 9:
         follow_node(node, &model.nodes[draw(NODES)]);
         break;
     default:
@@ -385,12 +396,13 @@
         write_record(i);
     }
     for (int i = 0; i < NODES; i++) {
+        published_list_source_recovered(&model.nodes[i].list);
         // A node that has just started reads the store before all else.
         if (i == 0 || !source_point_is_set(model.nodes[i].feed.point)) {
             list_store(&model.nodes[i], false);
         }
-        else {
-            follow_node(&model.nodes[i], &model.nodes[i - 1]);
+        else if (!follow_node(&model.nodes[i], &model.nodes[i - 1])) {
+            watch_store(&model.nodes[i]);
         }
     }
     // The end of the grace period for removals.
