Split the change feed: what is asked of other nodes stands in files of its own

Change: change_feed_exchange.c has the requests for changes and what is applied of the responses, change_feed_catch_up.c decides when a node asks for what it lacks.

--- a/src/ibisfield/io/change_feed.c
+++ b/src/ibisfield/io/change_feed.c
@@ -5,7 +5,7 @@
 /// source limits the rate of the reads of all nodes together, and each read is
 /// billed.
 
-#include "ibisfield/io/change_feed.h"
+#include "ibisfield/io/change_feed_internal.h"
 
 #include <inttypes.h>
 #include <json-c/json.h>
@@ -27,7 +27,6 @@
 /// A reader that hasn't responded after this time counts as failed. Even then
 /// a change must be in force within 2 s of its publication.
 #define POLL_TIMEOUT_US (POLL_WAIT_US + 400 * US_PER_MS)
-#define CONNECT_TIMEOUT_US (300 * US_PER_MS)
 /// Delay before the next poll of a reader that failed. The node reads the
 /// source itself meanwhile.
 #define READER_BACKOFF_US (4 * US_PER_S)
@@ -35,12 +34,6 @@
 /// of VMs selects other readers.
 #define FOLLOWED_TTL_US (3 * US_PER_S)
 #define TICK_US (100 * US_PER_MS)
-/// A node may be behind others for this long before it asks one of them. It
-/// exceeds the delay between two watches, by which nodes usually differ.
-#define CATCH_UP_DELAY_US (300 * US_PER_MS)
-#define CATCH_UP_TIMEOUT_US US_PER_S
-/// Least time between two requests for a proof.
-#define PROOF_INTERVAL_US (300 * US_PER_MS)
 /// A reader that can't read the source informs its followers for this long
 /// after another node has brought it up to date.
 #define CAUGHT_UP_TTL_US (2 * US_PER_S)
@@ -50,7 +43,6 @@
 /// Removals kept for followers. If there are more, all are discarded, and
 /// followers at an older revision get a snapshot.
 #define TOMBSTONES_MAX 2048
-#define CONTENT_TYPE "application/cbor"
 
 /// A follower's long poll that waits for a change.
 typedef struct {
@@ -62,12 +54,6 @@
 
 static void poll_reader(void *context);
 
-static int64_t
-feed_now_us(const change_feed_t *feed)
-{
-    return clock_now_us(feed->loop->clock);
-}
-
 /* Responses to followers. */
 
 static void
@@ -145,7 +131,7 @@
 has_caught_up_lately(const change_feed_t *feed)
 {
     return feed->caught_up_us != 0 &&
-           feed_now_us(feed) - feed->caught_up_us < CAUGHT_UP_TTL_US;
+           change_feed_now_us(feed) - feed->caught_up_us < CAUGHT_UP_TTL_US;
 }
 
 /// Returns whether this node's state is as recent as followers may expect.
@@ -159,7 +145,7 @@
 static void
 complete_pending_polls(change_feed_t *feed)
 {
-    int64_t now_us = feed_now_us(feed);
+    int64_t now_us = change_feed_now_us(feed);
     bool source_lost = feed->source_lost_us != 0 &&
                        now_us - feed->source_lost_us >= SOURCE_LOST_MAX_US &&
                        !can_inform_followers(feed);
@@ -199,7 +185,7 @@
 update_source_reading(change_feed_t *feed)
 {
     bool wanted =
-        feed->is_reader || feed_now_us(feed) < feed->followed_until_us;
+        feed->is_reader || change_feed_now_us(feed) < feed->followed_until_us;
     for (int i = 0; i < FEED_SUBSCRIPTIONS; i++) {
         wanted |= !feed->subscriptions[i].healthy;
     }
@@ -212,7 +198,7 @@
     log_info("source_reading",
              "reads=%d reader=%d asked=%d revision=%" PRIu64 " era=%" PRIu64,
              wanted, feed->is_reader,
-             feed_now_us(feed) < feed->followed_until_us,
+             change_feed_now_us(feed) < feed->followed_until_us,
              feed->items.point.revision, feed->items.point.era);
     feed->callbacks.set_source_reading(feed->context, wanted);
 }
@@ -220,7 +206,7 @@
 static void
 update_followed(change_feed_t *feed)
 {
-    bool followed = feed_now_us(feed) < feed->followed_until_us;
+    bool followed = change_feed_now_us(feed) < feed->followed_until_us;
     if (followed != feed->followed) {
         feed->followed = followed;
         feed->callbacks.set_followed(feed->context, followed);
@@ -261,97 +247,13 @@
     update_source_reading(subscription->feed);
 }
 
-static source_item_t
-received_item(const control_message_t *message, guint index)
-{
-    const config_item_t *item =
-        &g_array_index(message->items, config_item_t, index);
-    return (source_item_t){
-        .name = item->name,
-        .value = item->value,
-        .changed = {message->point.era, item->version},
-        .read = message->point,
-    };
-}
-
-/// Applies the items of a message that item_feed_accepts().
-static void
-apply_changes(change_feed_t *feed, const control_message_t *message)
-{
-    if (message->is_snapshot) {
-        change_feed_begin_listing(feed);
-        feed->callbacks.listing_started(feed->context);
-    }
-    for (guint i = 0; i < message->items->len; i++) {
-        source_item_t item = received_item(message, i);
-        if (feed->callbacks.item(feed->context, &item) ||
-            !change_feed_keep(feed, &item))
-        {
-            change_feed_put(feed, &item);
-        }
-    }
-    if (message->is_snapshot) {
-        feed->callbacks.listing_ended(feed->context, message->point);
-        source_point_t read_until = message->point;
-        read_until.revision += message->has_gap;
-        change_feed_end_listing(feed, message->point, read_until);
-    }
-    else {
-        if (message->has_gap) {
-            item_feed_advance_over_gap(&feed->items, message->point);
-        }
-        feed->callbacks.advanced(feed->context, message->point);
-        change_feed_advance(feed, message->point);
-    }
-}
-
-/// Offers the items of a node in an earlier era. Their points are too early to
-/// have an effect, but for an item that its own version orders.
-static void
-offer_earlier_items(change_feed_t *feed, const control_message_t *message)
-{
-    if (message->point.era >= feed->items.point.era) {
-        return;
-    }
-    for (guint i = 0; i < message->items->len; i++) {
-        source_item_t item = received_item(message, i);
-        feed->callbacks.item(feed->context, &item);
-    }
-}
-
-/// Reads the response to a request for changes. Returns false and sets
-/// @p error, which is valid until @p message is cleared, if it contains none.
-/// The caller clears @p message in both cases.
-static bool
-read_changes(control_message_t *message, const http_response_t *response,
-             const char **error)
-{
-    *message = (control_message_t){0};
-    *error = response->error;
-    if (response->result != HTTP_COMPLETE) {
-        return false;
-    }
-    uint64_t version = 0;
-    if (control_decode(message, response->body, &version) != DECODE_OK) {
-        *message = (control_message_t){0};
-        metric_increment(METRIC_CONTROL_MESSAGES_INVALID);
-        *error = "the response is not a valid control message";
-        return false;
-    }
-    control_count_received(message->type, response->body.len);
-    *error = message->type == CONTROL_REFUSED
-                 ? message->reason
-                 : control_type_name(message->type);
-    return message->type == CONTROL_CHANGES_ERA;
-}
-
 /// Defers removals as long as all readers do that this node follows. A reader
 /// that doesn't has read the source throughout, so only the others were cut
 /// off from it.
 static void
 adopt_removal_grace(change_feed_t *feed)
 {
-    int64_t now_us = feed_now_us(feed);
+    int64_t now_us = change_feed_now_us(feed);
     int64_t ends_us = INT64_MAX;
     for (int i = 0; i < FEED_SUBSCRIPTIONS; i++) {
         if (feed->subscriptions[i].healthy) {
@@ -364,19 +266,6 @@
     }
 }
 
-/// Records the proof in a response to a request that was sent at @p asked_us.
-/// The changes in the response have to be applied before.
-static void
-record_proof(change_feed_t *feed, const http_response_t *response,
-             int64_t asked_us)
-{
-    key_proof_record_text(feed->key_proof,
-                          http_header_find(response->headers,
-                                           response->header_count,
-                                           HEADER_PROOF),
-                          asked_us);
-}
-
 static void
 handle_poll_response(void *context, const http_response_t *response)
 {
@@ -385,11 +274,11 @@
     control_message_t message;
     const char *error = NULL;
     subscription->exchange = NULL;
-    if (!read_changes(&message, response, &error)) {
+    if (!change_feed_read_changes(&message, response, &error)) {
         handle_poll_failure(subscription, error);
     }
     else if (!item_feed_accepts(&feed->items, &message)) {
-        offer_earlier_items(feed, &message);
+        change_feed_offer_earlier(feed, &message);
         handle_poll_failure(subscription,
                             "changes of another era, or with a gap");
     }
@@ -397,10 +286,11 @@
         bool was_healthy = subscription->healthy;
         subscription->healthy = true;
         subscription->removal_grace_ends_us =
-            feed_now_us(feed) + (int64_t)message.removal_grace_ms * US_PER_MS;
+            change_feed_now_us(feed) +
+            (int64_t)message.removal_grace_ms * US_PER_MS;
         adopt_removal_grace(feed);
-        apply_changes(feed, &message);
-        record_proof(feed, response, subscription->asked_us);
+        change_feed_apply(feed, &message);
+        change_feed_record_proof(feed, response, subscription->asked_us);
         if (!was_healthy) {
             log_info("feed_followed",
                      "reader=%s revision=%" PRIu64 " era=%" PRIu64,
@@ -414,254 +304,26 @@
     control_message_clear(&message);
 }
 
-/// Sends a request of @p type for the changes after a point; unset: for all
-/// items.
-static http_exchange_t *
-request_changes(change_feed_t *feed, http_pool_t *pool, control_type_t type,
-                source_point_t after, int64_t timeout_us, http_done_t done,
-                void *context)
-{
-    control_message_t message;
-    control_message_init(&message, type, feed->settings->vm);
-    message.point = after;
-    GByteArray *bytes = g_byte_array_new();
-    control_encode(&message, bytes);
-    control_count_sent(message.type, bytes->len);
-    const http_header_t headers[] = {
-        {SLICE_LITERAL("host"), SLICE_LITERAL("node")},
-        {SLICE_LITERAL("content-type"), SLICE_LITERAL(CONTENT_TYPE)},
-        {SLICE_LITERAL(HEADER_PROTOCOL), SLICE_LITERAL(PROTOCOL_VERSION)},
-        {SLICE_LITERAL(HEADER_CONTROL), SLICE_LITERAL("1")},
-    };
-    http_exchange_t *exchange =
-        http_exchange_start(pool, SLICE_LITERAL("POST"), SLICE_LITERAL("/"),
-                            headers, G_N_ELEMENTS(headers),
-                            (slice_t){(const char *)bytes->data, bytes->len},
-                            timeout_us, done, context);
-    g_byte_array_unref(bytes);
-    control_message_clear(&message);
-    return exchange;
-}
-
-static http_pool_t *
-new_peer_pool(const change_feed_t *feed, const endpoint_t *peer)
-{
-    return http_pool_new_with_options(
-        feed->loop, &(http_pool_options_t){
-                        .endpoint = *peer,
-                        .connections_max = 1,
-                        .max_response_bytes = CONTROL_MESSAGE_MAX_BYTES,
-                        .connect_timeout_us = CONNECT_TIMEOUT_US,
-                    });
-}
-
 static void
 poll_reader(void *context)
 {
     feed_subscription_t *subscription = context;
-    subscription->asked_us = feed_now_us(subscription->feed);
-    subscription->exchange =
-        request_changes(subscription->feed, subscription->pool,
-                        CONTROL_FOLLOW_ERA, subscription->feed->items.point,
-                        POLL_TIMEOUT_US, handle_poll_response, subscription);
+    subscription->asked_us = change_feed_now_us(subscription->feed);
+    subscription->exchange = change_feed_request(
+        subscription->feed, subscription->pool, CONTROL_FOLLOW_ERA,
+        subscription->feed->items.point, POLL_TIMEOUT_US, handle_poll_response,
+        subscription);
 }
 
 static void
 start_subscription(feed_subscription_t *subscription, const endpoint_t *reader)
 {
     subscription->reader = *reader;
-    subscription->pool = new_peer_pool(subscription->feed, reader);
+    subscription->pool = change_feed_new_peer_pool(subscription->feed, reader);
     loop_timer_start(subscription->feed->loop, &subscription->poll_timer, 0,
                      poll_reader, subscription);
 }
 
-static void
-stop_catch_up(change_feed_t *feed)
-{
-    feed_catch_up_t *catch_up = &feed->catch_up;
-    if (catch_up->exchange != NULL) {
-        http_exchange_cancel(catch_up->exchange);
-        catch_up->exchange = NULL;
-    }
-    g_clear_pointer(&catch_up->pool, http_pool_release);
-}
-
-static void
-handle_catch_up_response(void *context, const http_response_t *response)
-{
-    change_feed_t *feed = context;
-    feed_catch_up_t *catch_up = &feed->catch_up;
-    control_message_t message;
-    source_point_t before = feed->items.point;
-    const char *error = NULL;
-    catch_up->exchange = NULL;
-    bool caught_up = read_changes(&message, response, &error);
-    if (caught_up && !item_feed_accepts(&feed->items, &message)) {
-        offer_earlier_items(feed, &message);
-        caught_up = false;
-        error = "changes of another era, or with a gap";
-    }
-    if (caught_up) {
-        if (message.removal_grace_ms > 0) {
-            feed->callbacks.extend_removal_grace(
-                feed->context, (int64_t)message.removal_grace_ms * US_PER_MS);
-        }
-        apply_changes(feed, &message);
-        record_proof(feed, response, catch_up->asked_us);
-        feed->caught_up_us = feed_now_us(feed);
-    }
-    log_info("feed_caught_up",
-             "node=%s error=\"%s\" before=%" PRIu64 " revision=%" PRIu64
-             " reported=%" PRIu64 " era_before=%" PRIu64 " era=%" PRIu64,
-             catch_up->peer.address, caught_up ? "" : error, before.revision,
-             feed->items.point.revision, catch_up->point.revision, before.era,
-             feed->items.point.era);
-    control_message_clear(&message);
-    stop_catch_up(feed);
-    if (!caught_up) {
-        // The next node that reports a later point is asked instead.
-        metric_increment(METRIC_CONTROL_EXCHANGES_FAILED);
-        catch_up->point = (source_point_t){0};
-        catch_up->state_version = 0;
-    }
-}
-
-static void
-ask_for_changes(change_feed_t *feed, const endpoint_t *node,
-                source_point_t after)
-{
-    feed_catch_up_t *catch_up = &feed->catch_up;
-    catch_up->asked_us = feed_now_us(feed);
-    catch_up->peer = *node;
-    catch_up->pool = new_peer_pool(feed, node);
-    catch_up->exchange =
-        request_changes(feed, catch_up->pool, CONTROL_CATCH_UP_ERA, after,
-                        CATCH_UP_TIMEOUT_US, handle_catch_up_response, feed);
-}
-
-/// Requests the missing changes from another node if this node has been behind
-/// it for too long. A desired state that the source has lost is no change
-/// after any point, so all items are requested for it.
-static void
-catch_up_if_behind(change_feed_t *feed)
-{
-    feed_catch_up_t *catch_up = &feed->catch_up;
-    int64_t now_us = feed_now_us(feed);
-    if (catch_up->exchange != NULL) {
-        return;
-    }
-    if (source_point_compare(catch_up->point, feed->items.point) > 0) {
-        if (now_us >= catch_up->due_us) {
-            ask_for_changes(feed, &catch_up->peer, feed->items.point);
-        }
-    }
-    else if (catch_up->state_version > feed->state_version &&
-             now_us >= catch_up->state_due_us)
-    {
-        catch_up->state_due_us = now_us + CATCH_UP_TIMEOUT_US;
-        ask_for_changes(feed, &catch_up->state_peer, (source_point_t){0});
-    }
-}
-
-/// Returns the endpoint of a random node, preferably of the own data centre;
-/// port 0 if none is known.
-static endpoint_t
-choose_other_node(change_feed_t *feed)
-{
-    endpoint_t chosen = {.port = 0};
-    bool chosen_local = false;
-    gint32 count = 0;
-    GHashTableIter iter;
-    void *pointer = NULL;
-    g_hash_table_iter_init(&iter, feed->vms->vms);
-    while (g_hash_table_iter_next(&iter, NULL, &pointer)) {
-        const vm_info_t *info = pointer;
-        bool local =
-            strcmp(info->data_centre, feed->settings->data_centre) == 0;
-        if (info->is_own || info->draining || (chosen_local && !local)) {
-            continue;
-        }
-        count = local && !chosen_local ? 1 : count + 1;
-        if (g_rand_int_range(feed->random, 0, count) == 0) {
-            chosen.port = info->peer_port;
-            g_strlcpy(chosen.address, info->address, sizeof(chosen.address));
-        }
-        chosen_local |= local;
-    }
-    return chosen;
-}
-
-/// Asks another node for a proof that the access keys known here are current,
-/// if no response has brought one for too long. A node whose own way to the
-/// source is cut off lives on its neighbours' proofs.
-static void
-ask_for_proof_if_wanted(change_feed_t *feed)
-{
-    feed_catch_up_t *catch_up = &feed->catch_up;
-    int64_t now_us = feed_now_us(feed);
-    if (catch_up->exchange != NULL || now_us < catch_up->proof_due_us ||
-        !key_proof_is_wanted(feed->key_proof))
-    {
-        return;
-    }
-    endpoint_t node = choose_other_node(feed);
-    if (node.port != 0) {
-        catch_up->proof_due_us = now_us + PROOF_INTERVAL_US;
-        metric_increment(METRIC_ACCESS_KEY_PROOFS_ASKED_TOTAL);
-        ask_for_changes(feed, &node, feed->items.point);
-    }
-}
-
-/// Notes the point that another node holds. If this node doesn't reach it by
-/// itself soon, it requests the changes from that node. A later era is
-/// reported to the source at once.
-void
-change_feed_note_peer_point(change_feed_t *feed, const endpoint_t *peer,
-                            source_point_t point)
-{
-    feed_catch_up_t *catch_up = &feed->catch_up;
-    // Before its first listing a node doesn't know what removals it missed.
-    if (!source_point_is_set(feed->items.point) ||
-        source_point_compare(point, feed->items.point) <= 0)
-    {
-        return;
-    }
-    if (point.era > feed->items.point.era) {
-        feed->callbacks.later_era_seen(feed->context, point.era);
-    }
-    if (catch_up->exchange != NULL) {
-        return;
-    }
-    if (source_point_compare(catch_up->point, feed->items.point) <= 0) {
-        catch_up->due_us = feed_now_us(feed) + CATCH_UP_DELAY_US;
-    }
-    if (source_point_compare(point, catch_up->point) >= 0) {
-        catch_up->point = point;
-        catch_up->peer = *peer;
-    }
-}
-
-/// Notes the version of the desired state that another node has in force. If
-/// this node doesn't get it by itself soon, it requests it from that node: the
-/// source may have lost it.
-void
-change_feed_note_peer_state(change_feed_t *feed, const endpoint_t *peer,
-                            uint64_t version)
-{
-    feed_catch_up_t *catch_up = &feed->catch_up;
-    if (!source_point_is_set(feed->items.point) ||
-        version <= feed->state_version || version < catch_up->state_version)
-    {
-        return;
-    }
-    if (catch_up->state_version <= feed->state_version) {
-        catch_up->state_due_us =
-            MAX(catch_up->state_due_us, feed_now_us(feed) + CATCH_UP_DELAY_US);
-    }
-    catch_up->state_version = version;
-    catch_up->state_peer = *peer;
-}
-
 /// Sets the version of the desired state that has come into force, and the
 /// item that holds it, which other nodes get from now on.
 void
@@ -789,8 +451,8 @@
     update_source_reading(feed);
     update_followed(feed);
     complete_pending_polls(feed);
-    catch_up_if_behind(feed);
-    ask_for_proof_if_wanted(feed);
+    change_feed_catch_up_if_behind(feed);
+    change_feed_ask_for_proof(feed);
     loop_timer_start(feed->loop, &feed->tick_timer, TICK_US, tick, feed);
 }
 
@@ -824,7 +486,7 @@
     for (int i = 0; i < FEED_SUBSCRIPTIONS; i++) {
         stop_subscription(&feed->subscriptions[i]);
     }
-    stop_catch_up(feed);
+    change_feed_stop_catch_up(feed);
     g_queue_clear_full(&feed->pending_polls, g_free);
     g_hash_table_destroy(feed->members);
     g_rand_free(feed->random);
@@ -920,7 +582,7 @@
 change_feed_set_source_ok(change_feed_t *feed, bool ok)
 {
     feed->source_ok = ok && feed->reads_source;
-    feed->source_lost_us = ok ? 0 : feed_now_us(feed);
+    feed->source_lost_us = ok ? 0 : change_feed_now_us(feed);
     complete_pending_polls(feed);
 }
 
@@ -950,11 +612,11 @@
         .request = request,
         .after = after,
         .with_era = with_era,
-        .deadline_us = feed_now_us(feed) + POLL_WAIT_US,
+        .deadline_us = change_feed_now_us(feed) + POLL_WAIT_US,
     };
     http_request_set_long_poll(request);
     g_queue_push_tail(&feed->pending_polls, pending);
-    feed->followed_until_us = feed_now_us(feed) + FOLLOWED_TTL_US;
+    feed->followed_until_us = change_feed_now_us(feed) + FOLLOWED_TTL_US;
     update_source_reading(feed);
     if (is_of_earlier_era(feed, after)) {
         feed->callbacks.later_era_seen(feed->context, after.era);
