--- a/test/functional/test_store_drill.c
+++ b/test/functional/test_store_drill.c
@@ -472,26 +472,66 @@
     stop_site();
 }
 
-/// Posts a control message without eras and returns the type of the reply.
-static int
-send_earlier_form(int machine, control_type_t type)
+/// Starts to post a request for changes after the first revision of the first
+/// era. Types of an earlier release carry no era.
+static http_call_t *
+start_request(int machine, control_type_t type)
 {
     control_message_t message;
-    control_message_init(&message, type, "old");
-    message.point.revision = 1;
+    control_message_init(&message, type, "other");
+    message.point = (source_point_t){1, 1};
     GByteArray *bytes = g_byte_array_new();
     control_encode(&message, bytes);
     char *body = g_strndup((const char *)bytes->data, bytes->len);
-    text_response_t response = http_call(
+    http_call_t *call = http_call_start(
         site.machines[machine].address, PORT_PEER, "POST", "/",
         "host: node\nibisfield-protocol: 1\nibisfield-control: 1", body);
-    // The type follows the header of the array and the protocol's version.
-    int reply = response.body == NULL ? -1 : response.body[2];
-    text_response_free(&response);
     g_free(body);
     g_byte_array_unref(bytes);
     control_message_clear(&message);
-    return reply;
+    return call;
+}
+
+/// Returns the type of the reply.
+static int
+wait_reply(http_call_t *call)
+{
+    text_response_t response = http_call_wait(call);
+    // The type follows the header of the array and the protocol's version.
+    int type = response.body == NULL ? -1 : response.body[2];
+    text_response_free(&response);
+    return type;
+}
+
+static int
+send_request(int machine, control_type_t type)
+{
+    return wait_reply(start_request(machine, type));
+}
+
+static void
+read_store_through_stopped_relay(machine_t *machine)
+{
+    read_store_through_relay(machine);
+    if (machine == &site.machines[0]) {
+        kill(store_relay.pid, SIGSTOP);
+    }
+}
+
+/// Guards against readers that refuse their followers because they haven't
+/// listed the store of a new era yet: each follower then reads the store
+/// itself for seconds.
+static void
+test_reader_that_has_not_listed(void)
+{
+    start_site_with_addresses(NODES_READING, read_store_through_stopped_relay);
+    put_desired_state(3, NULL);
+    http_call_t *call = start_request(0, CONTROL_FOLLOW_ERA);
+    g_usleep(200000);
+    kill(store_relay.pid, SIGCONT);
+    CU_ASSERT_EQUAL(wait_reply(call), CONTROL_CHANGES_ERA);
+    process_finish(&store_relay);
+    stop_site();
 }
 
 /// Guards against nodes of an earlier release that get nothing from nodes of
@@ -502,15 +542,15 @@
 {
     start_site(NODES_READING);
     publish_site();
-    CU_ASSERT_EQUAL(send_earlier_form(0, CONTROL_CATCH_UP), CONTROL_CHANGES);
-    CU_ASSERT_EQUAL(send_earlier_form(0, CONTROL_FOLLOW), CONTROL_CHANGES);
+    CU_ASSERT_EQUAL(send_request(0, CONTROL_CATCH_UP), CONTROL_CHANGES);
+    CU_ASSERT_EQUAL(send_request(0, CONTROL_FOLLOW), CONTROL_CHANGES);
     take_copy();
     put_desired_state(5, NULL);
     wait_nodes_hold_store();
     drill(200);
     wait_nodes_hold_store();
-    CU_ASSERT_EQUAL(send_earlier_form(0, CONTROL_CATCH_UP), CONTROL_REFUSED);
-    CU_ASSERT_EQUAL(send_earlier_form(0, CONTROL_FOLLOW), CONTROL_REFUSED);
+    CU_ASSERT_EQUAL(send_request(0, CONTROL_CATCH_UP), CONTROL_REFUSED);
+    CU_ASSERT_EQUAL(send_request(0, CONTROL_FOLLOW), CONTROL_REFUSED);
     stop_site();
 }
 
@@ -566,6 +606,7 @@
         {"copy lists servers that left", test_copy_lists_servers_that_left},
         {"copy lacks servers", test_copy_lacks_servers},
         {"other eras in answers", test_other_eras_in_answers},
+        {"reader that has not listed", test_reader_that_has_not_listed},
         {"earlier release", test_nodes_of_an_earlier_release},
         {"node that starts", test_node_that_starts_after_a_drill},
         CU_TEST_INFO_NULL,
